--- a/src/core/published/follow.ts
+++ b/src/core/published/follow.ts
@@ -2,16 +2,20 @@
 import { sleep, type Clock } from '../clock/index.js';
 import type { Log } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
+import type { Result } from '../result/index.js';
 import type { PublishedState } from './published-state.js';
-import type { PublishedSource, ReadFault } from './source.js';
+import type { PublishedKind, PublishedSource, Read, ReadFault } from './source.js';
+import type { PublishedConfig, PublishedEndpoint } from './types.js';
 
 /**
- * Pause between two reads, ms. A change must be in force 2 s after it was acknowledged: one pause,
- * one slow answer (0.3 s) and one lost one fit in.
+ * Longest wait for a change of the configuration, ms: each answer proves that the version in force is
+ * still the newest, and keys may be honoured for 5 s after such a proof.
  */
-export const READ_PAUSE_MS = 500;
+export const CONFIG_WAIT_MS = 1200;
+/** Longest wait for a change of the list of endpoints, ms: an endpoint that leaves gets no work 2 s later. */
+export const ENDPOINTS_WAIT_MS = 1500;
 /** Pause after a read that failed, ms: a store that is back is seen soon, at few calls meanwhile. */
-export const FAILED_PAUSE_MS = 250;
+export const FAILED_PAUSE_MS = 300;
 /** A store that did not answer for this long has been away, ms. */
 export const AWAY_MS = 1200;
 /** Time that entries which lapsed while the store was away have to be written again, ms. */
@@ -53,59 +57,74 @@
   }
 }
 
-async function pause(parts: FollowParts, ms: number, signal: AbortSignal): Promise<void> {
-  await sleep(ms * (0.8 + 0.4 * parts.random()), signal);
+/** Reads one kind of published state, waits for the next change, and reads again. */
+async function followKind<T>(
+  parts: FollowParts,
+  kind: PublishedKind,
+  read: () => Promise<Result<Read<T>, ReadFault>>,
+  take: (value: T, askedAtMs: number, awayMs: number) => void,
+  unchanged: (askedAtMs: number) => void,
+  signal: AbortSignal,
+): Promise<void> {
+  const { clock } = parts;
+  const dependency = new DependencyLog(parts, kind);
+  const waitMs = kind === 'config' ? CONFIG_WAIT_MS : ENDPOINTS_WAIT_MS;
+  let revision: number | undefined;
+  while (!signal.aborted) {
+    const askedAtMs = clock.nowMs();
+    if (revision === undefined) {
+      const got = await read();
+      if (got.err) {
+        dependency.failed(got.val);
+        await sleep(FAILED_PAUSE_MS * (0.8 + 0.4 * parts.random()), signal);
+        continue;
+      }
+      revision = got.val.revision;
+      take(got.val.value, askedAtMs, dependency.worked());
+    }
+    const waitedFromMs = clock.nowMs();
+    const changed = await parts.source.waitForChange(kind, revision, waitMs);
+    if (changed.err) dependency.failed(changed.val);
+    // Whatever went wrong with the wait, a plain read tells where we stand.
+    if (changed.err || changed.val) revision = undefined;
+    else unchanged(waitedFromMs);
+  }
 }
 
 /**
  * Follows the configuration until the signal aborts.
  * @example void followConfig(parts, signal);
  */
-export async function followConfig(parts: FollowParts, signal: AbortSignal): Promise<void> {
+export function followConfig(parts: FollowParts, signal: AbortSignal): Promise<void> {
   const { source, state, clock, log, metrics } = parts;
-  const dependency = new DependencyLog(parts, 'configuration');
-  while (!signal.aborted) {
-    const askedAtMs = clock.nowMs();
-    const read = await source.readConfig();
-    if (read.err) {
-      dependency.failed(read.val);
-      await pause(parts, FAILED_PAUSE_MS, signal);
-      continue;
-    }
-    dependency.worked();
-    const { config } = read.val;
+  const take = (config: PublishedConfig, askedAtMs: number): void => {
     const before = state.config?.version;
-    if (!config) state.proveConfig(askedAtMs);
-    else if (!state.offerConfig(config, askedAtMs)) {
+    if (!state.offerConfig(config, askedAtMs)) {
       metrics.count('config_older_total');
       log.warn('config.older', { version: config.version, inForce: before });
     } else if (config.version !== before) {
       const readMs = Math.round(clock.nowMs() - askedAtMs);
       log.info('config.inForce', { version: config.version, before, readMs });
     }
-    await pause(parts, READ_PAUSE_MS, signal);
-  }
+  };
+  return followKind(parts, 'config', source.readConfig, take, (at) => state.proveConfig(at), signal);
 }
 
 /**
  * Follows the list of endpoints until the signal aborts.
  * @example void followEndpoints(parts, signal);
  */
-export async function followEndpoints(parts: FollowParts, signal: AbortSignal): Promise<void> {
+export function followEndpoints(parts: FollowParts, signal: AbortSignal): Promise<void> {
   const { source, state, clock, log } = parts;
-  const dependency = new DependencyLog(parts, 'endpoints');
   let graceUntilMs = Number.NEGATIVE_INFINITY;
-  while (!signal.aborted) {
-    const askedAtMs = clock.nowMs();
-    const read = await source.readEndpoints();
-    if (read.err) {
-      dependency.failed(read.val);
-      await pause(parts, FAILED_PAUSE_MS, signal);
-      continue;
-    }
+  const take = (
+    listed: readonly PublishedEndpoint[],
+    askedAtMs: number,
+    awayMs: number,
+  ): void => {
     const nowMs = clock.nowMs();
-    if (dependency.worked() >= AWAY_MS) graceUntilMs = nowMs + RETURN_GRACE_MS;
-    const change = state.offerList(read.val, askedAtMs, nowMs < graceUntilMs ? RETURN_GRACE_MS : 0);
+    if (awayMs >= AWAY_MS) graceUntilMs = nowMs + RETURN_GRACE_MS;
+    const change = state.offerList(listed, askedAtMs, nowMs < graceUntilMs ? RETURN_GRACE_MS : 0);
     for (const endpoint of change.joined)
       log.info('endpoint.joined', {
         endpoint: endpoint.id,
@@ -114,6 +133,10 @@
       });
     for (const endpoint of change.leaving) log.info('endpoint.leaving', { endpoint });
     for (const endpoint of change.gone) log.info('endpoint.gone', { endpoint });
-    await pause(parts, READ_PAUSE_MS, signal);
-  }
+  };
+  const unchanged = (askedAtMs: number): void => {
+    // An entry that lapsed and was not written again in its time is gone.
+    state.settleMissing(askedAtMs, clock.nowMs() < graceUntilMs ? RETURN_GRACE_MS : 0);
+  };
+  return followKind(parts, 'endpoints', source.readEndpoints, take, unchanged, signal);
 }
--- a/src/core/published/published-state.ts
+++ b/src/core/published/published-state.ts
@@ -86,6 +86,13 @@
     return { joined, leaving, gone };
   }
 
+  /** Drops endpoints that were missing from the last list and whose grace is over. */
+  settleMissing(askedAtMs: number, missingGraceMs: number): void {
+    if (this.missingSinceMs.size === 0) return void (this.listedAtMs = askedAtMs);
+    const listed = [...this.endpoints.values()].filter((e) => !this.missingSinceMs.has(e.id));
+    this.offerList(listed, askedAtMs, missingGraceMs);
+  }
+
   /** Keeps missing endpoints for their grace, and returns those whose grace is over. */
   private carryOverMissing(
     next: Map<EndpointId, PublishedEndpoint>,
--- a/src/core/published/source.ts
+++ b/src/core/published/source.ts
@@ -10,13 +10,26 @@
   readonly detail: string;
 }
 
-/** A configuration read: undefined when it is the one that this reader had read before. */
-export interface ConfigRead {
-  readonly config: PublishedConfig | undefined;
+/** What is published. */
+export type PublishedKind = 'config' | 'endpoints';
+
+/** Something read, and the revision of the store at which it was the newest. */
+export interface Read<T> {
+  readonly value: T;
+  readonly revision: number;
 }
 
 /** Reads what operators and endpoints publish. Each answer is the newest state, never a stale one. */
 export interface PublishedSource {
-  readConfig(): Promise<Result<ConfigRead, ReadFault>>;
-  readEndpoints(): Promise<Result<readonly PublishedEndpoint[], ReadFault>>;
+  readConfig(): Promise<Result<Read<PublishedConfig>, ReadFault>>;
+  readEndpoints(): Promise<Result<Read<readonly PublishedEndpoint[]>, ReadFault>>;
+  /**
+   * Waits for a change after a revision, `waitMs` at most; true when there is one, or when the history
+   * since then is no longer known.
+   */
+  waitForChange(
+    kind: PublishedKind,
+    revision: number,
+    waitMs: number,
+  ): Promise<Result<boolean, ReadFault>>;
 }
--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -25,8 +25,11 @@
 /** Largest answer that is not streamed, bytes. */
 export const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
-/** Safety margin taken off the time that keys may be honoured without a new proof, ms. */
-export const KEY_PROOF_MARGIN_MS = 600;
+/**
+ * Taken off the time that keys may be honoured without a new proof, ms: a wait for changes may have
+ * heard nothing for a second before its history was dropped, and a request is on its way for a while.
+ */
+export const KEY_PROOF_MARGIN_MS = 1500;
 
 /** Part of the target for which a request may wait for its turn: held longer, a refusal costs. */
 export const QUEUE_TARGET_SHARE = 0.22;
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -6,8 +6,8 @@
 import type { Metrics } from '../core/metrics/index.js';
 import type { PublishedEndpoint, PublishedState, ServiceId } from '../core/published/index.js';
 import { EndpointHealth } from '../core/routing/index.js';
+import { endpointConnector } from './connect.js';
 import {
-  CONNECT_MS,
   CONNECTION_SHARERS,
   IDLE_CONNECTION_MS,
   MOST_CONNECTIONS,
@@ -100,7 +100,7 @@
       pool: new Pool(`http://${endpoint.address}`, {
         connections: Math.max(2, Math.min(MOST_CONNECTIONS, share)),
         pipelining: 1,
-        connectTimeout: CONNECT_MS,
+        connect: endpointConnector(),
         keepAliveTimeout: IDLE_CONNECTION_MS,
         headersTimeout: 0,
         bodyTimeout: 0,
