Switch expert maps from agents beside the engines

Cause: under the first map the most loaded rank has 3.5 times the mean and the group's passes bind all else. Agents look at every rank each 0.1 s, a coordinator plans few copies, and the model-checked switch brings the map in: hold, arm, decide, go, each proved by the engine's own report and fenced by round.

--- a/src/core/groups/coordinator.ts
+++ b/src/core/groups/coordinator.ts
@@ -155,8 +155,10 @@
   if (recovered) return recovered;
   const mapId = promises[0]?.mapId ?? '';
   const map = c.known?.id === mapId ? c.known : promises.find((p) => p.map?.id === mapId)?.map;
+  // A group that was formed anew between two promises has forgotten what the first ones told.
+  if (new Set(promises.map((p) => p.groupEpoch)).size > 1) return { kind: 'kept' };
   // Ranks may be seen a step apart around a confirmed switch; the next round finds them together.
   if (promises.some((p) => p.mapId !== mapId)) return { kind: 'kept' };
-  const next = chooseMap({ mapId, map, replies: promises });
+  const next = chooseMap({ epoch, mapId, map, replies: promises });
   return next ? armAll(c, epoch, next, promises) : { kind: 'kept' };
 }
--- a/src/core/groups/rank-gate.ts
+++ b/src/core/groups/rank-gate.ts
@@ -12,6 +12,14 @@
   readonly map: ExpertMap;
   readonly armed: RankReply['armed'];
   readonly lastConfirmed: number;
+  /** Place in the group, as the engine tells it. */
+  readonly rank?: number;
+  /** How often the group was formed, where engines count that. */
+  readonly groupEpoch?: number;
+  /** Experts that this rank holds, by layer, where the engine knows no more of the map. */
+  readonly placed?: number[][];
+  /** Tokens of this rank's own requests since the engine's start, by layer and expert. */
+  readonly picked?: number[][];
 }
 
 /** The engine behind a rank. */
@@ -52,6 +60,8 @@
    * @example await gate.serve({ group, kind: 'promise', epoch: 1024 })
    */
   serve(order: RankOrder): Promise<RankReply> {
+    // A look changes nothing and must not wait for a copy that takes long.
+    if (order.kind === 'look') return this.look();
     const served = this.queue.then(() => this.serveNow(order));
     this.queue = served.catch(() => undefined);
     return served;
@@ -67,6 +77,11 @@
     return this.reply(done, done ? undefined : 'the engine refused');
   }
 
+  private async look(): Promise<RankReply> {
+    const state = await this.engine.read(true);
+    return { ...this.describe(state, true), placed: state.placed, picked: state.picked };
+  }
+
   private async promise(order: RankOrder): Promise<RankReply> {
     if (order.epoch <= this.promised)
       return this.reply(false, `epoch ${this.promised} is promised`);
@@ -79,7 +94,8 @@
     const counts = state.counts?.map((layer, l) =>
       (held[l] ?? []).map((expert) => layer[expert] ?? 0),
     );
-    const map = order.knownMapId === state.map.id ? undefined : state.map;
+    const isKnown = order.knownMapId === state.map.id || state.placed !== undefined;
+    const map = isKnown ? undefined : state.map;
     return { ...this.describe(state, true), counts, ...(map ? { map } : {}) };
   }
 
@@ -101,7 +117,8 @@
       if (state.armed || order.step <= state.step) return false;
       return engine.order({ kind: 'arm', epoch, map: prepared, step: order.step });
     }
-    if (order.kind === 'promise' || order.target === undefined) return false;
+    if (order.kind === 'promise' || order.kind === 'look' || order.target === undefined)
+      return false;
     return engine.order({ kind: order.kind, epoch, target: order.target });
   }
 
@@ -118,6 +135,8 @@
       step: state.step,
       mapId: state.map.id,
       lastConfirmed: state.lastConfirmed,
+      ...(state.rank === undefined ? {} : { rank: state.rank }),
+      ...(state.groupEpoch === undefined ? {} : { groupEpoch: state.groupEpoch }),
       ...(state.armed ? { armed: state.armed } : {}),
     };
   }
--- a/src/core/groups/types.ts
+++ b/src/core/groups/types.ts
@@ -19,6 +19,8 @@
 
 /** What a coordinator knows of the ranks after their promises. */
 export interface GroupView {
+  /** Epoch of the round. */
+  readonly epoch: number;
   readonly mapId: string;
   readonly map: ExpertMap | undefined;
   readonly replies: readonly RankReply[];
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -5,3 +5,4 @@
 export * from './repack.js';
 export * from './skew.js';
 export * from './types.js';
+export * from './round-plan.js';
--- a/src/core/placement/moves.ts
+++ b/src/core/placement/moves.ts
@@ -19,7 +19,18 @@
   private readonly state: LayerState;
   private max: number;
 
-  constructor(layer: number, map: LayerMap, popularity: readonly number[], slots: number) {
+  /** New experts that each rank has been given so far. */
+  private readonly fetched: number[];
+
+  /** @param mostNew new experts that one rank may be given in all */
+  constructor(
+    layer: number,
+    map: LayerMap,
+    popularity: readonly number[],
+    slots: number,
+    private readonly mostNew = Number.POSITIVE_INFINITY,
+  ) {
+    this.fetched = map.map(() => 0);
     const holders: number[][] = popularity.map(() => []);
     map.forEach((held, rank) => held.forEach((e) => holders[e]?.push(rank)));
     this.state = {
@@ -62,16 +73,22 @@
       if (move && (!best || move.gain / move.fetches.length > best.gain / best.fetches.length))
         best = move;
     };
+    const hotIsFull = this.isFull(hot);
     for (const expert of map[hot] ?? []) {
       for (let rank = 0; rank < map.length; rank += 1) {
-        if (rank === hot || map[rank]?.includes(expert)) continue;
+        if (rank === hot || this.isFull(rank) || map[rank]?.includes(expert)) continue;
         offer(this.replicate(expert, rank));
+        if (hotIsFull) continue;
         for (const other of map[rank] ?? []) offer(this.swap(hot, expert, rank, other));
       }
     }
     return best;
   }
 
+  private isFull(rank: number): boolean {
+    return (this.fetched[rank] ?? 0) >= this.mostNew;
+  }
+
   /** Applies a move found by `bestMove`. */
   apply(move: Move): void {
     const { map, holders } = this.state;
@@ -82,6 +99,7 @@
         remove(holders[fetch.evicts] as number[], fetch.rank);
       }
       held.push(fetch.expert);
+      this.fetched[fetch.rank] = (this.fetched[fetch.rank] ?? 0) + 1;
       holders[fetch.expert]?.push(fetch.rank);
     }
     this.state.loads = rankLoads(map, this.state.popularity);
--- a/src/core/published/follow.ts
+++ b/src/core/published/follow.ts
@@ -11,9 +11,11 @@
  * Longest wait for a change of the configuration, ms: each answer proves that the version in force is
  * still the newest, and keys may be honoured for 5 s after such a proof.
  */
-export const CONFIG_WAIT_MS = 1200;
+const CONFIG_WAIT_MS = 1200;
 /** Longest wait for a change of the list of endpoints, ms: an endpoint that leaves gets no work 2 s later. */
-export const ENDPOINTS_WAIT_MS = 1500;
+const ENDPOINTS_WAIT_MS = 1500;
+/** Longest waits of an entry. */
+export const ENTRY_WAIT_MS = { config: CONFIG_WAIT_MS, endpoints: ENDPOINTS_WAIT_MS } as const;
 /** Pause after a read that failed, ms: a store that is back is seen soon, at few calls meanwhile. */
 export const FAILED_PAUSE_MS = 300;
 /** A store that did not answer for this long has been away, ms. */
@@ -29,6 +31,8 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly random: () => number;
+  /** Longest waits for a change, ms. */
+  readonly waitMs: Readonly<Record<PublishedKind, number>>;
 }
 
 /** Logs a dependency once when it is lost and once when it is back. */
@@ -68,7 +72,7 @@
 ): Promise<void> {
   const { clock } = parts;
   const dependency = new DependencyLog(parts, kind);
-  const waitMs = kind === 'config' ? CONFIG_WAIT_MS : ENDPOINTS_WAIT_MS;
+  const waitMs = parts.waitMs[kind];
   let revision: number | undefined;
   while (!signal.aborted) {
     const askedAtMs = clock.nowMs();
--- a/src/core/published/types.ts
+++ b/src/core/published/types.ts
@@ -46,8 +46,20 @@
   readonly id: ServiceId;
   /** Connections that one endpoint takes from all callers together. */
   readonly maxConnections: number;
-  /** Requests that one model engine works on at once; undefined for plain services. */
-  readonly engineSlots: number | undefined;
+  /** What the endpoints are as model engines; undefined for plain services. */
+  readonly engine: EngineInfo | undefined;
+}
+
+/** A service's model engines. */
+export interface EngineInfo {
+  /** Requests that one engine works on at once. */
+  readonly slots: number;
+  /** Layers, or sets of layers, that have an expert map of their own. */
+  readonly layers: number;
+  /** Experts that one rank can hold in a layer. */
+  readonly slotsPerRank: number;
+  /** Experts that one map may bring anew to a rank and layer. */
+  readonly mostNew: number;
 }
 
 /** One organisation and what it may be recognised by. */
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -37,7 +37,7 @@
   const { settings, state, clock } = parts;
   const services = new Map<ServiceId, ServiceState>();
   const makeService = (id: ServiceId): ServiceState => {
-    const isGroup = state.config?.services.get(id)?.engineSlots !== undefined;
+    const isGroup = state.config?.services.get(id)?.engine !== undefined;
     const pace = new PaceLimit();
     const budget = new RetryBudget(
       () => settings.retryShare * RETRY_SHARE_USED,
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -5,6 +5,7 @@
 import { createLog } from '../core/logging/index.js';
 import { Metrics } from '../core/metrics/index.js';
 import {
+  ENTRY_WAIT_MS,
   followConfig,
   followEndpoints,
   PublishedState,
@@ -54,7 +55,7 @@
   const ending = new AbortController();
   const ctx = createContext({ ...shared, settings, codec: parts.codec });
   const gateway = createGateway(ctx);
-  const follow = { ...shared, source: parts.source };
+  const follow = { ...shared, source: parts.source, waitMs: ENTRY_WAIT_MS };
   void followConfig(follow, ending.signal);
   void followEndpoints(follow, ending.signal);
   setInterval(() => ctx.endpoints.prune(), PRUNE_MS).unref();
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -20,6 +20,8 @@
     readonly ready: ListenAddress | undefined;
     readonly control: ListenAddress | undefined;
   };
+  /** Port on which daemons talk to each other; the same on all instances. */
+  readonly internalPort: number;
   /** Addresses of daemons to meet first, host:port. */
   readonly seeds: readonly string[];
   /** The endpoint beside which this process runs. */
--- /dev/null
+++ b/src/group/agent-process.ts
@@ -0,0 +1,120 @@
+/** One agent process, beside one rank's engine: serves the rank's orders and may coordinate the group. */
+import { createServer } from 'node:http';
+import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import { Agent as HttpAgent } from 'undici';
+import { systemClock } from '../core/clock/index.js';
+import { RankGate, type RankOrder } from '../core/groups/index.js';
+import { newIncarnation } from '../core/ids/index.js';
+import { createLog } from '../core/logging/index.js';
+import { Metrics } from '../core/metrics/index.js';
+import {
+  followConfig,
+  followEndpoints,
+  PublishedState,
+  type EngineInfo,
+  type PublishedEndpoint,
+  type PublishedSource,
+} from '../core/published/index.js';
+import { createPeers } from '../rpc/peers.js';
+import { RPC_PATH } from '../rpc/consts.js';
+import { buildRouter } from '../rpc/router.js';
+import type { GatewaySettings } from '../gateway/types.js';
+import { UNLOOKED_MS, UNLOOKED_STAGGER_MS } from './consts.js';
+import { CoordinatorTask } from './coordinator-task.js';
+import type { EngineCalls } from './engine-calls.js';
+import { createSwitchEngine } from './switch-engine.js';
+
+/** Longest wait for a change of what is published, ms: agents act on it rarely. */
+const AGENT_WAIT_MS = 15_000;
+/** Largest order, bytes: a map of 8 layers, 63 ranks and 5 experts takes 12 KB. */
+const MAX_ORDER_BYTES = 1024 * 1024;
+
+/** What an agent is started with. */
+export interface AgentParts {
+  readonly settings: GatewaySettings;
+  readonly source: PublishedSource;
+  readonly connect: (origin: string, log: ReturnType<typeof createLog>, metrics: Metrics) => EngineCalls;
+}
+
+/**
+ * Starts an agent.
+ * @example await startAgent({ settings, source, connect });
+ */
+export async function startAgent(parts: AgentParts): Promise<void> {
+  const { settings } = parts;
+  const { ownEndpoint } = settings;
+  if (!ownEndpoint) throw new Error('the settings name no engine of this machine');
+  const clock = systemClock;
+  const log = createLog('info', { instance: settings.instance });
+  const metrics = new Metrics();
+  const state = new PublishedState();
+  const shared = { clock, random: Math.random, log, metrics };
+  const ending = new AbortController();
+  const follow = {
+    ...shared,
+    state,
+    source: parts.source,
+    waitMs: { config: AGENT_WAIT_MS, endpoints: AGENT_WAIT_MS },
+  };
+  void followConfig(follow, ending.signal);
+  void followEndpoints(follow, ending.signal);
+
+  const own = (): PublishedEndpoint | undefined =>
+    [...state.list.values()].find((e) => e.address === `${ownEndpoint.host}:${ownEndpoint.port}`);
+  const engine = (): EngineInfo | undefined => {
+    const service = own()?.service;
+    return service && state.config?.services.get(service)?.engine;
+  };
+  const self = `${settings.ip}:${settings.internalPort}`;
+  /** An agent runs beside each engine of the service, at the engine's own host. */
+  const agents = (): string[] =>
+    [...state.list.values()]
+      .filter((endpoint) => endpoint.service === own()?.service)
+      .map((endpoint) => `${endpoint.address.split(':', 1)[0]}:${settings.internalPort}`)
+      .sort();
+
+  const calls = parts.connect(`http://${ownEndpoint.host}:${ownEndpoint.port}`, log, metrics);
+  const gate = new RankGate(
+    newIncarnation(clock.wallMs()),
+    createSwitchEngine({ calls, clock, layers: () => engine()?.layers ?? 0 }),
+    () => 0,
+  );
+  let lookedAtMs = clock.nowMs();
+  /** Whether another agent looks after the group; of two, the one with the lower address goes on. */
+  const noteLook = (from: string): void => {
+    if (from < self || !isMine()) lookedAtMs = clock.nowMs();
+  };
+  const isMine = (): boolean => {
+    const before = Math.max(0, agents().indexOf(self));
+    return clock.nowMs() - lookedAtMs > UNLOOKED_MS + before * UNLOOKED_STAGGER_MS;
+  };
+  const serveRank = (order: RankOrder): ReturnType<RankGate['serve']> => {
+    if (order.kind === 'look' && order.from !== undefined && order.from !== self) noteLook(order.from);
+    return gate.serve(order);
+  };
+
+  const router = buildRouter({ rank: serveRank });
+  const rpc = createHTTPHandler({ router, basePath: RPC_PATH, maxBodySize: MAX_ORDER_BYTES });
+  const server = createServer({ requestTimeout: 0 }, rpc);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(settings.internalPort, settings.ip, resolve);
+  });
+  const peers = createPeers(new HttpAgent({ connect: { timeout: 1000 } }));
+  const task = new CoordinatorTask({
+    ...shared,
+    self,
+    agents,
+    engine,
+    call: (address, order, withinMs) =>
+      address === self
+        ? serveRank(order)
+        : peers.at(address).rank.mutate(order, { signal: AbortSignal.timeout(withinMs) }),
+  });
+  void task.run(isMine, ending.signal);
+  log.info('process.started', { self, engine: `${ownEndpoint.host}:${ownEndpoint.port}` });
+  process.on('SIGTERM', () => {
+    log.info('process.stopped', {});
+    process.exit(0);
+  });
+}
--- /dev/null
+++ b/src/group/consts.ts
@@ -0,0 +1,26 @@
+/** Constants of the agents' group work. */
+
+/** Pause between two looks at all ranks, ms: demand changes every few seconds, a copy takes 0.1 s. */
+export const LOOK_PAUSE_MS = 100;
+/** Time for the answer to a look, ms. */
+export const LOOK_MS = 600;
+/** Time for the answer to an order of a switch, ms; preparing takes the longest. */
+export const ORDER_MS = 5000;
+/** An agent that nobody has looked at for this long begins to coordinate, ms. */
+export const UNLOOKED_MS = 900;
+/** Further wait for each agent before this one in order of address, ms: one begins, not all. */
+export const UNLOOKED_STAGGER_MS = 150;
+/** Half-life of the popularity estimate, ms: demand shifts every four seconds or so. */
+export const PICKED_HALF_LIFE_MS = 700;
+/** New experts for a rank and layer in one map: one takes 0.65 s to be in use, three take 1 s. */
+export const MOST_NEW = 1;
+/** Fall of a layer's largest load, as a share of its mean, that a copy must bring. */
+export const GAIN_PER_COPY = 0.008;
+/** Skew before over skew after below which the present map stays. */
+export const LEAST_SKEW_GAIN = 1.06;
+/** Steps between arming and the switch: a step of the group takes 50 ms or more, an arm round 30 ms. */
+export const ARM_MARGIN_STEPS = 3;
+/** Tokens that an estimate needs before a map rests on it. */
+export const LEAST_TOKENS = 2000;
+/** How often the same fault of a round is logged at most, ms. */
+export const LOG_PAUSE_MS = 2000;
--- /dev/null
+++ b/src/group/coordinator-task.ts
@@ -0,0 +1,173 @@
+/** The coordinator of a group: looks at every rank, and brings in a new map when it is worth its copies. */
+import { sleep, type Clock } from '../core/clock/index.js';
+import { errorText } from '../core/errors/index.js';
+import {
+  nextEpoch,
+  runSwitch,
+  type Coordination,
+  type ExpertMap,
+  type GroupView,
+  type RankOrder,
+  type RankReply,
+} from '../core/groups/index.js';
+import type { Log } from '../core/logging/index.js';
+import type { Metrics } from '../core/metrics/index.js';
+import { planRound, PopularityEstimate, type Placement } from '../core/placement/index.js';
+import type { EngineInfo } from '../core/published/index.js';
+import {
+  ARM_MARGIN_STEPS,
+  GAIN_PER_COPY,
+  LEAST_SKEW_GAIN,
+  LEAST_TOKENS,
+  LOG_PAUSE_MS,
+  LOOK_MS,
+  LOOK_PAUSE_MS,
+  MOST_NEW,
+  ORDER_MS,
+  PICKED_HALF_LIFE_MS,
+} from './consts.js';
+import { orderReplies, PickedDeltas, placementOf, type GroupReplies } from './group-view.js';
+
+/** Sends one order to the agent at an address; rejects when it cannot be reached in time. */
+export type CallAgent = (address: string, order: RankOrder, withinMs: number) => Promise<RankReply>;
+
+/** What a coordinator needs. */
+export interface CoordinatorParts {
+  readonly self: string;
+  /** Addresses of the agents of the group, this one's included. */
+  readonly agents: () => readonly string[];
+  readonly engine: () => EngineInfo | undefined;
+  readonly call: CallAgent;
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** Coordinates while `isMine` says so. */
+export class CoordinatorTask {
+  private estimate: PopularityEstimate | undefined;
+  private readonly deltas = new PickedDeltas();
+  private takenAtMs = 0;
+  private highestEpoch = 0;
+  private loggedAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly parts: CoordinatorParts) {}
+
+  /** Runs until the signal aborts. */
+  async run(isMine: () => boolean, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await sleep(LOOK_PAUSE_MS * (0.9 + 0.2 * this.parts.random()), signal);
+      if (!isMine()) continue;
+      try {
+        await this.round();
+      } catch (err) {
+        this.note('round failed', errorText(err));
+      }
+    }
+  }
+
+  private async round(): Promise<void> {
+    const { parts } = this;
+    const addresses = parts.agents();
+    const look: RankOrder = { group: '', kind: 'look', epoch: 0, from: parts.self };
+    const replies = await Promise.all(
+      addresses.map((address) => parts.call(address, look, LOOK_MS).catch(() => undefined)),
+    );
+    const ordered = orderReplies(replies, addresses.length);
+    if (!ordered) {
+      const missing = addresses.filter((_, i) => replies[i]?.rank === undefined);
+      return this.note('group not whole', `${missing.length} of ${addresses.length}: ${missing.join(',')}`);
+    }
+    // Fences and versions rise over everything that any rank has seen or holds.
+    for (const reply of ordered)
+      this.highestEpoch = Math.max(
+        this.highestEpoch,
+        reply.promised,
+        reply.lastConfirmed ?? 0,
+        reply.armed?.epoch ?? 0,
+      );
+    this.takeCounts(ordered);
+    const byRank = ordered.map((reply) => addresses[replies.indexOf(reply)] as string);
+    if (ordered.some((reply) => reply.armed)) await this.switchMaps(byRank, () => undefined);
+    else await this.improve(ordered, byRank);
+  }
+
+  private takeCounts(replies: GroupReplies): void {
+    const nowMs = this.parts.clock.nowMs();
+    const counts = this.deltas.take(replies);
+    const layers = replies[0]?.picked?.length ?? 0;
+    const experts = replies[0]?.picked?.[0]?.length ?? 0;
+    this.estimate ??= new PopularityEstimate(layers, experts, PICKED_HALF_LIFE_MS);
+    this.estimate.add(counts, nowMs - this.takenAtMs);
+    this.takenAtMs = nowMs;
+  }
+
+  private async improve(replies: GroupReplies, byRank: readonly string[]): Promise<void> {
+    const engine = this.parts.engine();
+    const current = placementOf(replies);
+    const popularity = this.estimate?.read();
+    if (!engine || !current || !popularity) return;
+    const tokens = popularity[0]?.reduce((sum, count) => sum + count, 0) ?? 0;
+    if (tokens < LEAST_TOKENS) return;
+    const plan = planRound(current, popularity, {
+      slotsPerRank: engine.slotsPerRank,
+      mostNew: Math.min(MOST_NEW, engine.mostNew),
+      gainPerCopy: GAIN_PER_COPY,
+    });
+    this.parts.metrics.observe('group_skew_permille', plan.skewBefore * 1000);
+    if (plan.copies === 0 || plan.skewBefore < plan.skewAfter * LEAST_SKEW_GAIN) return;
+    const startedAtMs = this.parts.clock.nowMs();
+    const end = await this.switchMaps(byRank, (view) =>
+      view.mapId === replies[0]?.mapId ? mapOf(view, plan.placement) : undefined,
+    );
+    this.parts.log.info('group.switch', {
+      end: end.kind,
+      detail: 'detail' in end ? end.detail : undefined,
+      mapId: 'mapId' in end ? end.mapId : undefined,
+      step: 'step' in end ? end.step : undefined,
+      copies: plan.copies,
+      skewBefore: Number(plan.skewBefore.toFixed(3)),
+      skewAfter: Number(plan.skewAfter.toFixed(3)),
+      tokens: Math.round(tokens),
+      tookMs: Math.round(this.parts.clock.nowMs() - startedAtMs),
+    });
+  }
+
+  private async switchMaps(
+    byRank: readonly string[],
+    chooseMap: (view: GroupView) => ExpertMap | undefined,
+  ): ReturnType<typeof runSwitch> {
+    const { parts } = this;
+    const own = byRank.indexOf(parts.self);
+    const epoch = nextEpoch(this.highestEpoch, Math.max(0, own));
+    const coordination: Coordination = {
+      group: '',
+      ranks: byRank.length,
+      call: (rank, order) => parts.call(byRank[rank] ?? '', order, ORDER_MS),
+      known: undefined,
+      marginSteps: ARM_MARGIN_STEPS,
+    };
+    const end = await runSwitch(coordination, epoch, chooseMap);
+    this.highestEpoch = Math.max(epoch, end.kind === 'blocked' ? end.highest : 0);
+    parts.metrics.count('switch_rounds_total', { end: end.kind });
+    return end;
+  }
+
+  /** Logs why no round can be made, now and then. */
+  private note(why: string, detail: string): void {
+    const nowMs = this.parts.clock.nowMs();
+    this.parts.metrics.count('rounds_without_group_total', { why });
+    if (nowMs - this.loggedAtMs < LOG_PAUSE_MS) return;
+    this.loggedAtMs = nowMs;
+    this.parts.log.info('group.waiting', { why, detail });
+  }
+}
+
+/** A map of this round: its version is the round's epoch, so no other round can have made it. */
+function mapOf(view: GroupView, placement: Placement): ExpertMap {
+  return {
+    id: String(view.epoch),
+    layers: placement.map((layer) => layer.map((rank) => [...rank])),
+  };
+}
--- /dev/null
+++ b/src/group/index.ts
@@ -0,0 +1,2 @@
+export * from './agent-process.js';
+export * from './engine-calls.js';
--- /dev/null
+++ b/src/group/switch-engine.ts
@@ -0,0 +1,159 @@
+/**
+ * Carries the steps of a map switch out on one engine. An engine may leave an order unanswered and carry
+ * it out seconds later, so the engine's own report is the answer that counts, and each round's orders
+ * carry a fence above those of all earlier ones: a late order then meets a higher fence and does nothing.
+ *
+ * The rank holds its group at the step of the switch before it arms, and lets go only at the decision. A
+ * step therefore begins only when every rank has been told what was decided.
+ */
+import { sleep, type Clock } from '../core/clock/index.js';
+import type { EngineOrder, EngineState, RankEngine } from '../core/groups/index.js';
+import type { CommandAnswer, EngineCalls, EngineCommand, EngineReport } from './engine-calls.js';
+
+/** Time for an order and its proof, ms; a copy of one expert takes 0.1 s, three in each layer 0.5 s. */
+const PREPARE_MS = 4000;
+/** Time for any other order and its proof, ms: the group may stand still meanwhile. */
+const ORDER_MS = 1500;
+/** Pause between two looks at a report, ms. */
+const LOOK_MS = 12;
+
+/** What the steps of a switch need. */
+export interface SwitchEngineParts {
+  readonly calls: EngineCalls;
+  readonly clock: Clock;
+  /** Layers of the engine's model; 0 while they are not known. */
+  readonly layers: () => number;
+}
+
+/** Orders of a round, and the decision that ends it, in rising order. */
+const roundFence = (epoch: number): number => 2 * epoch;
+const decisionFence = (epoch: number): number => 2 * epoch + 1;
+
+/** What is open at the rank: held, armed, or both; told by version, which is the epoch that made it. */
+function openOf(report: EngineReport): EngineState['armed'] {
+  const { armed, heldStep } = report;
+  const step = heldStep ?? armed?.step;
+  if (step === undefined) return undefined;
+  const epoch = armed?.version ?? report.preparedVersion ?? 0;
+  return { epoch, mapId: String(epoch), step, confirmed: armed !== undefined && heldStep === undefined };
+}
+
+/**
+ * The engine of one rank, as the gate of the switch uses it.
+ * @example new RankGate(incarnation, createSwitchEngine(parts), () => 0)
+ */
+export function createSwitchEngine(parts: SwitchEngineParts): RankEngine {
+  const { calls, clock } = parts;
+  let groupEpoch = 0;
+
+  /** Gives an order until its proof shows in the report; false when it cannot be had in time. */
+  async function prove(
+    command: EngineCommand,
+    fence: number,
+    withinMs: number,
+    isProved: (report: EngineReport, answer: CommandAnswer | undefined) => boolean,
+  ): Promise<boolean> {
+    const untilMs = clock.nowMs() + withinMs;
+    let answer: CommandAnswer | undefined;
+    while (clock.nowMs() < untilMs) {
+      if (answer !== 'taken') answer = await calls.command(command, fence, groupEpoch);
+      const report = await calls.report();
+      if (!report.isOpen || report.groupEpoch !== groupEpoch) return false;
+      if (isProved(report, answer)) return true;
+      if (answer === 'refused' || answer === 'fenced') return false;
+      await sleep(LOOK_MS);
+    }
+    return false;
+  }
+
+  /** Raises the engine's fence: disarming a version that nobody has is taken and changes nothing. */
+  async function fence(epoch: number): Promise<boolean> {
+    const report = await calls.report();
+    if (!report.isOpen) return false;
+    groupEpoch = report.groupEpoch;
+    const command: EngineCommand = { kind: 'disarm', version: epoch };
+    return prove(command, roundFence(epoch), ORDER_MS, (_, answer) => answer === 'taken');
+  }
+
+  async function arm(epoch: number, version: number, step: number): Promise<boolean> {
+    const fence = roundFence(epoch);
+    const held = await prove({ kind: 'hold', step }, fence, ORDER_MS, (r) => r.heldStep === step);
+    if (!held) return false;
+    return prove(
+      { kind: 'arm', version, step },
+      fence,
+      ORDER_MS,
+      (r) => r.armed?.version === version && r.armed.step === step,
+    );
+  }
+
+  /** Lets the group go on at this rank. */
+  async function go(epoch: number, step: number): Promise<boolean> {
+    const command: EngineCommand = { kind: 'go', step };
+    return prove(command, decisionFence(epoch), ORDER_MS, (r) => r.heldStep !== step);
+  }
+
+  async function confirm(epoch: number, target: number): Promise<boolean> {
+    const report = await calls.report();
+    if (report.groupEpoch !== groupEpoch) return false;
+    if (report.armed?.version !== target) return report.mapVersion >= target;
+    return report.heldStep === undefined || go(epoch, report.heldStep);
+  }
+
+  async function abort(epoch: number, target: number): Promise<boolean> {
+    const first = await calls.report();
+    if (first.groupEpoch !== groupEpoch) return false;
+    const version = first.armed?.version ?? target;
+    // Once this is taken, an arm of this round that is still on its way meets a higher fence.
+    const disarmed = await prove(
+      { kind: 'disarm', version },
+      decisionFence(epoch),
+      ORDER_MS,
+      (r, answer) => answer === 'taken' && r.armed === undefined,
+    );
+    if (!disarmed) return false;
+    const report = await calls.report();
+    return report.heldStep === undefined || go(epoch, report.heldStep);
+  }
+
+  async function order(order: EngineOrder): Promise<boolean> {
+    switch (order.kind) {
+      case 'fence':
+        return fence(order.epoch);
+      case 'load': {
+        const version = Number(order.map.id);
+        return prove(
+          { kind: 'prepare', version, layers: order.map.layers },
+          roundFence(order.epoch),
+          PREPARE_MS,
+          (r) => r.preparedVersion === version,
+        );
+      }
+      case 'arm':
+        return arm(order.epoch, Number(order.map.id), order.step);
+      case 'confirm':
+        return confirm(order.epoch, order.target);
+      case 'abort':
+        return abort(order.epoch, order.target);
+    }
+  }
+
+  async function read(takeCounts: boolean): Promise<EngineState> {
+    const report = await calls.report();
+    if (!report.isOpen) throw new Error('the group is broken: a rank is missing');
+    const open = openOf(report);
+    const state: EngineState = {
+      step: report.step,
+      map: { id: String(report.mapVersion), layers: [] },
+      armed: open,
+      lastConfirmed: Math.max(report.mapVersion, open?.confirmed ? open.epoch : 0),
+      rank: report.rank,
+      groupEpoch: report.groupEpoch,
+    };
+    if (!takeCounts) return state;
+    const placed = await calls.placed();
+    return { ...state, placed, picked: await calls.picked(parts.layers() || placed.length) };
+  }
+
+  return { read, order };
+}
--- a/src/rpc/router.ts
+++ b/src/rpc/router.ts
@@ -21,10 +21,10 @@
   isRankOrder,
 } from '../generated/messages.validator.js';
 
-/** What a daemon does for others; an entry answers the first two only. */
+/** What a daemon does for others; each role answers some of it. */
 export interface DaemonCalls {
-  hello(): HelloAnswer;
-  feedWatch(input: FeedWatchInput): Promise<FeedUpdate | undefined>;
+  hello?(): HelloAnswer;
+  feedWatch?(input: FeedWatchInput): Promise<FeedUpdate | undefined>;
   cancel?(input: CancelInput): Promise<CancelAnswer>;
   inquire?(input: InquiryInput): InquiryReply;
   load?(input: LoadInput): LoadAnswer;
@@ -48,7 +48,7 @@
   if (call) return call;
   throw new TRPCError({
     code: 'NOT_IMPLEMENTED',
-    message: 'This daemon is an entry: send the call to an agent.',
+    message: 'This daemon does not serve the call: send it to one in the role that does.',
   });
 }
 
@@ -59,10 +59,10 @@
 // The return type is inferred: it is the type of the wire, and DaemonRouter names it.
 export function buildRouter(calls: DaemonCalls) {
   return trpc.router({
-    hello: trpc.procedure.query(() => calls.hello()),
+    hello: trpc.procedure.query(() => required(calls.hello)()),
     feedWatch: trpc.procedure
       .input(checked(isFeedWatchInput))
-      .query(({ input }) => calls.feedWatch(input)),
+      .query(({ input }) => required(calls.feedWatch)(input)),
     cancel: trpc.procedure
       .input(checked(isCancelInput))
       .mutation(({ input }) => required(calls.cancel)(input)),
