--- /dev/null
+++ b/fakes/raw-endpoint/index.ts
@@ -0,0 +1,1 @@
+export * from './raw-endpoint.js';
--- /dev/null
+++ b/fakes/store/index.ts
@@ -0,0 +1,1 @@
+export * from './store.js';
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -60,6 +60,11 @@
     }
   }
 
+  /** Closes all connections. */
+  close(): void {
+    for (const known of this.byId.values()) void known.pool.destroy();
+  }
+
   /**
    * The best endpoint of a service for one more request; undefined when none takes work.
    * Ejected ones are used only when no other is left.
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server } from 'node:http';
 import { sleep, systemClock } from '../core/clock/index.js';
 import type { HarriergladeError } from '../core/errors/index.js';
-import { createLog } from '../core/logging/index.js';
+import { createLog, type Log } from '../core/logging/index.js';
 import { Metrics } from '../core/metrics/index.js';
 import {
   ENTRY_WAIT_MS,
@@ -12,6 +12,7 @@
   type PublishedSource,
 } from '../core/published/index.js';
 import type { Result } from '../core/result/index.js';
+import { watchSettings } from '../runtime/settings-watch.js';
 import { STOP_CUT_MS, STOP_POLL_MS, STOP_SERVING_MS } from './consts.js';
 import { createContext } from './context.js';
 import { createGateway, type Gateway } from './gateway.js';
@@ -22,8 +23,6 @@
 const METRICS_PATH = '/metrics';
 /** How often endpoints that are gone are dropped, ms. */
 const PRUNE_MS = 2000;
-/** How often the settings file is looked at, ms: it may change with no signal. */
-const REREAD_MS = 5000;
 
 /** What a process is started with. */
 export interface ProcessParts {
@@ -59,7 +58,7 @@
   void followConfig(follow, ending.signal);
   void followEndpoints(follow, ending.signal);
   setInterval(() => ctx.endpoints.prune(), PRUNE_MS).unref();
-  watchSettings(parts, log);
+  watchSettings(parts.reread, settings, log);
   await openAddresses(parts, gateway, metrics);
   log.info('process.started', { settings: JSON.stringify(settings) });
   process.on('SIGTERM', () => {
@@ -83,25 +82,8 @@
   await listen(figures, { host: ip, port: METRICS_PORT });
 }
 
-type ProcessLog = ReturnType<typeof createLog>;
-
-/** Looks at the settings file again on SIGHUP and from time to time; what changed is logged. */
-function watchSettings(parts: ProcessParts, log: ProcessLog): void {
-  let before = JSON.stringify(parts.settings);
-  const look = (cause: string): void => {
-    const read = parts.reread();
-    if (read.err) return log.warn('settings.kept', { cause, err: read.val.message });
-    const now = JSON.stringify(read.val);
-    if (now === before && cause !== 'SIGHUP') return;
-    log.info('settings.reread', { cause, changed: now !== before });
-    before = now;
-  };
-  process.on('SIGHUP', () => look('SIGHUP'));
-  setInterval(() => look('timer'), REREAD_MS).unref();
-}
-
 /** Sends callers elsewhere, lets what runs finish, and returns before the process would be killed. */
-async function stop(gateway: Gateway, settings: GatewaySettings, log: ProcessLog): Promise<void> {
+async function stop(gateway: Gateway, settings: GatewaySettings, log: Log): Promise<void> {
   const startedAtMs = systemClock.nowMs();
   const tookMs = (): number => systemClock.nowMs() - startedAtMs;
   gateway.stop();
--- a/src/gateway/serve-request.ts
+++ b/src/gateway/serve-request.ts
@@ -78,6 +78,13 @@
   return route.kind === 'repeatable' || route.resumable;
 }
 
+/** Whether the shared budget still pays for another attempt. */
+function hasBudget(work: Work): boolean {
+  const has = work.service.budget.canWithdraw();
+  if (!has) work.ctx.metrics.count('retries_denied_total', { service: work.service.id });
+  return has;
+}
+
 /** The final answer when no attempt is left. */
 function giveUp(work: Work): RequestEnd {
   const detail = work.lastFault?.detail ?? 'no endpoint takes work';
@@ -137,7 +144,7 @@
     noteFault(work, target, { kind: 'broke', detail: `endpoint answered ${status}` });
     // A status that promises too much is not passed on; any other failure is, when no try is left.
     if (NOT_RUN_STATUSES.has(status)) return undefined;
-    if (mayTryAgain(work) && work.service.budget.canWithdraw()) return undefined;
+    if (mayTryAgain(work) && hasBudget(work)) return undefined;
   } else {
     work.note.tries.push(`${target.endpoint.id}:${status}`);
   }
@@ -230,10 +237,8 @@
     if (end) return end;
     if (request.gone.aborted) return { kind: 'gone' };
     if (!mayTryAgain(work)) return giveUp(work);
-    if (!service.budget.withdraw()) {
-      ctx.metrics.count('retries_denied_total', { service: service.id });
-      return giveUp(work);
-    }
+    if (!hasBudget(work)) return giveUp(work);
+    service.budget.withdraw();
     ctx.metrics.count('retries_total', {
       service: service.id,
       reason: work.lastFault?.kind ?? 'none',
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -5,7 +5,7 @@
 import { systemClock } from '../core/clock/index.js';
 import { RankGate, type RankOrder } from '../core/groups/index.js';
 import { newIncarnation } from '../core/ids/index.js';
-import { createLog } from '../core/logging/index.js';
+import { createLog, type Log } from '../core/logging/index.js';
 import { Metrics } from '../core/metrics/index.js';
 import {
   followConfig,
@@ -15,6 +15,9 @@
   type PublishedEndpoint,
   type PublishedSource,
 } from '../core/published/index.js';
+import type { HarriergladeError } from '../core/errors/index.js';
+import type { Result } from '../core/result/index.js';
+import { watchSettings } from '../runtime/settings-watch.js';
 import { createPeers } from '../rpc/peers.js';
 import { RPC_PATH } from '../rpc/consts.js';
 import { buildRouter } from '../rpc/router.js';
@@ -32,13 +35,14 @@
 /** What an agent is started with. */
 export interface AgentParts {
   readonly settings: GatewaySettings;
+  readonly reread: () => Result<GatewaySettings, HarriergladeError>;
   readonly source: PublishedSource;
-  readonly connect: (origin: string, log: ReturnType<typeof createLog>, metrics: Metrics) => EngineCalls;
+  readonly connect: (origin: string, log: Log, metrics: Metrics) => EngineCalls;
 }
 
 /**
  * Starts an agent.
- * @example await startAgent({ settings, source, connect });
+ * @example await startAgent({ settings, reread, source, connect });
  */
 export async function startAgent(parts: AgentParts): Promise<void> {
   const { settings } = parts;
@@ -111,6 +115,7 @@
         ? serveRank(order)
         : peers.at(address).rank.mutate(order, { signal: AbortSignal.timeout(withinMs) }),
   });
+  watchSettings(parts.reread, settings, log);
   void task.run(isMine, ending.signal);
   log.info('process.started', { self, engine: `${ownEndpoint.host}:${ownEndpoint.port}` });
   process.on('SIGTERM', () => {
--- /dev/null
+++ b/test/gateway/harness.ts
@@ -0,0 +1,206 @@
+/** A gateway in this process, before raw endpoints, with a configuration of its own. */
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { platformHeaders } from '../../platform/headers.js';
+import { seededRandom, systemClock, type Clock } from '../../src/core/clock/index.js';
+import { asId } from '../../src/core/ids/index.js';
+import { silentLog, type Log, type LogFields } from '../../src/core/logging/index.js';
+import { Metrics } from '../../src/core/metrics/index.js';
+import {
+  indexRoutes,
+  PublishedState,
+  type PublishedConfig,
+  type PublishedEndpoint,
+  type Route,
+} from '../../src/core/published/index.js';
+import {
+  createContext,
+  createGateway,
+  type Gateway,
+  type GatewayContext,
+  type GatewaySettings,
+} from '../../src/gateway/index.js';
+
+export const SERVICE = 'lookup';
+
+/** A route of the test configuration. */
+export function route(change: Partial<Route> = {}): Route {
+  return {
+    id: asId('r-1'),
+    host: 'a.example',
+    pathPrefix: '/x/',
+    kind: 'repeatable',
+    timeoutMs: 800,
+    targetMs: 200,
+    gapMs: undefined,
+    priority: 1,
+    shares: [{ service: asId(SERVICE), weight: 1 }],
+    maxAttempts: 2,
+    isPublic: false,
+    resumable: false,
+    ...change,
+  };
+}
+
+/** A configuration with one organisation, `org-1`, whose key is `key-1`. */
+export function config(
+  routes: readonly Route[],
+  change: Partial<PublishedConfig> = {},
+): PublishedConfig {
+  return {
+    version: 1,
+    routesByHost: indexRoutes(routes),
+    services: new Map([
+      [asId(SERVICE), { id: asId(SERVICE), maxConnections: 100, engine: undefined }],
+    ]),
+    organisationsByKey: new Map([['key-1', { id: asId('org-1'), priority: 1 }]]),
+    limits: { headerBytes: 16_384, bodyBytes: 4096, headerMs: 3000, idleMs: 15_000 },
+    ...change,
+  };
+}
+
+/** An endpoint of the test service. */
+export function endpoint(id: string, address: string): PublishedEndpoint {
+  return {
+    id: asId(id),
+    service: asId(SERVICE),
+    address,
+    dataCentre: asId('a'),
+    slots: 4,
+    isLeaving: false,
+  };
+}
+
+export const SETTINGS: GatewaySettings = {
+  instance: asId('entry-1'),
+  ip: '127.0.0.1',
+  dataCentre: asId('a'),
+  store: { host: '127.0.0.1', port: 1 },
+  listen: { callers: undefined, ready: undefined, control: undefined },
+  internalPort: 1,
+  seeds: [],
+  ownEndpoint: undefined,
+  keyProofMs: 5000,
+  configApplyMs: 2000,
+  stopMs: 8000,
+  retryShare: 0.2,
+  retryWindowMs: 10_000,
+  retryExtra: 480,
+  stallMs: 1500,
+};
+
+/** What a test asks for. */
+export interface Ask {
+  readonly method?: string;
+  readonly path?: string;
+  readonly headers?: Record<string, string>;
+  readonly body?: string;
+  readonly agent?: http.Agent;
+  /** Leaves after so many ms. */
+  readonly leaveAfterMs?: number;
+}
+
+/** What a caller got. */
+export interface Got {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer was framed as whole. */
+  readonly complete: boolean;
+  readonly tookMs: number;
+}
+
+/** A running gateway under test. */
+export interface GatewayUnderTest {
+  readonly ctx: GatewayContext;
+  readonly gateway: Gateway;
+  readonly state: PublishedState;
+  readonly metrics: Metrics;
+  /** Lines that were logged. */
+  readonly lines: { readonly event: string; readonly fields: LogFields }[];
+  ask(id: string, ask?: Ask): Promise<Got>;
+  close(): void;
+}
+
+function recordingLog(lines: GatewayUnderTest['lines']): Log {
+  const at = (event: string, fields: LogFields = {}): void => void lines.push({ event, fields });
+  return { ...silentLog, info: at, warn: at, error: at };
+}
+
+/**
+ * Starts a gateway.
+ * @example const under = await startGateway(config([route()]), [endpoint('e-1', raw.address)]);
+ */
+export async function startGateway(
+  cfg: PublishedConfig | undefined,
+  endpoints: readonly PublishedEndpoint[],
+  clock: Clock = systemClock,
+): Promise<GatewayUnderTest> {
+  const state = new PublishedState();
+  if (cfg) state.offerConfig(cfg, clock.nowMs());
+  state.offerList(endpoints, clock.nowMs(), 0);
+  const metrics = new Metrics();
+  const lines: GatewayUnderTest['lines'] = [];
+  const ctx = createContext({
+    settings: SETTINGS,
+    codec: platformHeaders,
+    state,
+    clock,
+    random: seededRandom(1),
+    log: recordingLog(lines),
+    metrics,
+  });
+  const gateway = createGateway(ctx);
+  await new Promise<void>((resolve) => gateway.server.listen(0, '127.0.0.1', resolve));
+  const { port } = gateway.server.address() as AddressInfo;
+  return {
+    ctx,
+    gateway,
+    state,
+    metrics,
+    lines,
+    ask: (id, ask = {}) => request(port, id, ask),
+    close: () => {
+      gateway.server.close();
+      gateway.server.closeAllConnections();
+      ctx.endpoints.close();
+    },
+  };
+}
+
+function request(port: number, id: string, ask: Ask): Promise<Got> {
+  const startedAt = performance.now();
+  return new Promise((resolve) => {
+    let status = 0;
+    let headers: http.IncomingHttpHeaders = {};
+    let body = '';
+    const end = (complete: boolean): void =>
+      resolve({ status, headers, body, complete, tookMs: performance.now() - startedAt });
+    const req = http.request(
+      {
+        host: '127.0.0.1',
+        port,
+        method: ask.method ?? 'POST',
+        path: ask.path ?? '/x/1',
+        agent: ask.agent ?? false,
+        headers: {
+          host: 'a.example',
+          'x-request-id': id,
+          'x-deadline-ms': '2000',
+          authorization: 'Bearer key-1',
+          ...ask.headers,
+        },
+      },
+      (res) => {
+        status = res.statusCode ?? 0;
+        headers = res.headers;
+        res.on('data', (piece: Buffer) => (body += piece.toString('latin1')));
+        res.on('close', () => end(res.complete));
+        res.on('error', () => undefined);
+      },
+    );
+    req.on('error', () => end(false));
+    if (ask.leaveAfterMs !== undefined) setTimeout(() => req.destroy(), ask.leaveAfterMs);
+    req.end(ask.body ?? '');
+  });
+}
