Raise an engine's fence with a version that no round makes

Cause: the fence was raised by disarming the round's own version; carried out late, that order disarms one rank after all have armed, and a step begins with two maps. Ruled out: late arms, holds and goes, which meet a higher fence.

--- /dev/null
+++ b/fakes/rank-engine/index.ts
@@ -0,0 +1,2 @@
+export * from './rank-group.js';
+export * from './virtual-time.js';
--- /dev/null
+++ b/fakes/rank-engine/rank-group.ts
@@ -0,0 +1,174 @@
+/**
+ * Stand-in of a group of ranks that steps in lock-step and takes the orders of a map switch as the
+ * platform's engines do: versions that only rise, fences, a hold that does not lapse, orders that get no
+ * answer and are carried out seconds later. It notes every step that began with different maps.
+ */
+import type {
+  CommandAnswer,
+  EngineCalls,
+  EngineCommand,
+  EngineReport,
+} from '../../src/group/engine-calls.js';
+import type { VirtualTime } from './virtual-time.js';
+
+/** How the group behaves. */
+export interface RankGroupOptions {
+  readonly ranks: number;
+  readonly stepMs: number;
+  readonly copyMs: number;
+  /** Share of orders that get no answer and are carried out late. */
+  readonly lateShare: () => number;
+  /** Whether fences are checked; off only to show that they must be. */
+  readonly checksFences: boolean;
+}
+
+interface Rank {
+  map: number;
+  prepared: number | undefined;
+  highest: number;
+  armed: { version: number; step: number } | undefined;
+  held: number | undefined;
+  fence: number;
+}
+
+const ANSWER_MS = 3;
+const NO_ANSWER_MS = 250;
+const LATE_MS = { least: 2000, most: 12_000 };
+
+const fresh = (): Rank => ({
+  map: 0,
+  prepared: undefined,
+  highest: 0,
+  armed: undefined,
+  held: undefined,
+  fence: 0,
+});
+
+/** A group of ranks. */
+export class RankGroup {
+  /** Steps that began with different maps. */
+  readonly mixed: number[] = [];
+  step = 0;
+  epoch = 1;
+  /** Longest time between two steps, ms. */
+  longestHoldMs = 0;
+  private lastStepMs = 0;
+  private ranks: Rank[];
+
+  constructor(
+    private readonly time: VirtualTime,
+    private readonly random: () => number,
+    private readonly options: RankGroupOptions,
+  ) {
+    this.ranks = Array.from({ length: options.ranks }, fresh);
+    this.time.after(options.stepMs, () => this.tick());
+  }
+
+  /** Forms the group anew, as after the death of a rank. */
+  reform(): void {
+    this.epoch += 1;
+    this.ranks = this.ranks.map(fresh);
+  }
+
+  /** Versions in use, by rank. */
+  maps(): number[] {
+    return this.ranks.map((rank) => rank.map);
+  }
+
+  private tick(): void {
+    this.time.after(this.options.stepMs, () => this.tick());
+    if (this.ranks.some((rank) => rank.held === this.step + 1)) return;
+    this.step += 1;
+    this.longestHoldMs = Math.max(this.longestHoldMs, this.time.nowMs() - this.lastStepMs);
+    this.lastStepMs = this.time.nowMs();
+    for (const rank of this.ranks) {
+      if (rank.armed?.step !== this.step) continue;
+      rank.map = rank.armed.version;
+      rank.armed = undefined;
+    }
+    if (new Set(this.maps()).size > 1) this.mixed.push(this.step);
+  }
+
+  /** The calls of one rank's own agent. */
+  calls(index: number): EngineCalls {
+    const of = (): Rank => this.ranks[index] as Rank;
+    return {
+      report: async () => {
+        await this.time.sleep(ANSWER_MS);
+        const rank = of();
+        const report: EngineReport = {
+          groupEpoch: this.epoch,
+          rank: index,
+          isOpen: true,
+          step: this.step,
+          mapVersion: rank.map,
+          preparedVersion: rank.prepared,
+          armed: rank.armed && { ...rank.armed },
+          heldStep: rank.held,
+        };
+        return report;
+      },
+      placed: () => Promise.resolve([[index]]),
+      picked: () => Promise.resolve([[0]]),
+      command: async (command, fence, epoch) => {
+        if (this.random() < this.options.lateShare()) {
+          const lateMs = LATE_MS.least + this.random() * (LATE_MS.most - LATE_MS.least);
+          this.time.after(lateMs, () => this.carryOut(index, command, fence, epoch));
+          await this.time.sleep(NO_ANSWER_MS);
+          return 'unanswered';
+        }
+        await this.time.sleep(ANSWER_MS);
+        return this.carryOut(index, command, fence, epoch);
+      },
+    };
+  }
+
+  private carryOut(
+    index: number,
+    command: EngineCommand,
+    fence: number,
+    epoch: number,
+  ): CommandAnswer {
+    const rank = this.ranks[index] as Rank;
+    if (epoch !== this.epoch) return 'refused';
+    if (this.options.checksFences && fence < rank.fence) return 'fenced';
+    if (!this.fits(rank, command)) return 'refused';
+    rank.fence = Math.max(rank.fence, fence);
+    this.apply(rank, command);
+    return 'taken';
+  }
+
+  private fits(rank: Rank, command: EngineCommand): boolean {
+    switch (command.kind) {
+      case 'prepare':
+        if (command.version === rank.prepared) return true;
+        return command.version > rank.highest && !rank.armed;
+      case 'arm':
+        if (rank.armed) return rank.armed.version === command.version && rank.armed.step === command.step;
+        return command.version === rank.prepared && command.step > this.step;
+      case 'disarm':
+        return command.version !== rank.map;
+      case 'hold':
+        return command.step > this.step;
+      case 'go':
+        return true;
+    }
+  }
+
+  private apply(rank: Rank, command: EngineCommand): void {
+    if (command.kind === 'prepare') {
+      if (command.version === rank.highest) return;
+      rank.highest = command.version;
+      rank.prepared = undefined;
+      const { epoch } = this;
+      this.time.after(this.options.copyMs, () => {
+        if (this.epoch === epoch && rank.highest === command.version)
+          rank.prepared = command.version;
+      });
+    }
+    if (command.kind === 'arm') rank.armed = { version: command.version, step: command.step };
+    if (command.kind === 'disarm' && rank.armed?.version === command.version) rank.armed = undefined;
+    if (command.kind === 'hold') rank.held = command.step;
+    if (command.kind === 'go' && rank.held === command.step) rank.held = undefined;
+  }
+}
--- /dev/null
+++ b/fakes/rank-engine/virtual-time.ts
@@ -0,0 +1,44 @@
+/** Time that passes only when nothing else is left to do, so that minutes are played in moments. */
+
+interface Timer {
+  readonly atMs: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+/** A clock and its timers. */
+export class VirtualTime {
+  private now = 0;
+  private sequence = 0;
+  private timers: Timer[] = [];
+
+  readonly nowMs = (): number => this.now;
+  readonly wallMs = (): number => this.now;
+
+  /** Calls back after so many ms. */
+  after(ms: number, run: () => void): void {
+    this.sequence += 1;
+    this.timers.push({ atMs: this.now + Math.max(0, ms), order: this.sequence, run });
+  }
+
+  readonly sleep = (ms: number): Promise<void> => new Promise((resolve) => this.after(ms, resolve));
+
+  /**
+   * Plays until a time; every promise that can settle does so before the clock moves on.
+   * @example await time.playUntil(60_000);
+   */
+  async playUntil(untilMs: number): Promise<void> {
+    for (;;) {
+      await new Promise((resolve) => setImmediate(resolve));
+      const next = this.timers.reduce<Timer | undefined>(
+        (a, b) => (!a || b.atMs < a.atMs || (b.atMs === a.atMs && b.order < a.order) ? b : a),
+        undefined,
+      );
+      if (!next || next.atMs > untilMs) break;
+      this.timers.splice(this.timers.indexOf(next), 1);
+      this.now = next.atMs;
+      next.run();
+    }
+    this.now = untilMs;
+  }
+}
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { Agent as HttpAgent } from 'undici';
-import { systemClock } from '../core/clock/index.js';
+import { sleep, systemClock } from '../core/clock/index.js';
 import { RankGate, type RankOrder } from '../core/groups/index.js';
 import { newIncarnation } from '../core/ids/index.js';
 import { createLog, type Log } from '../core/logging/index.js';
@@ -80,7 +80,7 @@
   const calls = parts.connect(`http://${ownEndpoint.host}:${ownEndpoint.port}`, log, metrics);
   const gate = new RankGate(
     newIncarnation(clock.wallMs()),
-    createSwitchEngine({ calls, clock, layers: () => engine()?.layers ?? 0 }),
+    createSwitchEngine({ calls, clock, layers: () => engine()?.layers ?? 0, pause: sleep }),
     () => 0,
   );
   let lookedAtMs = clock.nowMs();
--- a/src/group/switch-engine.ts
+++ b/src/group/switch-engine.ts
@@ -6,7 +6,7 @@
  * The rank holds its group at the step of the switch before it arms, and lets go only at the decision. A
  * step therefore begins only when every rank has been told what was decided.
  */
-import { sleep, type Clock } from '../core/clock/index.js';
+import type { Clock } from '../core/clock/index.js';
 import type { EngineOrder, EngineState, RankEngine } from '../core/groups/index.js';
 import type { CommandAnswer, EngineCalls, EngineCommand, EngineReport } from './engine-calls.js';
 
@@ -17,12 +17,20 @@
 /** Pause between two looks at a report, ms. */
 const LOOK_MS = 12;
 
+/**
+ * A version that no round makes, since epochs begin at `EPOCH_STRIDE`. The round's own version would not
+ * do: the order may be carried out late, when that version is armed at the other ranks too.
+ */
+const UNUSED_VERSION = 1;
+
 /** What the steps of a switch need. */
 export interface SwitchEngineParts {
   readonly calls: EngineCalls;
   readonly clock: Clock;
   /** Layers of the engine's model; 0 while they are not known. */
   readonly layers: () => number;
+  /** Waits between two looks, ms; a test may bring its own time. */
+  readonly pause: (ms: number) => Promise<void>;
 }
 
 /** Orders of a round, and the decision that ends it, in rising order. */
@@ -61,17 +69,17 @@
       if (!report.isOpen || report.groupEpoch !== groupEpoch) return false;
       if (isProved(report, answer)) return true;
       if (answer === 'refused' || answer === 'fenced') return false;
-      await sleep(LOOK_MS);
+      await parts.pause(LOOK_MS);
     }
     return false;
   }
 
-  /** Raises the engine's fence: disarming a version that nobody has is taken and changes nothing. */
+  /** Raises the engine's fence: disarming a version that no round makes is taken and changes nothing. */
   async function fence(epoch: number): Promise<boolean> {
     const report = await calls.report();
     if (!report.isOpen) return false;
     groupEpoch = report.groupEpoch;
-    const command: EngineCommand = { kind: 'disarm', version: epoch };
+    const command: EngineCommand = { kind: 'disarm', version: UNUSED_VERSION };
     return prove(command, roundFence(epoch), ORDER_MS, (_, answer) => answer === 'taken');
   }
 
