Model check the engine orders of a map switch

The five broken variants give counterexamples, among them the fence raised by the round's own version.

--- a/scripts/model.mjs
+++ b/scripts/model.mjs
@@ -14,6 +14,10 @@
 
 const SPECS = [
   { spec: 'switch', broken: ['NO_HOLD', 'NO_PROMISE', 'NO_RECHECK', 'FORGET'] },
+  {
+    spec: 'engine-orders',
+    broken: ['NO_FENCE', 'OWN_VERSION', 'NO_HOLD', 'EARLY_GO', 'LATE_ABORT'],
+  },
   { spec: 'once', broken: ['SKIP_DEAD', 'FORGET', 'NO_PROMISE', 'NO_NEWER'] },
   { spec: 'attempt', broken: ['NO_TOMBSTONE', 'NO_INCARNATION'] },
 ];
