Plan two new experts a rank over all layers, from demand of the last 300 ms

Cause: one expert in each of four layers takes 0.4 s to copy, so the best moves waited for the others, and the estimate lagged the shift.

--- a/src/core/placement/moves.ts
+++ b/src/core/placement/moves.ts
@@ -19,18 +19,14 @@
   private readonly state: LayerState;
   private max: number;
 
-  /** New experts that each rank has been given so far. */
-  private readonly fetched: number[];
-
-  /** @param mostNew new experts that one rank may be given in all */
+  /** @param room new experts that each rank may still be given; shared by the layers of one plan */
   constructor(
     layer: number,
     map: LayerMap,
     popularity: readonly number[],
     slots: number,
-    private readonly mostNew = Number.POSITIVE_INFINITY,
+    private readonly room: number[] = map.map(() => Number.POSITIVE_INFINITY),
   ) {
-    this.fetched = map.map(() => 0);
     const holders: number[][] = popularity.map(() => []);
     map.forEach((held, rank) => held.forEach((e) => holders[e]?.push(rank)));
     this.state = {
@@ -86,7 +82,7 @@
   }
 
   private isFull(rank: number): boolean {
-    return (this.fetched[rank] ?? 0) >= this.mostNew;
+    return (this.room[rank] ?? 0) <= 0;
   }
 
   /** Applies a move found by `bestMove`. */
@@ -99,7 +95,7 @@
         remove(holders[fetch.evicts] as number[], fetch.rank);
       }
       held.push(fetch.expert);
-      this.fetched[fetch.rank] = (this.fetched[fetch.rank] ?? 0) + 1;
+      this.room[fetch.rank] = (this.room[fetch.rank] ?? 0) - 1;
       holders[fetch.expert]?.push(fetch.rank);
     }
     this.state.loads = rankLoads(map, this.state.popularity);
--- a/src/core/placement/round-plan.ts
+++ b/src/core/placement/round-plan.ts
@@ -3,16 +3,16 @@
  * while demand is still what it was. Demand that shifts every few seconds makes late maps worthless.
  */
 import { LayerPlanner } from './moves.js';
-import { rankLoads } from './skew.js';
-import type { LayerMap, Placement, Popularity } from './types.js';
+import { loadSums } from './skew.js';
+import type { Move, Placement, Popularity } from './types.js';
 
 /** What a round is bound by. */
 export interface RoundPolicy {
   /** Experts that a rank can hold in a layer. */
   readonly slotsPerRank: number;
-  /** New experts for a rank and layer in one round, at most. */
+  /** New experts for a rank in one round, over all layers: their copies follow one another. */
   readonly mostNew: number;
-  /** Fall of a layer's largest load, as a share of its mean load, that one copied expert must bring. */
+  /** Fall of the step's largest loads, as a share of its mean load, that one copied expert must bring. */
   readonly gainPerCopy: number;
 }
 
@@ -21,62 +21,71 @@
   readonly placement: Placement;
   /** Experts to copy. */
   readonly copies: number;
-  /** Largest rank load over the mean, summed over the layers, before and after. */
+  /** Largest rank loads over the mean, over all layers, before and after. */
   readonly skewBefore: number;
   readonly skewAfter: number;
 }
 
-interface LayerRound {
-  readonly map: LayerMap;
-  readonly copies: number;
-  readonly before: number;
-  readonly after: number;
-  readonly mean: number;
-}
-
-/** Greedy moves of one layer; the prefix of them that is worth most after its copies are paid for. */
-function planLayer(
-  layer: number,
-  map: LayerMap,
-  popularity: readonly number[],
-  policy: RoundPolicy,
-): LayerRound {
-  const loads = rankLoads(map, popularity);
-  const mean = loads.reduce((sum, load) => sum + load, 0) / Math.max(1, loads.length);
-  const planner = new LayerPlanner(layer, map, popularity, policy.slotsPerRank, policy.mostNew);
-  const before = planner.maxLoad;
-  let best: LayerRound = { map, copies: 0, before, after: before, mean };
-  let bestCost = before;
-  let copies = 0;
-  for (let move = planner.bestMove(); move; move = planner.bestMove()) {
-    planner.apply(move);
-    copies += move.fetches.length;
-    const cost = planner.maxLoad + copies * policy.gainPerCopy * mean;
-    if (cost >= bestCost) continue;
-    bestCost = cost;
-    best = { map: planner.map.map((rank) => [...rank]), copies, before, after: planner.maxLoad, mean };
-  }
+/** The layer whose next move gains most for each copy. */
+function bestLayer(moves: readonly (Move | undefined)[]): number | undefined {
+  let best: number | undefined;
+  let bestRate = 0;
+  moves.forEach((move, layer) => {
+    const rate = move ? move.gain / move.fetches.length : 0;
+    if (rate > bestRate) [best, bestRate] = [layer, rate];
+  });
   return best;
 }
 
 /**
  * A placement a few copies away from the present one; the present one when nothing is worth a copy.
- * @example planRound(current, popularity, { slotsPerRank: 8, mostNew: 1, gainPerCopy: 0.01 }).copies
+ * Moves are taken by gain, also small ones that make room for the next; what counts is the point on the
+ * way at which the loads saved are worth most after the copies are paid for.
+ * @example planRound(current, popularity, { slotsPerRank: 8, mostNew: 2, gainPerCopy: 0.002 }).copies
  */
 export function planRound(
   current: Placement,
   popularity: Popularity,
   policy: RoundPolicy,
 ): RoundPlan {
-  const rounds = current.map((map, l) => planLayer(l, map, popularity[l] ?? [], policy));
-  const sum = (of: (round: LayerRound) => number): number =>
-    rounds.reduce((total, round) => total + of(round), 0);
-  const mean = sum((round) => round.mean);
-  const skew = (load: number): number => (mean > 0 ? load / mean : 1);
-  return {
-    placement: rounds.map((round) => round.map),
-    copies: sum((round) => round.copies),
-    skewBefore: skew(sum((round) => round.before)),
-    skewAfter: skew(sum((round) => round.after)),
+  const { max: before, mean } = loadSums(current, popularity);
+  const keep: RoundPlan = {
+    placement: current,
+    copies: 0,
+    skewBefore: mean > 0 ? before / mean : 1,
+    skewAfter: mean > 0 ? before / mean : 1,
   };
+  if (mean <= 0) return keep;
+  const room = (current[0] ?? []).map(() => policy.mostNew);
+  const planners = current.map(
+    (map, l) => new LayerPlanner(l, map, popularity[l] ?? [], policy.slotsPerRank, room),
+  );
+  const next = planners.map((planner) => planner.bestMove());
+  let best = keep;
+  let bestCost = before;
+  let copies = 0;
+  let load = before;
+  for (let at = bestLayer(next); at !== undefined; at = bestLayer(next)) {
+    const move = next[at] as Move;
+    const planner = planners[at] as LayerPlanner;
+    // Another layer may have used up the room that this move was found with.
+    if (move.fetches.every((fetch) => (room[fetch.rank] ?? 0) > 0)) {
+      const loadBefore = planner.maxLoad;
+      planner.apply(move);
+      copies += move.fetches.length;
+      load += planner.maxLoad - loadBefore;
+      const cost = load + copies * policy.gainPerCopy * mean;
+      if (cost < bestCost) {
+        bestCost = cost;
+        best = {
+          placement: planners.map((p) => p.map.map((rank) => [...rank])),
+          copies,
+          skewBefore: keep.skewBefore,
+          skewAfter: load / mean,
+        };
+      }
+    }
+    next[at] = planner.bestMove();
+  }
+  return best;
 }
--- a/src/group/consts.ts
+++ b/src/group/consts.ts
@@ -11,11 +11,11 @@
 /** Further wait for each agent before this one in order of address, ms: one begins, not all. */
 export const UNLOOKED_STAGGER_MS = 150;
 /** Half-life of the popularity estimate, ms: demand shifts every four seconds or so. */
-export const PICKED_HALF_LIFE_MS = 700;
-/** New experts for a rank and layer in one map: one takes 0.65 s to be in use, three take 1 s. */
-export const MOST_NEW = 1;
-/** Fall of a layer's largest load, as a share of its mean, that a copy must bring. */
-export const GAIN_PER_COPY = 0.008;
+export const PICKED_HALF_LIFE_MS = 300;
+/** New experts for a rank in one map, over all layers: each takes 0.1 s to copy, a round 0.15 s besides. */
+export const MOST_NEW = 2;
+/** Fall of the summed largest loads, as a share of their mean, that a copy must bring. */
+export const GAIN_PER_COPY = 0.003;
 /** Skew before over skew after below which the present map stays. */
 export const LEAST_SKEW_GAIN = 1.06;
 /** Steps between arming and the switch: a step of the group takes 50 ms or more, an arm round 30 ms. */
