--- a/src/core/groups/rank-gate.ts
+++ b/src/core/groups/rank-gate.ts
@@ -14,6 +14,10 @@
   readonly lastConfirmed: number;
   /** Place in the group, as the engine tells it. */
   readonly rank?: number;
+  /** How slow the engine is; 1 is its ordinary pace. */
+  readonly pace?: number;
+  readonly running?: number;
+  readonly queued?: number;
   /** How often the group was formed, where engines count that. */
   readonly groupEpoch?: number;
   /** Experts that this rank holds, by layer, where the engine knows no more of the map. */
@@ -79,7 +83,8 @@
 
   private async look(): Promise<RankReply> {
     const state = await this.engine.read(true);
-    return { ...this.describe(state, true), placed: state.placed, picked: state.picked };
+    const { placed, picked, pace, running, queued } = state;
+    return { ...this.describe(state, true), placed, picked, pace, running, queued };
   }
 
   private async promise(order: RankOrder): Promise<RankReply> {
--- a/src/core/placement/moves.ts
+++ b/src/core/placement/moves.ts
@@ -10,6 +10,8 @@
   readonly holders: number[][];
   loads: number[];
   readonly slots: number;
+  /** How slow each rank is; its load counts so many times. */
+  readonly pace: readonly number[];
   /** Room to compute loads in, so that weighing a move allocates nothing. */
   readonly scratch: Float64Array;
 }
@@ -19,13 +21,17 @@
   private readonly state: LayerState;
   private max: number;
 
-  /** @param room new experts that each rank may still be given; shared by the layers of one plan */
+  /**
+   * @param room new experts that each rank may still be given; shared by the layers of one plan
+   * @param pace how slow each rank is, 1 for an ordinary one
+   */
   constructor(
     layer: number,
     map: LayerMap,
     popularity: readonly number[],
     slots: number,
     private readonly room: number[] = map.map(() => Number.POSITIVE_INFINITY),
+    pace: readonly number[] = map.map(() => 1),
   ) {
     const holders: number[][] = popularity.map(() => []);
     map.forEach((held, rank) => held.forEach((e) => holders[e]?.push(rank)));
@@ -34,7 +40,8 @@
       map: map.map((r) => [...r]),
       popularity,
       holders,
-      loads: rankLoads(map, popularity),
+      loads: pacedLoads(map, popularity, pace),
+      pace,
       slots,
       scratch: new Float64Array(map.length),
     };
@@ -98,7 +105,7 @@
       this.room[fetch.rank] = (this.room[fetch.rank] ?? 0) - 1;
       holders[fetch.expert]?.push(fetch.rank);
     }
-    this.state.loads = rankLoads(map, this.state.popularity);
+    this.state.loads = pacedLoads(map, this.state.popularity, this.state.pace);
     this.max = Math.max(...this.state.loads);
   }
 
@@ -158,19 +165,30 @@
 
   /** Adds a replica of an expert to a rank of the scratch loads, or takes it away. */
   private shift(expert: number, rank: number, change: 1 | -1, sameCount: boolean): void {
-    const { scratch, holders, popularity } = this.state;
+    const { scratch, holders, popularity, pace } = this.state;
     const tokens = popularity[expert] ?? 0;
     const before = this.replicas(expert);
     const after = sameCount ? before : before + change;
     if (!sameCount) {
       const each = tokens / after - tokens / before;
-      for (const holder of holders[expert] ?? []) scratch[holder] = (scratch[holder] ?? 0) + each;
+      for (const holder of holders[expert] ?? []) {
+        scratch[holder] = (scratch[holder] ?? 0) + each * (pace[holder] ?? 1);
+      }
     }
     // A rank that gives up its replica loses the share that it would have had by now.
-    scratch[rank] = (scratch[rank] ?? 0) + change * (tokens / after);
+    scratch[rank] = (scratch[rank] ?? 0) + change * (tokens / after) * (pace[rank] ?? 1);
   }
 }
 
+/** Loads of ranks in the time they take: those of a slow rank count more. */
+function pacedLoads(
+  map: LayerMap,
+  popularity: readonly number[],
+  pace: readonly number[],
+): number[] {
+  return rankLoads(map, popularity).map((load, rank) => load * (pace[rank] ?? 1));
+}
+
 function remove(list: number[], item: number): void {
   list.splice(list.indexOf(item), 1);
 }
--- a/src/core/placement/round-plan.ts
+++ b/src/core/placement/round-plan.ts
@@ -14,6 +14,8 @@
   readonly mostNew: number;
   /** Fall of the step's largest loads, as a share of its mean load, that one copied expert must bring. */
   readonly gainPerCopy: number;
+  /** How slow each rank is; 1 for an ordinary one. */
+  readonly pace: readonly number[];
 }
 
 /** The plan of one round. */
@@ -41,14 +43,20 @@
  * A placement a few copies away from the present one; the present one when nothing is worth a copy.
  * Moves are taken by gain, also small ones that make room for the next; what counts is the point on the
  * way at which the loads saved are worth most after the copies are paid for.
- * @example planRound(current, popularity, { slotsPerRank: 8, mostNew: 2, gainPerCopy: 0.002 }).copies
+ * @example planRound(current, popularity, { slotsPerRank: 8, mostNew: 2, gainPerCopy: 0.002, pace: [1, 1] }).copies
  */
 export function planRound(
   current: Placement,
   popularity: Popularity,
   policy: RoundPolicy,
 ): RoundPlan {
-  const { max: before, mean } = loadSums(current, popularity);
+  const { mean } = loadSums(current, popularity);
+  const room = (current[0] ?? []).map(() => policy.mostNew);
+  const planners = current.map(
+    (map, l) =>
+      new LayerPlanner(l, map, popularity[l] ?? [], policy.slotsPerRank, room, policy.pace),
+  );
+  const before = planners.reduce((sum, planner) => sum + planner.maxLoad, 0);
   const keep: RoundPlan = {
     placement: current,
     copies: 0,
@@ -56,10 +64,6 @@
     skewAfter: mean > 0 ? before / mean : 1,
   };
   if (mean <= 0) return keep;
-  const room = (current[0] ?? []).map(() => policy.mostNew);
-  const planners = current.map(
-    (map, l) => new LayerPlanner(l, map, popularity[l] ?? [], policy.slotsPerRank, room),
-  );
   const next = planners.map((planner) => planner.bestMove());
   let best = keep;
   let bestCost = before;
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,12 +1,14 @@
 /** What the parts of one gateway share. */
 import type { Clock } from '../core/clock/index.js';
 import { PaceLimit, TurnQueue } from '../core/limits/index.js';
+import type { EndpointId } from '../core/ids/index.js';
 import type { Log } from '../core/logging/index.js';
 import type { Metrics } from '../core/metrics/index.js';
 import type { PublishedState, ServiceId } from '../core/published/index.js';
 import { RetryBudget } from '../core/retry/index.js';
 import { KEY_PROOF_MARGIN_MS, RETRY_SHARERS, RETRY_SHARE_USED } from './consts.js';
 import { Endpoints } from './endpoints.js';
+import type { EngineSight } from './group-sight.js';
 import type { ServiceState } from './serve-request.js';
 import type { GatewaySettings, HeaderCodec } from './types.js';
 
@@ -19,6 +21,8 @@
   readonly random: () => number;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** What is known of a model engine beyond this entry's own requests. */
+  readonly sightOf: (id: EndpointId) => EngineSight | undefined;
 }
 
 /** Shared by all requests of one gateway. */
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -7,6 +7,7 @@
 import type { PublishedEndpoint, PublishedState, ServiceId } from '../core/published/index.js';
 import { EndpointHealth } from '../core/routing/index.js';
 import { endpointConnector } from './connect.js';
+import type { EngineSight } from './group-sight.js';
 import {
   CONNECTION_SHARERS,
   IDLE_CONNECTION_MS,
@@ -21,6 +22,14 @@
  * its requests gets work only when the others have four times as much. */
 const FAILURE_PENALTY = 8;
 
+/** Pace above which an engine gets work only when no other is left: it holds its whole group up. */
+const SLOW_PACE = 1.3;
+const SLOW_PENALTY = 100;
+
+function slownessOf(sight: EngineSight): number {
+  return sight.pace > SLOW_PACE ? SLOW_PENALTY * sight.pace : 1;
+}
+
 /** One endpoint at this entry. */
 export interface EndpointState {
   readonly endpoint: PublishedEndpoint;
@@ -42,6 +51,8 @@
   readonly random: () => number;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** What is known of a model engine beyond this entry's own requests. */
+  readonly sightOf: (id: EndpointId) => EngineSight | undefined;
 }
 
 /** All endpoints of this entry. */
@@ -87,8 +98,10 @@
   }
 
   private score(known: EndpointState, nowMs: number): number {
+    const sight = this.parts.sightOf(known.endpoint.id);
     const load = (known.running + 1) / known.endpoint.slots;
-    const slowness = 1 + known.answerMs / 1000;
+    // Ranks of a group answer in lock-step: only their own pace tells them apart.
+    const slowness = sight ? slownessOf(sight) : 1 + known.answerMs / 1000;
     const score = load * slowness * (1 + FAILURE_PENALTY * known.failureShare ** 2);
     // Among equals the one that was used longest ago goes first.
     const turn = known.lastSent / (this.sequence + 1) / 1000;
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -1,5 +1,6 @@
 /** One gateway process: starts its parts, follows the published state, stops when told to. */
 import { createServer, type Server } from 'node:http';
+import { Agent as HttpAgent } from 'undici';
 import { sleep, systemClock } from '../core/clock/index.js';
 import type { HarriergladeError } from '../core/errors/index.js';
 import { createLog, type Log } from '../core/logging/index.js';
@@ -12,15 +13,19 @@
   type PublishedSource,
 } from '../core/published/index.js';
 import type { Result } from '../core/result/index.js';
+import { createPeers } from '../rpc/peers.js';
 import { watchSettings } from '../runtime/settings-watch.js';
 import { STOP_CUT_MS, STOP_POLL_MS, STOP_SERVING_MS } from './consts.js';
 import { createContext } from './context.js';
 import { createGateway, type Gateway } from './gateway.js';
+import { GroupSight } from './group-sight.js';
 import type { GatewaySettings, HeaderCodec, ListenAddress } from './types.js';
 
 /** Port of the metrics address; the deploy file names it too. */
 const METRICS_PORT = 9464;
 const METRICS_PATH = '/metrics';
+/** Time to open a connection to another daemon, ms. */
+const PEER_CONNECT_MS = 500;
 /** How often endpoints that are gone are dropped, ms. */
 const PRUNE_MS = 2000;
 
@@ -52,11 +57,25 @@
   const state = new PublishedState();
   const shared = { state, clock: systemClock, random: Math.random, log, metrics };
   const ending = new AbortController();
-  const ctx = createContext({ ...shared, settings, codec: parts.codec });
+  const peers = createPeers(new HttpAgent({ connect: { timeout: PEER_CONNECT_MS } }));
+  const groups = new GroupSight({
+    ...shared,
+    dataCentre: settings.dataCentre,
+    port: settings.internalPort,
+    ask: (address, withinMs) =>
+      peers.at(address).group.query(undefined, { signal: AbortSignal.timeout(withinMs) }),
+  });
+  const ctx = createContext({
+    ...shared,
+    settings,
+    codec: parts.codec,
+    sightOf: (id) => groups.of(id),
+  });
   const gateway = createGateway(ctx);
   const follow = { ...shared, source: parts.source, waitMs: ENTRY_WAIT_MS };
   void followConfig(follow, ending.signal);
   void followEndpoints(follow, ending.signal);
+  void groups.run(ending.signal);
   setInterval(() => ctx.endpoints.prune(), PRUNE_MS).unref();
   watchSettings(parts.reread, settings, log);
   await openAddresses(parts, gateway, metrics);
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -18,6 +18,7 @@
 import type { HarriergladeError } from '../core/errors/index.js';
 import type { Result } from '../core/result/index.js';
 import { watchSettings } from '../runtime/settings-watch.js';
+import type { GroupDigest } from '../generated/messages.types.js';
 import { createPeers } from '../rpc/peers.js';
 import { RPC_PATH } from '../rpc/consts.js';
 import { buildRouter } from '../rpc/router.js';
@@ -83,6 +84,7 @@
     createSwitchEngine({ calls, clock, layers: () => engine()?.layers ?? 0, pause: sleep }),
     () => 0,
   );
+  let digest: GroupDigest | undefined;
   let lookedAtMs = clock.nowMs();
   /** Whether another agent looks after the group; of two, the one with the lower address goes on. */
   const noteLook = (from: string): void => {
@@ -93,11 +95,14 @@
     return clock.nowMs() - lookedAtMs > UNLOOKED_MS + before * UNLOOKED_STAGGER_MS;
   };
   const serveRank = (order: RankOrder): ReturnType<RankGate['serve']> => {
-    if (order.kind === 'look' && order.from !== undefined && order.from !== self) noteLook(order.from);
+    if (order.kind === 'look') {
+      digest = order.digest ?? digest;
+      if (order.from !== undefined && order.from !== self) noteLook(order.from);
+    }
     return gate.serve(order);
   };
 
-  const router = buildRouter({ rank: serveRank });
+  const router = buildRouter({ rank: serveRank, group: () => digest });
   const rpc = createHTTPHandler({ router, basePath: RPC_PATH, maxBodySize: MAX_ORDER_BYTES });
   const server = createServer({ requestTimeout: 0 }, rpc);
   await new Promise<void>((resolve, reject) => {
--- a/src/group/coordinator-task.ts
+++ b/src/group/coordinator-task.ts
@@ -12,6 +12,7 @@
 } from '../core/groups/index.js';
 import type { Log } from '../core/logging/index.js';
 import type { Metrics } from '../core/metrics/index.js';
+import type { GroupDigest } from '../generated/messages.types.js';
 import { planRound, PopularityEstimate, type Placement } from '../core/placement/index.js';
 import type { EngineInfo } from '../core/published/index.js';
 import {
@@ -26,6 +27,7 @@
   ORDER_MS,
   PICKED_HALF_LIFE_MS,
 } from './consts.js';
+import { Digester } from './digest.js';
 import { orderReplies, PickedDeltas, placementOf, type GroupReplies } from './group-view.js';
 
 /** Sends one order to the agent at an address; rejects when it cannot be reached in time. */
@@ -48,11 +50,15 @@
 export class CoordinatorTask {
   private estimate: PopularityEstimate | undefined;
   private readonly deltas = new PickedDeltas();
+  private readonly digester: Digester;
+  private digest: GroupDigest | undefined;
   private takenAtMs = 0;
   private highestEpoch = 0;
   private loggedAtMs = Number.NEGATIVE_INFINITY;
 
-  constructor(private readonly parts: CoordinatorParts) {}
+  constructor(private readonly parts: CoordinatorParts) {
+    this.digester = new Digester(parts.clock);
+  }
 
   /** Runs until the signal aborts. */
   async run(isMine: () => boolean, signal: AbortSignal): Promise<void> {
@@ -70,11 +76,18 @@
   private async round(): Promise<void> {
     const { parts } = this;
     const addresses = parts.agents();
-    const look: RankOrder = { group: '', kind: 'look', epoch: 0, from: parts.self };
+    const look: RankOrder = {
+      group: '',
+      kind: 'look',
+      epoch: 0,
+      from: parts.self,
+      digest: this.digest,
+    };
     const replies = await Promise.all(
       addresses.map((address) => parts.call(address, look, LOOK_MS).catch(() => undefined)),
     );
     const ordered = orderReplies(replies, addresses.length);
+    this.digest = this.digester.take(ordered, ordered ? hostsOf(ordered, replies, addresses) : []);
     if (!ordered) {
       const missing = addresses.filter((_, i) => replies[i]?.rank === undefined);
       return this.note('group not whole', `${missing.length} of ${addresses.length}: ${missing.join(',')}`);
@@ -88,7 +101,7 @@
         reply.armed?.epoch ?? 0,
       );
     this.takeCounts(ordered);
-    const byRank = ordered.map((reply) => addresses[replies.indexOf(reply)] as string);
+    const byRank = addressesOf(ordered, replies, addresses);
     if (ordered.some((reply) => reply.armed)) await this.switchMaps(byRank, () => undefined);
     else await this.improve(ordered, byRank);
   }
@@ -114,6 +127,7 @@
       slotsPerRank: engine.slotsPerRank,
       mostNew: Math.min(MOST_NEW, engine.mostNew),
       gainPerCopy: GAIN_PER_COPY,
+      pace: replies.map((reply) => reply.pace ?? 1),
     });
     this.parts.metrics.observe('group_skew_permille', plan.skewBefore * 1000);
     if (plan.copies === 0 || plan.skewBefore < plan.skewAfter * LEAST_SKEW_GAIN) return;
@@ -164,6 +178,19 @@
   }
 }
 
+/** Addresses of the agents in order of rank. */
+function addressesOf(
+  ordered: GroupReplies,
+  replies: readonly (RankReply | undefined)[],
+  addresses: readonly string[],
+): string[] {
+  return ordered.map((reply) => addresses[replies.indexOf(reply)] as string);
+}
+
+function hostsOf(...args: Parameters<typeof addressesOf>): string[] {
+  return addressesOf(...args).map((address) => address.split(':', 1)[0] as string);
+}
+
 /** A map of this round: its version is the round's epoch, so no other round can have made it. */
 function mapOf(view: GroupView, placement: Placement): ExpertMap {
   return {
--- /dev/null
+++ b/src/group/digest.ts
@@ -0,0 +1,45 @@
+/** Sums up what a round saw, for entries: which engines are slow or busy, and how long a step takes. */
+import type { Clock } from '../core/clock/index.js';
+import type { GroupDigest } from '../generated/messages.types.js';
+import type { GroupReplies } from './group-view.js';
+
+/** Weight of the newest step time in the mean. */
+const STEP_WEIGHT = 0.4;
+
+/** Makes a digest of each round. */
+export class Digester {
+  private step: number | undefined;
+  private atMs = 0;
+  private stepMs = 0;
+
+  constructor(private readonly clock: Clock) {}
+
+  /**
+   * The digest of one round; `replies` is undefined when the group was not whole.
+   * @example digester.take(ordered, hosts).pace
+   */
+  take(replies: GroupReplies | undefined, hosts: readonly string[]): GroupDigest {
+    if (!replies) {
+      this.step = undefined;
+      return { whole: false, hosts: [], pace: [], load: [], stepMs: 0 };
+    }
+    this.takeStep(Math.max(...replies.map((reply) => reply.step)));
+    return {
+      whole: true,
+      hosts: [...hosts],
+      pace: replies.map((reply) => Number((reply.pace ?? 1).toFixed(2))),
+      load: replies.map((reply) => (reply.running ?? 0) + (reply.queued ?? 0)),
+      stepMs: Math.round(this.stepMs),
+    };
+  }
+
+  private takeStep(step: number): void {
+    const nowMs = this.clock.nowMs();
+    const steps = this.step === undefined ? 0 : step - this.step;
+    if (steps > 0) {
+      const eachMs = (nowMs - this.atMs) / steps;
+      this.stepMs += (this.stepMs === 0 ? 1 : STEP_WEIGHT) * (eachMs - this.stepMs);
+    }
+    if (steps !== 0 || this.step === undefined) [this.step, this.atMs] = [step, nowMs];
+  }
+}
--- a/src/group/engine-calls.ts
+++ b/src/group/engine-calls.ts
@@ -7,6 +7,11 @@
   readonly rank: number;
   /** Whether the group runs; a broken one has lost a rank. */
   readonly isOpen: boolean;
+  /** How slow the engine is; 1 is its ordinary pace. */
+  readonly pace: number;
+  /** Requests that it works on, and that wait for it. */
+  readonly running: number;
+  readonly queued: number;
   /** The last step that began. */
   readonly step: number;
   /** Version of the map in use; 0 is the one that a group starts with. */
--- a/src/group/switch-engine.ts
+++ b/src/group/switch-engine.ts
@@ -156,6 +156,9 @@
       armed: open,
       lastConfirmed: Math.max(report.mapVersion, open?.confirmed ? open.epoch : 0),
       rank: report.rank,
+      pace: report.pace,
+      running: report.running,
+      queued: report.queued,
       groupEpoch: report.groupEpoch,
     };
     if (!takeCounts) return state;
--- a/src/rpc/router.ts
+++ b/src/rpc/router.ts
@@ -5,6 +5,7 @@
   CancelAnswer,
   CancelInput,
   FeedWatchInput,
+  GroupDigest,
   HelloAnswer,
   InquiryInput,
   InquiryReply,
@@ -29,6 +30,8 @@
   inquire?(input: InquiryInput): InquiryReply;
   load?(input: LoadInput): LoadAnswer;
   rank?(order: RankOrder): Promise<RankReply>;
+  /** The group as last seen; undefined before the first look. */
+  group?(): GroupDigest | undefined;
 }
 
 const trpc = initTRPC.create();
@@ -72,6 +75,7 @@
     load: trpc.procedure
       .input(checked(isLoadInput))
       .query(({ input }) => required(calls.load)(input)),
+    group: trpc.procedure.query(() => required(calls.group)()),
     rank: trpc.procedure
       .input(checked(isRankOrder))
       .mutation(({ input }) => required(calls.rank)(input)),
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -149,6 +149,7 @@
     random: seededRandom(1),
     log: recordingLog(lines),
     metrics,
+    sightOf: () => undefined,
   });
   const gateway = createGateway(ctx);
   await new Promise<void>((resolve) => gateway.server.listen(0, '127.0.0.1', resolve));
