--- a/src/core/placement/moves.ts
+++ b/src/core/placement/moves.ts
@@ -1,6 +1,6 @@
 /** Finds the best next move of one layer: what lowers its largest rank load most for each byte. */
 import { rankLoads } from './skew.js';
-import type { Fetch, LayerMap, Move } from './types.js';
+import type { Drop, Fetch, LayerMap, Move } from './types.js';
 
 interface LayerState {
   readonly layer: number;
@@ -88,6 +88,38 @@
     return best;
   }
 
+  /**
+   * The replica on the most loaded rank whose loss lowers the largest load most; undefined when none
+   * does.
+   * @example const drop = planner.bestDrop(); if (drop) planner.applyDrop(drop);
+   */
+  bestDrop(): Drop | undefined {
+    const { loads, map, scratch } = this.state;
+    const rank = loads.indexOf(this.maxLoad);
+    let best: Drop | undefined;
+    for (const expert of map[rank] ?? []) {
+      if (this.replicas(expert) < 2) continue;
+      scratch.set(loads);
+      this.shift(expert, rank, -1, false);
+      const gain = this.maxLoad - Math.max(...scratch);
+      if (gain > (best?.gain ?? 0)) best = { rank, expert, gain };
+    }
+    return best;
+  }
+
+  /** Applies a drop found by `bestDrop`. */
+  applyDrop({ rank, expert }: Drop): void {
+    const { map, holders } = this.state;
+    remove(map[rank] as number[], expert);
+    remove(holders[expert] as number[], rank);
+    this.refresh();
+  }
+
+  private refresh(): void {
+    this.state.loads = pacedLoads(this.state.map, this.state.popularity, this.state.pace);
+    this.max = Math.max(...this.state.loads);
+  }
+
   private isFull(rank: number): boolean {
     return (this.room[rank] ?? 0) <= 0;
   }
@@ -105,8 +137,7 @@
       this.room[fetch.rank] = (this.room[fetch.rank] ?? 0) - 1;
       holders[fetch.expert]?.push(fetch.rank);
     }
-    this.state.loads = pacedLoads(map, this.state.popularity, this.state.pace);
-    this.max = Math.max(...this.state.loads);
+    this.refresh();
   }
 
   /** Puts another replica of an expert on a rank, in a free slot or in place of a spare replica. */
--- a/src/core/placement/round-plan.ts
+++ b/src/core/placement/round-plan.ts
@@ -39,6 +39,15 @@
   return best;
 }
 
+/** Gives up replicas that only burden the most loaded rank, and finds the next move after that. */
+function nextMove(planner: LayerPlanner, leastDrop: number): Move | undefined {
+  for (;;) {
+    const drop = planner.bestDrop();
+    if (!drop || drop.gain < leastDrop) return planner.bestMove();
+    planner.applyDrop(drop);
+  }
+}
+
 /**
  * A placement a few copies away from the present one; the present one when nothing is worth a copy.
  * Moves are taken by gain, also small ones that make room for the next; what counts is the point on the
@@ -64,32 +73,30 @@
     skewAfter: mean > 0 ? before / mean : 1,
   };
   if (mean <= 0) return keep;
-  const next = planners.map((planner) => planner.bestMove());
+  const leastDrop = policy.gainPerCopy * mean;
+  const next = planners.map((planner) => nextMove(planner, leastDrop));
   let best = keep;
   let bestCost = before;
   let copies = 0;
-  let load = before;
   for (let at = bestLayer(next); at !== undefined; at = bestLayer(next)) {
     const move = next[at] as Move;
     const planner = planners[at] as LayerPlanner;
     // Another layer may have used up the room that this move was found with.
     if (move.fetches.every((fetch) => (room[fetch.rank] ?? 0) > 0)) {
-      const loadBefore = planner.maxLoad;
       planner.apply(move);
       copies += move.fetches.length;
-      load += planner.maxLoad - loadBefore;
-      const cost = load + copies * policy.gainPerCopy * mean;
-      if (cost < bestCost) {
-        bestCost = cost;
-        best = {
-          placement: planners.map((p) => p.map.map((rank) => [...rank])),
-          copies,
-          skewBefore: keep.skewBefore,
-          skewAfter: load / mean,
-        };
-      }
     }
-    next[at] = planner.bestMove();
+    next[at] = nextMove(planner, leastDrop);
+    const load = planners.reduce((sum, p) => sum + p.maxLoad, 0);
+    const cost = load + copies * policy.gainPerCopy * mean;
+    if (cost >= bestCost) continue;
+    bestCost = cost;
+    best = {
+      placement: planners.map((p) => p.map.map((rank) => [...rank])),
+      copies,
+      skewBefore: keep.skewBefore,
+      skewAfter: load / mean,
+    };
   }
   return best;
 }
--- a/src/core/placement/types.ts
+++ b/src/core/placement/types.ts
@@ -23,6 +23,14 @@
   readonly gain: number;
 }
 
+/** A replica that is given up, so that its share goes to the other ones; nothing is fetched. */
+export interface Drop {
+  readonly rank: number;
+  readonly expert: number;
+  /** Fall of the layer's largest rank load, tokens. */
+  readonly gain: number;
+}
+
 /** What a plan is weighed by. */
 export interface PlacementPolicy {
   readonly skewWeight: number;
--- a/src/group/consts.ts
+++ b/src/group/consts.ts
@@ -18,8 +18,14 @@
 export const GAIN_PER_COPY = 0.003;
 /** Skew before over skew after below which the present map stays. */
 export const LEAST_SKEW_GAIN = 1.06;
-/** Steps between arming and the switch: a step of the group takes 50 ms or more, an arm round 30 ms. */
-export const ARM_MARGIN_STEPS = 3;
+/** Steps between arming and the switch, at least and at most. */
+export const MARGIN_STEPS = { least: 2, most: 10 } as const;
+/** Steps between arming and the switch while it is not known how long either takes. */
+export const FIRST_MARGIN_STEPS = 3;
+/** Room in the margin for an arm round that takes longer than the slowest one lately. */
+export const MARGIN_FACTOR = 1.3;
+/** Time after which a slow arm round counts half, ms: orders go unanswered for some seconds at a time. */
+export const MARGIN_HALF_LIFE_MS = 4000;
 /** Tokens that an estimate needs before a map rests on it. */
 export const LEAST_TOKENS = 2000;
 /** How often the same fault of a round is logged at most, ms. */
--- a/src/group/coordinator-task.ts
+++ b/src/group/coordinator-task.ts
@@ -16,7 +16,6 @@
 import { planRound, PopularityEstimate, type Placement } from '../core/placement/index.js';
 import type { EngineInfo } from '../core/published/index.js';
 import {
-  ARM_MARGIN_STEPS,
   GAIN_PER_COPY,
   LEAST_SKEW_GAIN,
   LEAST_TOKENS,
@@ -28,6 +27,7 @@
   PICKED_HALF_LIFE_MS,
 } from './consts.js';
 import { Digester } from './digest.js';
+import { SwitchMargin } from './switch-margin.js';
 import { orderReplies, PickedDeltas, placementOf, type GroupReplies } from './group-view.js';
 
 /** Sends one order to the agent at an address; rejects when it cannot be reached in time. */
@@ -50,6 +50,7 @@
 export class CoordinatorTask {
   private estimate: PopularityEstimate | undefined;
   private readonly deltas = new PickedDeltas();
+  private readonly margin: SwitchMargin;
   private readonly digester: Digester;
   private digest: GroupDigest | undefined;
   private takenAtMs = 0;
@@ -58,6 +59,7 @@
 
   constructor(private readonly parts: CoordinatorParts) {
     this.digester = new Digester(parts.clock);
+    this.margin = new SwitchMargin(parts.clock);
   }
 
   /** Runs until the signal aborts. */
@@ -102,6 +104,8 @@
       );
     this.takeCounts(ordered);
     const byRank = addressesOf(ordered, replies, addresses);
+    // A map that every rank has confirmed comes into use by itself as its step begins.
+    if (ordered.every((reply) => reply.armed?.confirmed)) return;
     if (ordered.some((reply) => reply.armed)) await this.switchMaps(byRank, () => undefined);
     else await this.improve(ordered, byRank);
   }
@@ -158,9 +162,10 @@
     const coordination: Coordination = {
       group: '',
       ranks: byRank.length,
-      call: (rank, order) => parts.call(byRank[rank] ?? '', order, ORDER_MS),
+      call: (rank, order) =>
+        this.margin.timed(order.kind, parts.call(byRank[rank] ?? '', order, ORDER_MS)),
       known: undefined,
-      marginSteps: ARM_MARGIN_STEPS,
+      marginSteps: this.margin.steps(this.digest?.stepMs ?? 0),
     };
     const end = await runSwitch(coordination, epoch, chooseMap);
     this.highestEpoch = Math.max(epoch, end.kind === 'blocked' ? end.highest : 0);
