--- a/src/core/limits/index.ts
+++ b/src/core/limits/index.ts
@@ -1,2 +1,3 @@
 export * from './pace-limit.js';
 export * from './turn-queue.js';
+export * from './outage.js';
--- a/src/core/limits/pace-limit.ts
+++ b/src/core/limits/pace-limit.ts
@@ -27,7 +27,7 @@
 /** Figures from rounds on the two first sites; see docs/EXPERIMENTS.md. */
 export const PACE_LIMIT: PaceLimitOptions = {
   start: 7,
-  least: 3,
+  least: 6,
   most: 40,
   fallAbove: 0.9,
   riseBelow: 0.7,
--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -36,6 +36,12 @@
 
 /** Retry-After of a refusal for want of room, s, lower and upper end: spreads those who return. */
 export const BUSY_RETRY_S = { least: 0.4, most: 1.6 } as const;
+/**
+ * Retry-After of a refusal while no endpoint of a group serves, s: a group that has lost a rank is back
+ * after seconds, and callers wait for a third of the time they have left at most, 2.6 s.
+ */
+export const OUTAGE_RETRY_S = { least: 2.1, most: 2.6 } as const;
+
 /** Retry-After where another entry can serve at once, s. */
 export const ELSEWHERE_RETRY_S = 0.05;
 
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,6 +1,6 @@
 /** What the parts of one gateway share. */
 import type { Clock } from '../core/clock/index.js';
-import { PaceLimit, TurnQueue } from '../core/limits/index.js';
+import { Outage, PaceLimit, TurnQueue } from '../core/limits/index.js';
 import type { EndpointId } from '../core/ids/index.js';
 import type { Log } from '../core/logging/index.js';
 import type { Metrics } from '../core/metrics/index.js';
@@ -50,7 +50,7 @@
     return {
       id,
       budget,
-      turns: isGroup ? { pace, queue: new TurnQueue(() => pace.allowed) } : undefined,
+      turns: isGroup ? { pace, queue: new TurnQueue(() => pace.allowed), outage: new Outage() } : undefined,
     };
   };
   return {
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -108,6 +108,11 @@
     return score + turn + (known.health.isEjected(nowMs) ? 1e6 : 0);
   }
 
+  /** Whether an endpoint is known to hold its group up. */
+  isSlow(known: EndpointState): boolean {
+    return (this.parts.sightOf(known.endpoint.id)?.pace ?? 1) > SLOW_PACE;
+  }
+
   private stateOf(endpoint: PublishedEndpoint): EndpointState {
     const known = this.byId.get(endpoint.id);
     if (known) return known;
--- a/src/gateway/refuse.ts
+++ b/src/gateway/refuse.ts
@@ -8,6 +8,7 @@
   'proof-old': { status: 503, notRun: true },
   stopping: { status: 503, notRun: true },
   busy: { status: 503, notRun: true },
+  outage: { status: 503, notRun: true },
   'no-endpoint': { status: 503, notRun: true },
   'not-run': { status: 503, notRun: true },
   'retry-budget': { status: 503, notRun: true },
--- a/src/gateway/relay-stream.ts
+++ b/src/gateway/relay-stream.ts
@@ -21,7 +21,8 @@
 export type StreamEnd =
   | { readonly kind: 'whole' }
   | { readonly kind: 'broke'; readonly detail: string }
-  | { readonly kind: 'silent'; readonly detail: string };
+  | { readonly kind: 'silent'; readonly detail: string }
+  | { readonly kind: 'slow'; readonly detail: string };
 
 /** What relaying needs. */
 export interface StreamRelay {
@@ -32,6 +33,8 @@
   readonly silenceMs: number;
   /** Monotonic time at which the stream is cut, whatever comes, ms. */
   readonly untilMs: number;
+  /** Whether the stream had better go on at another endpoint; asked after each event. */
+  readonly shouldMove: () => boolean;
   /** Called at the first event of each connection, with the time the stream had waited for it. */
   readonly onFirst: () => void;
   /** Called at each later event with the pause before it, ms. */
@@ -89,6 +92,10 @@
         await writeEvent(relay, answer, event);
         progress.lastAtMs = relay.nowMs();
       }
+      if (progress.events > 0 && relay.shouldMove()) {
+        answer.drop();
+        return { kind: 'slow', detail: 'the endpoint is slow' };
+      }
       clearTimeout(timer);
       timer = arm();
     }
--- a/src/gateway/serve-request.ts
+++ b/src/gateway/serve-request.ts
@@ -1,6 +1,6 @@
 /** Serves one request: its turn, its attempts, its one final answer. */
 import type { EndpointId } from '../core/ids/index.js';
-import type { PaceLimit, TurnQueue } from '../core/limits/index.js';
+import type { Outage, PaceLimit, TurnQueue } from '../core/limits/index.js';
 import { pickService, type ServiceId } from '../core/published/index.js';
 import type { RetryBudget } from '../core/retry/index.js';
 import { sendAttempt, type Answer } from './attempt.js';
@@ -9,6 +9,7 @@
   ELSEWHERE_RETRY_S,
   FINAL_ANSWER_MS,
   LEAST_ATTEMPT_MS,
+  OUTAGE_RETRY_S,
   QUEUE_TARGET_SHARE,
   SILENCE_FACTOR,
   STREAM_SILENCE_MS,
@@ -25,7 +26,9 @@
   readonly id: ServiceId;
   readonly budget: RetryBudget;
   /** Turns and their limit; undefined for services whose endpoints do not run in lock-step. */
-  readonly turns: { readonly queue: TurnQueue; readonly pace: PaceLimit } | undefined;
+  readonly turns:
+    | { readonly queue: TurnQueue; readonly pace: PaceLimit; readonly outage: Outage }
+    | undefined;
 }
 
 /** What became of one request, for its log line. */
@@ -69,6 +72,10 @@
   return BUSY_RETRY_S.least + ctx.random() * (BUSY_RETRY_S.most - BUSY_RETRY_S.least);
 }
 
+function outageRetryS(ctx: GatewayContext): number {
+  return OUTAGE_RETRY_S.least + ctx.random() * (OUTAGE_RETRY_S.most - OUTAGE_RETRY_S.least);
+}
+
 /** Whether another attempt is allowed after what has happened so far. */
 function mayTryAgain(work: Work): boolean {
   const { route } = work.request;
@@ -94,14 +101,18 @@
     return { kind: 'refused', refusal: { reason, detail } };
   }
   const reason = work.tried.size === 0 ? 'no-endpoint' : 'not-run';
-  return { kind: 'refused', refusal: { reason, detail, retryAfterS: busyRetryS(work.ctx) } };
+  // What no endpoint of a group took will hardly be taken by one a moment later.
+  const retryAfterS = work.service.turns ? outageRetryS(work.ctx) : busyRetryS(work.ctx);
+  return { kind: 'refused', refusal: { reason, detail, retryAfterS } };
 }
 
 function noteFault(work: Work, target: EndpointState, fault: AttemptFault): void {
   work.lastFault = fault;
   if (fault.kind !== 'not-run') work.mayHaveRun = true;
+  if (!work.request.gone.aborted && fault.kind !== 'slow')
+    work.service.turns?.outage.noteBad(work.ctx.clock.nowMs());
   work.note.tries.push(`${target.endpoint.id}:${fault.kind}`);
-  if (work.request.gone.aborted) return;
+  if (work.request.gone.aborted || fault.kind === 'slow') return;
   work.ctx.endpoints.noteBad(target, fault.detail);
   work.ctx.metrics.count('attempt_faults_total', { service: work.service.id, kind: fault.kind });
   work.ctx.log.info('attempt.fault', {
@@ -171,10 +182,13 @@
       nowMs: () => ctx.clock.nowMs(),
       silenceMs: STREAM_SILENCE_MS,
       untilMs: request.untilMs - FINAL_ANSWER_MS,
+      shouldMove: () =>
+        ctx.endpoints.isSlow(target) && mayTryAgain(work) && service.budget.canWithdraw(),
       onFirst: () => {
         const nowMs = ctx.clock.nowMs();
         work.note.firstMs ??= nowMs - request.arrivedAtMs;
         ctx.endpoints.noteGood(target, nowMs - sentAtMs);
+        service.turns?.outage.noteGood();
       },
       onPause: (pauseMs) =>
         service.turns?.pace.notePause(pauseMs / gapMs, service.turns.queue.running, ctx.clock.nowMs()),
@@ -281,6 +295,8 @@
   const { turns } = service;
   if (!turns) return runAttempts(work);
   const askedAtMs = ctx.clock.nowMs();
+  if (turns.outage.refuses(askedAtMs))
+    return refused('outage', 'no endpoint of the service serves', outageRetryS(ctx));
   const waitMs = Math.min(request.route.targetMs * QUEUE_TARGET_SHARE, leftMs(work));
   const priority = request.organisation?.priority ?? request.route.priority;
   const got = await turns.queue.take(priority, waitMs, request.gone);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -110,4 +110,6 @@
   /** It may have run. */
   | { readonly kind: 'broke'; readonly detail: string }
   /** No sign of an answer in the time given. */
-  | { readonly kind: 'silent'; readonly detail: string };
+  | { readonly kind: 'silent'; readonly detail: string }
+  /** Given up by the entry, since the endpoint is slow and another one can go on. */
+  | { readonly kind: 'slow'; readonly detail: string };
--- a/src/group/consts.ts
+++ b/src/group/consts.ts
@@ -7,7 +7,7 @@
 /** Time for the answer to an order of a switch, ms; preparing takes the longest. */
 export const ORDER_MS = 5000;
 /** An agent that nobody has looked at for this long begins to coordinate, ms. */
-export const UNLOOKED_MS = 900;
+export const UNLOOKED_MS = 700;
 /** Further wait for each agent before this one in order of address, ms: one begins, not all. */
 export const UNLOOKED_STAGGER_MS = 150;
 /** Half-life of the popularity estimate, ms: demand shifts every four seconds or so. */
--- a/src/group/coordinator-task.ts
+++ b/src/group/coordinator-task.ts
@@ -53,6 +53,7 @@
   private readonly margin: SwitchMargin;
   private readonly digester: Digester;
   private digest: GroupDigest | undefined;
+  private isSwitching = false;
   private takenAtMs = 0;
   private highestEpoch = 0;
   private loggedAtMs = Number.NEGATIVE_INFINITY;
@@ -104,10 +105,18 @@
       );
     this.takeCounts(ordered);
     const byRank = addressesOf(ordered, replies, addresses);
+    // Looks go on while a switch is made: entries and the next plan need what they tell.
+    if (this.isSwitching) return;
     // A map that every rank has confirmed comes into use by itself as its step begins.
     if (ordered.every((reply) => reply.armed?.confirmed)) return;
-    if (ordered.some((reply) => reply.armed)) await this.switchMaps(byRank, () => undefined);
-    else await this.improve(ordered, byRank);
+    this.isSwitching = true;
+    const isOpen = ordered.some((reply) => reply.armed);
+    const work = isOpen
+      ? this.switchMaps(byRank, () => undefined)
+      : this.improve(ordered, byRank);
+    void work
+      .catch((err: unknown) => this.note('switch failed', errorText(err)))
+      .finally(() => (this.isSwitching = false));
   }
 
   private takeCounts(replies: GroupReplies): void {
