Act for a silent agent whose rank may hold the group

A coordinator that sees an open switch and a silent agent now gives that rank's orders itself, straight to its engine; the engines' fences keep what the frozen agent does on waking from counting.

--- a/fakes/rank-engine/rank-group.ts
+++ b/fakes/rank-engine/rank-group.ts
@@ -53,6 +53,8 @@
   /** Longest time between two steps, ms. */
   longestHoldMs = 0;
   private lastStepMs = 0;
+  /** Experts by rank of each version that was prepared; the group has one layer. */
+  private readonly layers = new Map<number, readonly (readonly number[])[]>();
   private ranks: Rank[];
 
   constructor(
@@ -111,8 +113,9 @@
         };
         return report;
       },
-      placed: () => Promise.resolve([[index]]),
-      picked: () => Promise.resolve([[0]]),
+      placed: () => Promise.resolve([this.heldBy(index)]),
+      // Demand favours one expert, more of it with each step; all of it is chosen by the first rank.
+      picked: () => Promise.resolve([index === 0 ? [500 * this.step, 20 * this.step, 10 * this.step] : [0, 0, 0]]),
       command: async (command, fence, epoch) => {
         if (this.random() < this.options.lateShare()) {
           const lateMs = LATE_MS.least + this.random() * (LATE_MS.most - LATE_MS.least);
@@ -126,6 +129,12 @@
     };
   }
 
+  /** Experts that a rank holds; each of the first map's stands once. */
+  private heldBy(index: number): number[] {
+    const { map } = this.ranks[index] as Rank;
+    return [...(this.layers.get(map)?.[index] ?? [index])];
+  }
+
   private carryOut(
     index: number,
     command: EngineCommand,
@@ -162,6 +171,7 @@
     if (command.kind === 'prepare') {
       if (command.version === rank.highest) return;
       rank.highest = command.version;
+      this.layers.set(command.version, command.layers[0] ?? []);
       rank.prepared = undefined;
       const { epoch } = this;
       this.time.after(this.options.copyMs, () => {
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -79,9 +79,10 @@
       .sort();
 
   const calls = parts.connect(`http://${ownEndpoint.host}:${ownEndpoint.port}`, log, metrics);
+  const layers = (): number => engine()?.layers ?? 0;
   const gate = new RankGate(
     newIncarnation(clock.wallMs()),
-    createSwitchEngine({ calls, clock, layers: () => engine()?.layers ?? 0, pause: sleep }),
+    createSwitchEngine({ calls, clock, layers, pause: sleep, isOwn: true }),
     () => 0,
   );
   let digest: GroupDigest | undefined;
@@ -102,6 +103,23 @@
     return gate.serve(order);
   };
 
+  const standIns = new Map<string, RankGate>();
+  /** A gate of our own before another agent's engine. */
+  const standInFor = (address: string): RankGate => {
+    const known = standIns.get(address);
+    if (known) return known;
+    const host = address.split(':', 1)[0] ?? '';
+    // Ports are the same on all instances.
+    const remote = parts.connect(`http://${host}:${ownEndpoint.port}`, log, metrics);
+    const made = new RankGate(
+      newIncarnation(clock.wallMs()),
+      createSwitchEngine({ calls: remote, clock, layers, pause: sleep, isOwn: false }),
+      () => 0,
+    );
+    standIns.set(address, made);
+    return made;
+  };
+
   const router = buildRouter({ rank: serveRank, group: () => digest });
   const rpc = createHTTPHandler({ router, basePath: RPC_PATH, maxBodySize: MAX_ORDER_BYTES });
   const server = createServer({ requestTimeout: 0 }, rpc);
@@ -115,6 +133,8 @@
     self,
     agents,
     engine,
+    pause: sleep,
+    standIn: (address, order) => standInFor(address).serve(order),
     call: (address, order, withinMs) =>
       address === self
         ? serveRank(order)
--- a/src/group/consts.ts
+++ b/src/group/consts.ts
@@ -3,13 +3,19 @@
 /** Pause between two looks at all ranks, ms: demand changes every few seconds, a copy takes 0.1 s. */
 export const LOOK_PAUSE_MS = 50;
 /** Time for the answer to a look, ms. */
-export const LOOK_MS = 600;
-/** Time for the answer to an order of a switch, ms; preparing takes the longest. */
-export const ORDER_MS = 5000;
+export const LOOK_MS = 250;
+/** Time for the answer to an order of a switch, ms; ranks may stand still meanwhile. */
+export const ORDER_MS = 350;
+/** Time for the answer to a decision, ms; it is sent three times. */
+export const DECISION_MS = 200;
+/** Time for the answer to an order to prepare, ms: experts are copied. */
+export const PREPARE_ORDER_MS = 5000;
+/** An agent that is silent for so long while a switch is open is acted for, ms: callers leave after 2 s. */
+export const SILENT_MS = 150;
 /** An agent that nobody has looked at for this long begins to coordinate, ms. */
-export const UNLOOKED_MS = 700;
+export const UNLOOKED_MS = 500;
 /** Further wait for each agent before this one in order of address, ms: one begins, not all. */
-export const UNLOOKED_STAGGER_MS = 150;
+export const UNLOOKED_STAGGER_MS = 120;
 /** Half-life of the popularity estimate, ms: demand shifts every four seconds or so. */
 export const PICKED_HALF_LIFE_MS = 300;
 /**
--- a/src/group/coordinator-task.ts
+++ b/src/group/coordinator-task.ts
@@ -1,5 +1,5 @@
 /** The coordinator of a group: looks at every rank, and brings in a new map when it is worth its copies. */
-import { sleep, type Clock } from '../core/clock/index.js';
+import type { Clock } from '../core/clock/index.js';
 import { errorText } from '../core/errors/index.js';
 import {
   nextEpoch,
@@ -16,6 +16,7 @@
 import { planRound, PopularityEstimate, skewOf, type Placement } from '../core/placement/index.js';
 import type { EngineInfo } from '../core/published/index.js';
 import {
+  DECISION_MS,
   GAIN_PER_COPY,
   LEAST_SKEW_GAIN,
   LEAST_TOKENS,
@@ -25,6 +26,8 @@
   MOST_NEW,
   ORDER_MS,
   PICKED_HALF_LIFE_MS,
+  PREPARE_ORDER_MS,
+  SILENT_MS,
   URGENT_SKEW,
 } from './consts.js';
 import { Digester } from './digest.js';
@@ -41,7 +44,11 @@
   readonly agents: () => readonly string[];
   readonly engine: () => EngineInfo | undefined;
   readonly call: CallAgent;
+  /** Acts for the agent at an address, straight on its engine; used only while that agent is silent. */
+  readonly standIn: (address: string, order: RankOrder) => Promise<RankReply>;
   readonly clock: Clock;
+  /** Waits, ms; a test may bring its own time. */
+  readonly pause: (ms: number) => Promise<void>;
   readonly random: () => number;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -55,6 +62,8 @@
   private readonly digester: Digester;
   private digest: GroupDigest | undefined;
   private isSwitching = false;
+  /** Since when some agent has not answered, while a switch is open. */
+  private silentSinceMs: number | undefined;
   private takenAtMs = 0;
   private highestEpoch = 0;
   private loggedAtMs = Number.NEGATIVE_INFINITY;
@@ -67,7 +76,7 @@
   /** Runs until the signal aborts. */
   async run(isMine: () => boolean, signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await sleep(LOOK_PAUSE_MS * (0.9 + 0.2 * this.parts.random()), signal);
+      await this.parts.pause(LOOK_PAUSE_MS * (0.9 + 0.2 * this.parts.random()));
       if (!isMine()) continue;
       try {
         await this.round();
@@ -92,20 +101,46 @@
     );
     const ordered = orderReplies(replies, addresses.length);
     this.digest = this.digester.take(ordered, ordered ? hostsOf(ordered, replies, addresses) : []);
-    if (!ordered) {
-      const missing = addresses.filter((_, i) => replies[i]?.rank === undefined);
-      return this.note('group not whole', `${missing.length} of ${addresses.length}: ${missing.join(',')}`);
+    if (ordered) {
+      this.silentSinceMs = undefined;
+      return this.goOn(ordered, addressesOf(ordered, replies, addresses));
     }
-    // Fences and versions rise over everything that any rank has seen or holds.
-    for (const reply of ordered)
-      this.highestEpoch = Math.max(
-        this.highestEpoch,
-        reply.promised,
-        reply.lastConfirmed ?? 0,
-        reply.armed?.epoch ?? 0,
-      );
+    const silent = addresses.filter((_, i) => replies[i]?.rank === undefined);
+    this.note('group not whole', `${silent.length} of ${addresses.length}: ${silent.join(',')}`);
+    if (replies.some((reply) => reply?.armed)) await this.rescue(addresses, replies);
+  }
+
+  /**
+   * Ends a switch that a silent agent left open: its rank may hold the group, which nobody else sees.
+   * The engines' fences keep whatever that agent still does when it wakes from counting.
+   */
+  private async rescue(
+    addresses: readonly string[],
+    replies: readonly (RankReply | undefined)[],
+  ): Promise<void> {
+    const nowMs = this.parts.clock.nowMs();
+    this.silentSinceMs ??= nowMs;
+    if (this.isSwitching || nowMs - this.silentSinceMs < SILENT_MS) return;
+    const look: RankOrder = { group: '', kind: 'look', epoch: 0 };
+    const silent = new Set<string>();
+    const all = await Promise.all(
+      addresses.map(async (address, i) => {
+        if (replies[i]?.rank !== undefined) return replies[i];
+        silent.add(address);
+        return this.parts.standIn(address, look).catch(() => undefined);
+      }),
+    );
+    const ordered = orderReplies(all, addresses.length);
+    if (!ordered) return;
+    this.noteEpochs(ordered);
+    const byRank = addressesOf(ordered, all, addresses);
+    const end = await this.switchMaps(byRank, () => undefined, silent);
+    this.parts.log.info('group.rescue', { silent: [...silent].join(','), end: end.kind });
+  }
+
+  private async goOn(ordered: GroupReplies, byRank: readonly string[]): Promise<void> {
+    this.noteEpochs(ordered);
     this.takeCounts(ordered);
-    const byRank = addressesOf(ordered, replies, addresses);
     // Looks go on while a switch is made: entries and the next plan need what they tell.
     if (this.isSwitching) return;
     // A map that every rank has confirmed comes into use by itself as its step begins.
@@ -120,6 +155,17 @@
       .finally(() => (this.isSwitching = false));
   }
 
+  /** Fences and versions rise over everything that any rank has seen or holds. */
+  private noteEpochs(replies: GroupReplies): void {
+    for (const reply of replies)
+      this.highestEpoch = Math.max(
+        this.highestEpoch,
+        reply.promised,
+        reply.lastConfirmed ?? 0,
+        reply.armed?.epoch ?? 0,
+      );
+  }
+
   private takeCounts(replies: GroupReplies): void {
     const nowMs = this.parts.clock.nowMs();
     const counts = this.deltas.take(replies);
@@ -167,6 +213,7 @@
   private async switchMaps(
     byRank: readonly string[],
     chooseMap: (view: GroupView) => ExpertMap | undefined,
+    silent: ReadonlySet<string> = new Set(),
   ): ReturnType<typeof runSwitch> {
     const { parts } = this;
     const own = byRank.indexOf(parts.self);
@@ -174,8 +221,11 @@
     const coordination: Coordination = {
       group: '',
       ranks: byRank.length,
-      call: (rank, order) =>
-        this.margin.timed(order.kind, parts.call(byRank[rank] ?? '', order, ORDER_MS)),
+      call: (rank, order) => {
+        const address = byRank[rank] ?? '';
+        if (silent.has(address)) return parts.standIn(address, order);
+        return this.margin.timed(order.kind, parts.call(address, order, orderMs(order)));
+      },
       known: undefined,
       marginSteps: this.margin.steps(this.digest?.stepMs ?? 0),
     };
@@ -195,6 +245,11 @@
   }
 }
 
+function orderMs(order: RankOrder): number {
+  if (order.kind === 'prepare') return PREPARE_ORDER_MS;
+  return order.kind === 'confirm' || order.kind === 'abort' ? DECISION_MS : ORDER_MS;
+}
+
 /** Addresses of the agents in order of rank. */
 function addressesOf(
   ordered: GroupReplies,
--- a/src/group/switch-engine.ts
+++ b/src/group/switch-engine.ts
@@ -29,6 +29,8 @@
   readonly clock: Clock;
   /** Layers of the engine's model; 0 while they are not known. */
   readonly layers: () => number;
+  /** Whether the engine stands beside this process; what it tells costs nothing only then. */
+  readonly isOwn: boolean;
   /** Waits between two looks, ms; a test may bring its own time. */
   readonly pause: (ms: number) => Promise<void>;
 }
@@ -161,7 +163,7 @@
       queued: report.queued,
       groupEpoch: report.groupEpoch,
     };
-    if (!takeCounts) return state;
+    if (!takeCounts || !parts.isOwn) return state;
     const placed = await calls.placed();
     return { ...state, placed, picked: await calls.picked(parts.layers() || placed.length) };
   }
--- a/test/group/switch-engine.test.ts
+++ b/test/group/switch-engine.test.ts
@@ -53,7 +53,7 @@
   let lives = 0;
   const makeGate = (rank: number): RankGate => {
     lives += 1;
-    const parts = { calls: group.calls(rank), clock: time, layers: () => 1, pause: time.sleep };
+    const parts = { calls: group.calls(rank), clock: time, layers: () => 1, pause: time.sleep, isOwn: true };
     return new RankGate(asId(`life-${lives}`), createSwitchEngine(parts), () => rank);
   };
   const gates = Array.from({ length: RANKS }, (_, rank) => makeGate(rank));
