Bound the log: lines a second and bytes that wait

Cause: a reader of standard output that stands still would have grown the process's memory, and a storm of requests its log. What is left out is counted in the next line.

--- a/src/core/logging/log.ts
+++ b/src/core/logging/log.ts
@@ -34,10 +34,52 @@
     .join(' ');
 }
 
+/** Bytes that may wait for whoever reads the log; a reader that stands still must not hold us up. */
+const MOST_PENDING_BYTES = 256 * 1024;
+/** Lines a second, at most: a few for each request that one instance can take. */
+const MOST_LINES_PER_SECOND = 500;
+
+/** Where lines go, with the number of bytes that wait there. */
+export interface LineSink {
+  readonly writableLength: number;
+  write(text: string): boolean;
+}
+
+/**
+ * Writes lines to a sink, at a bounded rate and with bounded memory; what is left out is counted and
+ * said in the next line that gets through.
+ */
+export class BoundedLines {
+  private dropped = 0;
+  private second = 0;
+  private lines = 0;
+
+  constructor(private readonly sink: LineSink) {}
+
+  /**
+   * Writes a line, or leaves it out.
+   * @example new BoundedLines(process.stdout).write('event=start', Date.now());
+   */
+  write(line: string, wallMs: number): void {
+    const second = Math.floor(wallMs / 1000);
+    if (second !== this.second) [this.second, this.lines] = [second, 0];
+    this.lines += 1;
+    if (this.lines > MOST_LINES_PER_SECOND || this.sink.writableLength > MOST_PENDING_BYTES) {
+      this.dropped += 1;
+      return;
+    }
+    if (this.dropped > 0) this.sink.write(`event=log.dropped level=warn lines=${this.dropped}\n`);
+    this.dropped = 0;
+    this.sink.write(`${line}\n`);
+  }
+}
+
+const stdoutLines = new BoundedLines(process.stdout);
+
 function writeRoarr(message: string): void {
   const parsed = JSON.parse(message) as { context: LogFields; message: string; time: number };
   const time = new Date(parsed.time).toISOString();
-  process.stdout.write(`${formatLine({ time, event: parsed.message, ...parsed.context })}\n`);
+  stdoutLines.write(formatLine({ time, event: parsed.message, ...parsed.context }), parsed.time);
 }
 
 /**
