--- a/src/group/consts.ts
+++ b/src/group/consts.ts
@@ -1,7 +1,7 @@
 /** Constants of the agents' group work. */
 
 /** Pause between two looks at all ranks, ms: demand changes every few seconds, a copy takes 0.1 s. */
-export const LOOK_PAUSE_MS = 50;
+export const LOOK_PAUSE_MS = 100;
 /** Time for the answer to a look, ms. */
 export const LOOK_MS = 250;
 /** Time for the answer to an order of a switch, ms; ranks may stand still meanwhile. */
