--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -31,6 +31,9 @@
   tenants: [{ name: 'org-1', 'api-keys': ['k-1'] }],
 };
 
+/** A loopback address of this run's own: the port of the metrics is fixed. */
+const OWN_IP = `127.${1 + (process.pid % 200)}.0.1`;
+
 /** A port that is free now. */
 async function freePort(): Promise<number> {
   const server = createServer();
@@ -50,7 +53,7 @@
 function startProgram(role: string, boot: Record<string, string>): Program {
   const dir = mkdtempSync(join(tmpdir(), 'harrierglade-'));
   const path = join(dir, 'boot.toml');
-  writeFileSync(path, bootText(boot));
+  writeFileSync(path, bootText({ ip: `"${OWN_IP}"`, ...boot }));
   const child = spawn(process.execPath, [MAIN, role], {
     env: { ...process.env, HARRIERGLADE_BOOT: path },
   });
@@ -79,9 +82,14 @@
   readonly body: string;
 }
 
-function ask(port: number, path: string, headers: Record<string, string> = {}): Promise<Answer> {
+function ask(
+  port: number,
+  path: string,
+  headers: Record<string, string> = {},
+  host = '127.0.0.1',
+): Promise<Answer> {
   return new Promise((resolve) => {
-    const req = http.get({ host: '127.0.0.1', port, path, headers, agent: false }, (res) => {
+    const req = http.get({ host, port, path, headers, agent: false }, (res) => {
       let body = '';
       res.on('data', (piece) => (body += String(piece)));
       res.on('end', () => resolve({ status: res.statusCode ?? 0, body }));
@@ -122,7 +130,10 @@
   try {
     await until('ready', isReady);
     assert.equal((await ask(front, '/x/1', asking('q-1'))).body, 'fine');
-    assert.match((await ask(9464, '/metrics')).body, /harrierglade_requests_total\{.*\} 1/);
+    assert.match(
+      (await ask(9464, '/metrics', {}, OWN_IP)).body,
+      /harrierglade_requests_total\{.*\} 1/,
+    );
 
     entry.child.kill('SIGHUP');
     await until('a line on the settings', () => entry.output().includes('event=settings.reread'));
