--- a/bench/capacity/in-process.ts
+++ b/bench/capacity/in-process.ts
@@ -12,6 +12,7 @@
 } from '../../src/core/config-feed/index.js';
 import { asId, runKey, type OrganisationId } from '../../src/core/ids/index.js';
 import { Ledger } from '../../src/core/ledger/index.js';
+import { packMap, type ExpertMap } from '../../src/core/groups/index.js';
 import { silentLog } from '../../src/core/logging/index.js';
 import { buildInstanceView } from '../../src/core/membership/index.js';
 import { Metrics } from '../../src/core/metrics/index.js';
@@ -22,7 +23,7 @@
   ConfigurationDocument,
 } from '../../src/generated/configuration.types.js';
 import type { InstanceList } from '../../src/generated/instances.types.js';
-import type { ExpertMap, RankReply } from '../../src/generated/messages.types.js';
+import type { RankReply } from '../../src/generated/messages.types.js';
 import { decisionTime } from '../decisions/routing-bench.js';
 import { makeTrace, NYUNGWE } from '../decisions/traces.js';
 import { fitLine, type Fit } from '../harness/index.js';
@@ -228,11 +229,11 @@
     kind: 'promise',
     epoch: 1e6,
     incarnation: reply.incarnation,
-    knownMapId: map.id,
+    knownMapIds: [map.id],
   };
   const bytesOf = (data: object): number => Buffer.byteLength(JSON.stringify(data)) + HTTP_BYTES;
   const promiseReply = bytesOf(reply);
-  const prepare = bytesOf({ ...order, map });
+  const prepare = bytesOf({ ...order, map: packMap(map) });
   const small = bytesOf({ ...reply, counts: undefined }) + bytesOf(order);
   return {
     promiseReply,
--- a/src/agent/placement-round.ts
+++ b/src/agent/placement-round.ts
@@ -1,6 +1,6 @@
 /** What a coordinator decides in a round: counts in, a new map out when it is worth its cost. */
 import { PRELOAD_MS } from '../core/events/index.js';
-import type { ChooseMap, GroupView } from '../core/groups/index.js';
+import type { ChooseMap, ExpertMap, GroupView } from '../core/groups/index.js';
 import {
   BALANCED_STEP_MS,
   HALF_LIFE_MS,
@@ -14,7 +14,6 @@
 } from '../core/placement/index.js';
 import type { DaemonContext } from '../runtime/index.js';
 import type { ConfigurationBody, GroupConfig } from '../generated/configuration.types.js';
-import type { ExpertMap } from '../generated/messages.types.js';
 
 /** Experts of a group that an event declares hot now or soon, and whether one runs now. */
 function declaredNow(
--- a/src/agent/rank.ts
+++ b/src/agent/rank.ts
@@ -9,12 +9,13 @@
   runSwitch,
   type Coordination,
   type EngineState,
+  type ExpertMap,
   type RankEngine,
   type SwitchEnd,
 } from '../core/groups/index.js';
 import type { DaemonContext } from '../runtime/index.js';
 import type { GroupConfig } from '../generated/configuration.types.js';
-import type { ExpertMap, RankOrder, RankReply } from '../generated/messages.types.js';
+import type { RankOrder, RankReply } from '../generated/messages.types.js';
 import type { Endpoint } from './endpoint.js';
 import { PlacementRound } from './placement-round.js';
 
@@ -33,8 +34,8 @@
 /** The endpoint's order interface, behind the gate. */
 function engineOf(endpoint: Endpoint, checksFences: boolean): RankEngine {
   return {
-    read: async (takeCounts) =>
-      (await endpoint.read(takeCounts ? '/state?counts=take' : '/state')) as EngineState & {
+    read: async ({ counts }) =>
+      (await endpoint.read(counts ? '/state?counts=take' : '/state')) as EngineState & {
         counts?: number[][];
       },
     order: async (order) => {
@@ -110,6 +111,7 @@
       ranks: group.endpoints.length,
       call: (rank, order) => callRank(group, rank, order),
       known,
+      wantsCounts: true,
       marginSteps: ARM_MARGIN_STEPS,
     };
     const epoch = nextEpoch(Math.max(highest, gate.epoch), rankIndex());
--- a/src/core/groups/coordinator.ts
+++ b/src/core/groups/coordinator.ts
@@ -8,6 +8,7 @@
  * confirmed it confirms all, else it aborts all.
  */
 import { DECISION_TRIES, EPOCH_STRIDE } from './consts.js';
+import { packMap, unpackMap } from './packing.js';
 import type { CallRank, ChooseMap, ExpertMap, RankOrder, RankReply, SwitchEnd } from './types.js';
 
 /** One group as its coordinator addresses it. */
@@ -17,6 +18,8 @@
   readonly call: CallRank;
   /** The map that this coordinator holds already. */
   readonly known: ExpertMap | undefined;
+  /** Whether promises bring the tokens counted since the last one. */
+  readonly wantsCounts: boolean;
   /** Steps between arming and the switch: what an arm and a confirm round take, with room. */
   readonly marginSteps: number;
 }
@@ -118,7 +121,12 @@
     epoch,
     incarnation: promises[rank]?.incarnation,
   });
-  const prepared = await callAll(c, (rank) => ({ ...address(rank), kind: 'prepare', map }));
+  const packed = packMap(map);
+  const prepared = await callAll(c, (rank) => ({
+    ...address(rank),
+    kind: 'prepare',
+    map: packed,
+  }));
   if (!allDone(prepared)) return blockedBy(prepared, 'prepare');
   const step = Math.max(...prepared.map((r) => r.step)) + c.marginSteps;
   const armed = await callAll(c, (rank) => ({
@@ -148,13 +156,15 @@
     group: c.group,
     kind: 'promise',
     epoch,
-    knownMapId: c.known?.id ?? '',
+    knownMapIds: c.known ? [c.known.id] : [],
+    wantsCounts: c.wantsCounts,
   }));
   if (!allDone(promises)) return blockedBy(promises, 'promise');
   const recovered = await recover(c, epoch, promises);
   if (recovered) return recovered;
   const mapId = promises[0]?.mapId ?? '';
-  const map = c.known?.id === mapId ? c.known : promises.find((p) => p.map?.id === mapId)?.map;
+  const told = promises.find((p) => p.map?.id === mapId)?.map;
+  const map = c.known?.id === mapId ? c.known : told && unpackMap(told);
   // A group that was formed anew between two promises has forgotten what the first ones told.
   if (new Set(promises.map((p) => p.groupEpoch)).size > 1) return { kind: 'kept' };
   // Ranks may be seen a step apart around a confirmed switch; the next round finds them together.
--- a/src/core/groups/rank-gate.ts
+++ b/src/core/groups/rank-gate.ts
@@ -4,6 +4,8 @@
  * forgotten what it promised.
  */
 import type { Incarnation } from '../ids/index.js';
+import { CountDeltas } from './count-deltas.js';
+import { packCounts, packMap, unpackMap } from './packing.js';
 import type { ExpertMap, RankOrder, RankReply } from './types.js';
 
 /** State of the rank as its engine holds it. */
@@ -26,10 +28,21 @@
   readonly picked?: number[][];
 }
 
+/** What is read beside an engine's state; each costs a call or bytes. */
+export interface ReadWants {
+  /** Tokens counted, by layer and slot or by layer and expert. */
+  readonly counts: boolean;
+  /** What the rank holds, unless its map is one of `knownMapIds`. */
+  readonly placed: boolean;
+  readonly knownMapIds: readonly string[];
+}
+
+const STATE_ONLY: ReadWants = { counts: false, placed: false, knownMapIds: [] };
+
 /** The engine behind a rank. */
 export interface RankEngine {
-  /** Reads the truth; `takeCounts` also takes the tokens counted since the last time. */
-  read(takeCounts: boolean): Promise<EngineState & { readonly counts?: number[][] }>;
+  /** Reads the truth, and what is wanted with it. */
+  read(wants: ReadWants): Promise<EngineState & { readonly counts?: number[][] }>;
   /** Gives an order with its epoch as fence; false when the engine refuses it. */
   order(order: EngineOrder): Promise<boolean>;
 }
@@ -45,6 +58,7 @@
 export class RankGate {
   private promised = 0;
   private prepared: ExpertMap | undefined;
+  private readonly deltas = new CountDeltas();
   private queue: Promise<unknown> = Promise.resolve();
 
   /** @param rank index of this rank in its group, for its part of the counts */
@@ -65,7 +79,7 @@
    */
   serve(order: RankOrder): Promise<RankReply> {
     // A look changes nothing and must not wait for a copy that takes long.
-    if (order.kind === 'look') return this.look();
+    if (order.kind === 'look') return this.look(order);
     const served = this.queue.then(() => this.serveNow(order));
     this.queue = served.catch(() => undefined);
     return served;
@@ -81,10 +95,16 @@
     return this.reply(done, done ? undefined : 'the engine refused');
   }
 
-  private async look(): Promise<RankReply> {
-    const state = await this.engine.read(true);
+  private async look(order: RankOrder): Promise<RankReply> {
+    const state = await this.engine.read({
+      counts: order.wantsCounts ?? false,
+      placed: true,
+      knownMapIds: order.knownMapIds ?? [],
+    });
     const { placed, picked, pace, running, queued } = state;
-    return { ...this.describe(state, true), placed, picked, pace, running, queued };
+    const since = picked && this.deltas.take(order.from ?? '', state.groupEpoch, picked);
+    const counted = since && packCounts(since);
+    return { ...this.describe(state, true), placed, counted, pace, running, queued };
   }
 
   private async promise(order: RankOrder): Promise<RankReply> {
@@ -94,13 +114,14 @@
       return this.reply(false, 'the engine holds a higher fence');
     this.promised = order.epoch;
     this.prepared = undefined;
-    const state = await this.engine.read(true);
+    const state = await this.engine.read({ ...STATE_ONLY, counts: order.wantsCounts ?? false });
     const held = state.map.layers.map((layer) => layer[this.rank()] ?? []);
     const counts = state.counts?.map((layer, l) =>
       (held[l] ?? []).map((expert) => layer[expert] ?? 0),
     );
-    const isKnown = order.knownMapId === state.map.id || state.placed !== undefined;
-    const map = isKnown ? undefined : state.map;
+    // An engine that tells no more than its own part of the map has nothing to tell here.
+    const isTold = state.map.layers.length > 0 && !order.knownMapIds?.includes(state.map.id);
+    const map = isTold ? packMap(state.map) : undefined;
     return { ...this.describe(state, true), counts, ...(map ? { map } : {}) };
   }
 
@@ -110,15 +131,16 @@
     // The promise stands in this incarnation: the reply's state is the answer.
     if (order.kind === 'recheck') return true;
     if (order.kind === 'prepare') {
-      if (!order.map) return false;
-      this.prepared = order.map;
-      return engine.order({ kind: 'load', epoch, map: order.map });
+      const map = order.map && unpackMap(order.map);
+      if (!map) return false;
+      this.prepared = map;
+      return engine.order({ kind: 'load', epoch, map });
     }
     if (order.kind === 'arm') {
       const { prepared } = this;
       if (!prepared || prepared.id !== order.mapId || order.step === undefined) return false;
       // An engine that checks no fences is protected by looking first: nobody else gives it orders.
-      const state = await engine.read(false);
+      const state = await engine.read(STATE_ONLY);
       if (state.armed || order.step <= state.step) return false;
       return engine.order({ kind: 'arm', epoch, map: prepared, step: order.step });
     }
@@ -128,7 +150,7 @@
   }
 
   private async reply(done: boolean, detail: string | undefined): Promise<RankReply> {
-    const state = await this.engine.read(false);
+    const state = await this.engine.read(STATE_ONLY);
     return { ...this.describe(state, done), ...(detail ? { detail } : {}) };
   }
 
--- a/src/core/groups/types.ts
+++ b/src/core/groups/types.ts
@@ -1,7 +1,14 @@
 /** Types of the map switch. */
-import type { ExpertMap, RankOrder, RankReply } from '../../generated/messages.types.js';
+import type { RankOrder, RankReply } from '../../generated/messages.types.js';
 
-export type { ExpertMap, RankOrder, RankReply };
+export type { RankOrder, RankReply };
+
+/** Which experts each rank of a group holds. */
+export interface ExpertMap {
+  readonly id: string;
+  /** Experts by layer and rank. */
+  readonly layers: readonly (readonly (readonly number[])[])[];
+}
 
 /** Sends one order to one rank's agent; rejects when it cannot be reached in time. */
 export type CallRank = (rank: number, order: RankOrder) => Promise<RankReply>;
--- a/src/core/limits/index.ts
+++ b/src/core/limits/index.ts
@@ -1,3 +1,3 @@
-export * from './pace-limit.js';
+export * from './stream-limit.js';
 export * from './turn-queue.js';
 export * from './outage.js';
--- /dev/null
+++ b/src/core/limits/stream-limit.ts
@@ -0,0 +1,138 @@
+/**
+ * How many streams a group of engines bears at once. All its ranks advance in lock-step, so every stream
+ * pauses alike, and one step that takes too long makes every running stream late. Steps are slowest just
+ * after demand has shifted, before a new expert map is in use. The limit is therefore such that even the
+ * slowest steps of late would keep the pauses allowed; each entry finds it from its own streams, with no
+ * shared counter (figures in docs/EXPERIMENTS.md).
+ */
+
+/** How long a token step takes, as the endpoints publish it. */
+export interface StepModel {
+  readonly ranks: number;
+  /** Requests that one rank works on at once. */
+  readonly slots: number;
+  /** Time of a step without requests, ms. */
+  readonly stepMs: number;
+  /** What each request of a rank adds, ms. */
+  readonly perRequestMs: number;
+}
+
+/** Settings of the limit. */
+export interface StreamLimitOptions {
+  /** Streams of each rank before anything is known: the first map is the worst for any demand. */
+  readonly startPerRank: number;
+  /** Streams of each rank where no limit would keep pauses in time. */
+  readonly usualPerRank: number;
+  /**
+   * Streams of each rank below which a lower limit is not worth it: a step takes most of its time without
+   * any, so fewer streams make it little faster, and many more callers are refused.
+   */
+  readonly leastPerRank: number;
+  /** Share of the allowed pause that the slowest steps may take. */
+  readonly targetShare: number;
+  /** Span over which pauses are put together, ms. */
+  readonly spanMs: number;
+  /** Spans that count. */
+  readonly spans: number;
+  /** Slowest spans that are left out: a group that was held for a moment says nothing about its load. */
+  readonly leftOut: number;
+}
+
+/** Demand shifts each four seconds or so: five seconds hold a shift, which is slow for two or three spans. */
+export const STREAM_LIMIT: StreamLimitOptions = {
+  startPerRank: 3,
+  usualPerRank: 4.5,
+  leastPerRank: 3,
+  targetShare: 0.93,
+  spanMs: 250,
+  spans: 20,
+  leftOut: 1,
+};
+
+/** Spans that are needed before the limit rests on them. */
+const LEAST_SPANS = 4;
+
+function modelMs(model: StepModel, streams: number): number {
+  return model.stepMs + (model.perRequestMs * streams) / Math.max(1, model.ranks);
+}
+
+/** The limit of one group, as one entry finds it. Times are monotonic ms. */
+export class StreamLimit {
+  /** Mean pause over the published time of a step, for each span, oldest first. */
+  private readonly ratios: number[] = [];
+  private sum = 0;
+  private weightedSum = 0;
+  private spanEndsAtMs = 0;
+
+  constructor(private readonly options: StreamLimitOptions = STREAM_LIMIT) {}
+
+  /**
+   * Notes a pause between two events of a stream while the group ran `streams` at once.
+   * @example limit.notePause(62, 48, model, clock.nowMs());
+   */
+  notePause(pauseMs: number, streams: number, model: StepModel, nowMs: number): void {
+    if (nowMs >= this.spanEndsAtMs) this.nextSpan(nowMs);
+    const ratio = pauseMs / modelMs(model, streams);
+    // Pauses count by their length: many streams note the same step, and slow steps are few.
+    this.sum += ratio;
+    this.weightedSum += ratio * ratio;
+  }
+
+  private nextSpan(nowMs: number): void {
+    if (this.sum > 0) this.ratios.push(this.weightedSum / this.sum);
+    if (this.ratios.length > this.options.spans) this.ratios.shift();
+    this.sum = 0;
+    this.weightedSum = 0;
+    this.spanEndsAtMs = nowMs + this.options.spanMs;
+  }
+
+  /**
+   * Streams that the whole group may run when pauses of `allowedMs` are still in time.
+   * @example limit.streams(120, model) // 48
+   */
+  streams(allowedMs: number, model: StepModel): number {
+    const { startPerRank, usualPerRank, leastPerRank, targetShare, leftOut } = this.options;
+    if (this.ratios.length < LEAST_SPANS) return startPerRank * model.ranks;
+    const slowest = [...this.ratios].sort((a, b) => b - a);
+    const worst = slowest[Math.min(leftOut, slowest.length - 1)] ?? 1;
+    const perRank = ((allowedMs * targetShare) / worst - model.stepMs) / model.perRequestMs;
+    // Streams that are late whatever the limit had better be served late than refused.
+    if (perRank < leastPerRank) return usualPerRank * model.ranks;
+    return model.ranks * Math.min(model.slots, perRank);
+  }
+}
+
+/** What an entry needs to find its part of a limit. */
+export interface GroupLoad {
+  /** Streams that the whole group may run. */
+  readonly limit: number;
+  /** Streams that it ran a moment ago. */
+  readonly running: number;
+  /** Streams of this entry. */
+  readonly own: number;
+  /** Entries that send to the group. */
+  readonly entries: number;
+}
+
+/** Part of the limit that is split evenly among entries; the rest goes by what each runs now. */
+const EVEN_SHARE = 0.25;
+/** Places that an entry has however full the group is, so that it can begin at all. */
+const LEAST_PLACES = 2;
+
+/**
+ * Part of what is free that is handed out at once: what the group runs is known 0.3 s late, and all
+ * entries see the same free places (with all of it handed out, groups ran 1.4 times their limit).
+ */
+const FREE_SHARE = 0.5;
+
+/**
+ * Places of this entry: its share of the limit, and of a part of what is free.
+ * @example placesOf({ limit: 48, running: 48, own: 8, entries: 6 }) // 8
+ */
+export function placesOf(load: GroupLoad): number {
+  const even = 1 / Math.max(1, load.entries);
+  const byUse = load.running > 0 ? Math.min(1, load.own / load.running) : even;
+  const share = EVEN_SHARE * even + (1 - EVEN_SHARE) * byUse;
+  const free = Math.max(0, load.limit - load.running);
+  return Math.max(LEAST_PLACES, Math.round(share * (load.limit + FREE_SHARE * free)));
+}
--- a/src/core/limits/turn-queue.ts
+++ b/src/core/limits/turn-queue.ts
@@ -58,6 +58,11 @@
   /** Gives a place back, to whoever waits first. */
   release(): void {
     this.taken -= 1;
+    this.giveFree();
+  }
+
+  /** Gives places that are free to those who wait; to be called when more are allowed than before. */
+  giveFree(): void {
     while (this.taken < this.allowed()) {
       const next = this.waiting[0];
       if (!next) return;
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -6,3 +6,4 @@
 export * from './skew.js';
 export * from './types.js';
 export * from './round-plan.js';
+export * from './demand.js';
--- a/src/core/placement/moves.ts
+++ b/src/core/placement/moves.ts
@@ -2,6 +2,12 @@
 import { rankLoads } from './skew.js';
 import type { Drop, Fetch, LayerMap, Move } from './types.js';
 
+/**
+ * Ranks that a move is weighed for, the least loaded ones. A plan for 63 ranks, 8 layers and 252 experts
+ * has to fit into an agent's share of a core (docs/EXPERIMENTS.md).
+ */
+const MOST_TARGETS = 12;
+
 interface LayerState {
   readonly layer: number;
   readonly map: number[][];
@@ -19,10 +25,13 @@
 /** A layer that moves can be applied to. */
 export class LayerPlanner {
   private readonly state: LayerState;
+  /** New experts that each rank may still be given in this layer. */
+  private readonly ownRoom: number[];
   private max: number;
 
   /**
    * @param room new experts that each rank may still be given; shared by the layers of one plan
+   * @param mostNew new experts that a rank may be given in this layer
    * @param pace how slow each rank is, 1 for an ordinary one
    */
   constructor(
@@ -32,7 +41,9 @@
     slots: number,
     private readonly room: number[] = map.map(() => Number.POSITIVE_INFINITY),
     pace: readonly number[] = map.map(() => 1),
+    mostNew = Number.POSITIVE_INFINITY,
   ) {
+    this.ownRoom = map.map(() => mostNew);
     const holders: number[][] = popularity.map(() => []);
     map.forEach((held, rank) => held.forEach((e) => holders[e]?.push(rank)));
     this.state = {
@@ -77,9 +88,10 @@
         best = move;
     };
     const hotIsFull = this.isFull(hot);
+    const targets = this.leastLoaded(hot);
     for (const expert of map[hot] ?? []) {
-      for (let rank = 0; rank < map.length; rank += 1) {
-        if (rank === hot || this.isFull(rank) || map[rank]?.includes(expert)) continue;
+      for (const rank of targets) {
+        if (map[rank]?.includes(expert)) continue;
         offer(this.replicate(expert, rank));
         if (hotIsFull) continue;
         for (const other of map[rank] ?? []) offer(this.swap(hot, expert, rank, other));
@@ -88,6 +100,14 @@
     return best;
   }
 
+  /** The least loaded ranks with room, most suited first; what a move saves goes to one of them. */
+  private leastLoaded(hot: number): number[] {
+    const { loads } = this.state;
+    const open = loads.map((_, rank) => rank).filter((rank) => rank !== hot && !this.isFull(rank));
+    if (open.length <= MOST_TARGETS) return open;
+    return open.sort((a, b) => (loads[a] ?? 0) - (loads[b] ?? 0)).slice(0, MOST_TARGETS);
+  }
+
   /**
    * The replica on the most loaded rank whose loss lowers the largest load most; undefined when none
    * does.
@@ -120,8 +140,13 @@
     this.max = Math.max(...this.state.loads);
   }
 
+  /** Whether a move can still be made; other layers may have used up the room of its ranks. */
+  hasRoomFor(move: Move): boolean {
+    return move.fetches.every((fetch) => !this.isFull(fetch.rank));
+  }
+
   private isFull(rank: number): boolean {
-    return (this.room[rank] ?? 0) <= 0;
+    return (this.room[rank] ?? 0) <= 0 || (this.ownRoom[rank] ?? 0) <= 0;
   }
 
   /** Applies a move found by `bestMove`. */
@@ -135,6 +160,7 @@
       }
       held.push(fetch.expert);
       this.room[fetch.rank] = (this.room[fetch.rank] ?? 0) - 1;
+      this.ownRoom[fetch.rank] = (this.ownRoom[fetch.rank] ?? 0) - 1;
       holders[fetch.expert]?.push(fetch.rank);
     }
     this.refresh();
--- a/src/core/placement/round-plan.ts
+++ b/src/core/placement/round-plan.ts
@@ -4,7 +4,7 @@
  */
 import { LayerPlanner } from './moves.js';
 import { loadSums, rankLoads } from './skew.js';
-import type { Move, Placement, Popularity } from './types.js';
+import type { LayerMap, Move, Placement, Popularity } from './types.js';
 
 /** What a round is bound by. */
 export interface RoundPolicy {
@@ -12,6 +12,8 @@
   readonly slotsPerRank: number;
   /** New experts for a rank in one round, over all layers: their copies follow one another. */
   readonly mostNew: number;
+  /** New experts for a rank in one layer; engines refuse a map that brings more. */
+  readonly mostNewInLayer: number;
   /** Fall of the step's largest loads, as a share of its mean load, that one copied expert must bring. */
   readonly gainPerCopy: number;
   /** How slow each rank is; 1 for an ordinary one. */
@@ -65,11 +67,39 @@
   }
 }
 
+/** The best point on the way; only layers that changed since the last one are copied. */
+class BestPoint {
+  readonly placement: LayerMap[];
+  copies = 0;
+  skew = 1;
+  /** At first all: replicas may have been given up before the first move. */
+  private readonly touched: Set<number>;
+
+  constructor(current: Placement) {
+    this.placement = [...current];
+    this.touched = new Set(current.keys());
+  }
+
+  /** Notes that a layer's planner has moved on. */
+  touch(layer: number): void {
+    this.touched.add(layer);
+  }
+
+  /** Takes where the planners are now. */
+  take(planners: readonly LayerPlanner[], copies: number, skew: number): void {
+    for (const layer of this.touched)
+      this.placement[layer] = (planners[layer] as LayerPlanner).map.map((rank) => [...rank]);
+    this.touched.clear();
+    this.copies = copies;
+    this.skew = skew;
+  }
+}
+
 /**
  * A placement a few copies away from the present one; the present one when nothing is worth a copy.
  * Moves are taken by gain, also small ones that make room for the next; what counts is the point on the
  * way at which the loads saved are worth most after the copies are paid for.
- * @example planRound(current, popularity, { slotsPerRank: 8, mostNew: 2, gainPerCopy: 0.002, pace: [1, 1] }).copies
+ * @example planRound(current, popularity, policy).copies
  */
 export function planRound(
   current: Placement,
@@ -80,7 +110,15 @@
   const room = (current[0] ?? []).map(() => policy.mostNew);
   const planners = current.map(
     (map, l) =>
-      new LayerPlanner(l, map, popularity[l] ?? [], policy.slotsPerRank, room, policy.pace),
+      new LayerPlanner(
+        l,
+        map,
+        popularity[l] ?? [],
+        policy.slotsPerRank,
+        room,
+        policy.pace,
+        policy.mostNewInLayer,
+      ),
   );
   const before = planners.reduce((sum, planner) => sum + planner.maxLoad, 0);
   const keep: RoundPlan = {
@@ -92,28 +130,26 @@
   if (mean <= 0) return keep;
   const leastDrop = policy.gainPerCopy * mean;
   const next = planners.map((planner) => nextMove(planner, leastDrop));
-  let best = keep;
+  const best = new BestPoint(current);
   let bestCost = before;
+  let load = before;
   let copies = 0;
   for (let at = bestLayer(next); at !== undefined; at = bestLayer(next)) {
     const move = next[at] as Move;
     const planner = planners[at] as LayerPlanner;
     // Another layer may have used up the room that this move was found with.
-    if (move.fetches.every((fetch) => (room[fetch.rank] ?? 0) > 0)) {
+    if (planner.hasRoomFor(move)) {
       planner.apply(move);
       copies += move.fetches.length;
     }
     next[at] = nextMove(planner, leastDrop);
-    const load = planners.reduce((sum, p) => sum + p.maxLoad, 0);
+    best.touch(at);
+    load = planners.reduce((sum, p) => sum + p.maxLoad, 0);
     const cost = load + copies * policy.gainPerCopy * mean;
     if (cost >= bestCost) continue;
     bestCost = cost;
-    best = {
-      placement: planners.map((p) => p.map.map((rank) => [...rank])),
-      copies,
-      skewBefore: keep.skewBefore,
-      skewAfter: load / mean,
-    };
+    best.take(planners, copies, load / mean);
   }
-  return best;
+  if (best.copies === 0) return keep;
+  return { ...keep, placement: best.placement, copies: best.copies, skewAfter: best.skew };
 }
--- a/src/core/published/follow.ts
+++ b/src/core/published/follow.ts
@@ -1,23 +1,41 @@
-/** Follows the published state: reads it again and again, and notes what was learnt and when. */
+/** Follows the published state: reads it once, then watches for changes, and notes what was learnt and when. */
 import { sleep, type Clock } from '../clock/index.js';
 import type { Log } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
-import type { Result } from '../result/index.js';
-import type { PublishedState } from './published-state.js';
-import type { PublishedKind, PublishedSource, Read, ReadFault } from './source.js';
-import type { PublishedConfig, PublishedEndpoint } from './types.js';
+import type { ListChange, PublishedState } from './published-state.js';
+import type { ConfigNews, PublishedSource, ReadFault } from './source.js';
+import type { PublishedConfig } from './types.js';
+
+/** How often the store is called. Each call is counted, a waiting one as one. */
+export interface FollowPace {
+  /** Longest wait for a change, ms. */
+  readonly waitMs: number;
+  /** Shortest wait, ms: a configuration that cannot be read must not make a call each moment. */
+  readonly leastWaitMs: number;
+  /** Pause after a change before the next watch, ms: changes come in bursts, as when all endpoints start. */
+  readonly changePauseMs: number;
+  /** Pause after a call that failed, ms. */
+  readonly failedPauseMs: number;
+}
 
 /**
- * Longest wait for a change of the configuration, ms: each answer proves that the version in force is
- * still the newest, and keys may be honoured for 5 s after such a proof.
+ * An entry's pace. A wait without a change proves at its end that the configuration in force is still the
+ * newest, and keys may be honoured for 3.5 s after such a proof: that leaves time for one failed call.
+ * Changes have to be in force within 2 s.
  */
-const CONFIG_WAIT_MS = 1200;
-/** Longest wait for a change of the list of endpoints, ms: an endpoint that leaves gets no work 2 s later. */
-const ENDPOINTS_WAIT_MS = 1500;
-/** Longest waits of an entry. */
-export const ENTRY_WAIT_MS = { config: CONFIG_WAIT_MS, endpoints: ENDPOINTS_WAIT_MS } as const;
-/** Pause after a read that failed, ms: a store that is back is seen soon, at few calls meanwhile. */
-export const FAILED_PAUSE_MS = 300;
+export const ENTRY_PACE: FollowPace = {
+  waitMs: 2400,
+  leastWaitMs: 200,
+  changePauseMs: 400,
+  failedPauseMs: 300,
+};
+/** An agent's pace: it acts on what is published rarely. */
+export const AGENT_PACE: FollowPace = {
+  waitMs: 15_000,
+  leastWaitMs: 1000,
+  changePauseMs: 1000,
+  failedPauseMs: 1000,
+};
 /** A store that did not answer for this long has been away, ms. */
 export const AWAY_MS = 1200;
 /** Time that entries which lapsed while the store was away have to be written again, ms. */
@@ -31,80 +49,49 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly random: () => number;
-  /** Longest waits for a change, ms. */
-  readonly waitMs: Readonly<Record<PublishedKind, number>>;
+  readonly pace: FollowPace;
 }
 
-/** Logs a dependency once when it is lost and once when it is back. */
-class DependencyLog {
+/** Logs the store once when it is lost and once when it is back. */
+class StoreLog {
   private lostAtMs: number | undefined;
 
-  constructor(
-    private readonly parts: FollowParts,
-    private readonly what: string,
-  ) {}
+  constructor(private readonly parts: FollowParts) {}
 
   failed(fault: ReadFault): void {
-    this.parts.metrics.count('published_read_failures_total', {
-      what: this.what,
-      kind: fault.kind,
-    });
+    this.parts.metrics.count('published_read_failures_total', { kind: fault.kind });
     if (this.lostAtMs !== undefined) return;
     this.lostAtMs = this.parts.clock.nowMs();
-    this.parts.log.warn('published.lost', { what: this.what, ...fault });
+    this.parts.log.warn('published.lost', { ...fault });
   }
 
-  /** Time that the dependency was lost, ms; 0 when it was not. */
+  /** Time that the store was lost, ms; 0 when it was not. */
   worked(): number {
     if (this.lostAtMs === undefined) return 0;
     const awayMs = this.parts.clock.nowMs() - this.lostAtMs;
     this.lostAtMs = undefined;
-    this.parts.log.info('published.regained', { what: this.what, awayMs: Math.round(awayMs) });
+    this.parts.log.info('published.regained', { awayMs: Math.round(awayMs) });
     return awayMs;
   }
 }
 
-/** Reads one kind of published state, waits for the next change, and reads again. */
-async function followKind<T>(
-  parts: FollowParts,
-  kind: PublishedKind,
-  read: () => Promise<Result<Read<T>, ReadFault>>,
-  take: (value: T, askedAtMs: number, awayMs: number) => void,
-  unchanged: (askedAtMs: number) => void,
-  signal: AbortSignal,
-): Promise<void> {
-  const { clock } = parts;
-  const dependency = new DependencyLog(parts, kind);
-  const waitMs = parts.waitMs[kind];
-  let revision: number | undefined;
-  while (!signal.aborted) {
-    const askedAtMs = clock.nowMs();
-    if (revision === undefined) {
-      const got = await read();
-      if (got.err) {
-        dependency.failed(got.val);
-        await sleep(FAILED_PAUSE_MS * (0.8 + 0.4 * parts.random()), signal);
-        continue;
-      }
-      revision = got.val.revision;
-      take(got.val.value, askedAtMs, dependency.worked());
-    }
-    const waitedFromMs = clock.nowMs();
-    const changed = await parts.source.waitForChange(kind, revision, waitMs);
-    if (changed.err) dependency.failed(changed.val);
-    // Whatever went wrong with the wait, a plain read tells where we stand.
-    if (changed.err || changed.val) revision = undefined;
-    else unchanged(waitedFromMs);
+/** Takes what was read into the state, and logs what it changes. */
+class Taker {
+  private graceUntilMs = Number.NEGATIVE_INFINITY;
+  /** Whether the configuration in force is the newest one that is published. */
+  private isNewest = false;
+
+  constructor(private readonly parts: FollowParts) {}
+
+  /** Takes what was learnt at some time after `askedAtMs`; only the newest one is a proof. */
+  config(news: ConfigNews, askedAtMs: number): void {
+    if (news.kind !== 'same') this.isNewest = news.kind === 'read';
+    if (news.kind === 'read') this.offer(news.config, askedAtMs);
+    else if (this.isNewest) this.parts.state.proveConfig(askedAtMs);
   }
-}
 
-/**
- * Follows the configuration until the signal aborts.
- * @example void followConfig(parts, signal);
- */
-export function followConfig(parts: FollowParts, signal: AbortSignal): Promise<void> {
-  const { source, state, clock, log, metrics } = parts;
-  const take = (config: PublishedConfig, askedAtMs: number): void => {
+  private offer(config: PublishedConfig, askedAtMs: number): void {
+    const { state, log, metrics, clock } = this.parts;
     const before = state.config?.version;
     if (!state.offerConfig(config, askedAtMs)) {
       metrics.count('config_older_total');
@@ -113,28 +100,17 @@
       const readMs = Math.round(clock.nowMs() - askedAtMs);
       log.info('config.inForce', { version: config.version, before, readMs });
     }
-  };
-  return followKind(
-    parts,
-    'config',
-    source.readConfig,
-    take,
-    (at) => state.proveConfig(at),
-    signal,
-  );
-}
+  }
 
-/**
- * Follows the list of endpoints until the signal aborts.
- * @example void followEndpoints(parts, signal);
- */
-export function followEndpoints(parts: FollowParts, signal: AbortSignal): Promise<void> {
-  const { source, state, clock, log } = parts;
-  let graceUntilMs = Number.NEGATIVE_INFINITY;
-  const take = (listed: readonly PublishedEndpoint[], askedAtMs: number, awayMs: number): void => {
-    const nowMs = clock.nowMs();
-    if (awayMs >= AWAY_MS) graceUntilMs = nowMs + RETURN_GRACE_MS;
-    const change = state.offerList(listed, askedAtMs, nowMs < graceUntilMs ? RETURN_GRACE_MS : 0);
+  /** Time that endpoints may be missing before they count as gone, ms. */
+  graceMs(awayMs: number): number {
+    const nowMs = this.parts.clock.nowMs();
+    if (awayMs >= AWAY_MS) this.graceUntilMs = nowMs + RETURN_GRACE_MS;
+    return nowMs < this.graceUntilMs ? RETURN_GRACE_MS : 0;
+  }
+
+  list(change: ListChange): void {
+    const { log } = this.parts;
     for (const endpoint of change.joined)
       log.info('endpoint.joined', {
         endpoint: endpoint.id,
@@ -143,10 +119,86 @@
       });
     for (const endpoint of change.leaving) log.info('endpoint.leaving', { endpoint });
     for (const endpoint of change.gone) log.info('endpoint.gone', { endpoint });
+  }
+
+  invalid(records: readonly string[]): void {
+    for (const detail of records) this.parts.log.warn('published.invalid', { detail });
+  }
+}
+
+/**
+ * How long the next watch may wait, ms: an answer that came early with a change proves no more than when
+ * it was asked for, so the watch after it has to prove the rest soon.
+ */
+function waitFor(pace: FollowPace, proofAgeMs: number): number {
+  return Math.max(pace.leastWaitMs, Math.floor(pace.waitMs - proofAgeMs));
+}
+
+/**
+ * Time for which the store surely held a watch that told of no change, ms. It answers such a watch only
+ * when the wait is over, so nothing had changed at that time; one that was cut earlier proves less.
+ */
+function heldMs(waitMs: number, tookMs: number): number {
+  return tookMs >= waitMs ? waitMs : 0;
+}
+
+/**
+ * Follows everything that is published until the signal aborts.
+ * @example void followPublished(parts, signal);
+ */
+export async function followPublished(parts: FollowParts, signal: AbortSignal): Promise<void> {
+  const { source, state, clock, pace } = parts;
+  const storeLog = new StoreLog(parts);
+  const taker = new Taker(parts);
+  let revision: number | undefined;
+  let hasFailed = false;
+
+  const fail = async (fault: ReadFault): Promise<void> => {
+    storeLog.failed(fault);
+    hasFailed = true;
+    await sleep(pace.failedPauseMs * (0.8 + 0.4 * parts.random()), signal);
   };
-  const unchanged = (askedAtMs: number): void => {
-    // An entry that lapsed and was not written again in its time is gone.
-    state.settleMissing(askedAtMs, clock.nowMs() < graceUntilMs ? RETURN_GRACE_MS : 0);
+  const worked = (): number => {
+    hasFailed = false;
+    return storeLog.worked();
   };
-  return followKind(parts, 'endpoints', source.readEndpoints, take, unchanged, signal);
+
+  while (!signal.aborted) {
+    const askedAtMs = clock.nowMs();
+    if (revision === undefined) {
+      const read = await source.readAll();
+      if (read.err) {
+        await fail(read.val);
+        continue;
+      }
+      const graceMs = taker.graceMs(worked());
+      taker.config(read.val.config, askedAtMs);
+      taker.list(state.offerList(read.val.endpoints, askedAtMs, graceMs));
+      taker.invalid(read.val.invalid);
+      revision = read.val.revision;
+      continue;
+    }
+    // After a failure the question is where we stand now, not what comes next.
+    const waitMs = hasFailed ? 0 : waitFor(pace, state.proofAgeMs(askedAtMs));
+    const watched = await source.watch(revision, waitMs);
+    if (watched.err) {
+      await fail(watched.val);
+      continue;
+    }
+    if (watched.val.kind === 'forgotten') {
+      revision = undefined;
+      continue;
+    }
+    const { config, endpoints, invalid } = watched.val;
+    const graceMs = taker.graceMs(worked());
+    const isQuiet = config.kind === 'same' && endpoints.length === 0;
+    taker.config(
+      config,
+      isQuiet ? askedAtMs + heldMs(waitMs, clock.nowMs() - askedAtMs) : askedAtMs,
+    );
+    taker.list(state.applyChanges(endpoints, askedAtMs, graceMs));
+    taker.invalid(invalid);
+    revision = watched.val.revision;
+    if (!isQuiet) await sleep(pace.changePauseMs, signal);
+  }
 }
--- a/src/core/published/published-state.ts
+++ b/src/core/published/published-state.ts
@@ -4,6 +4,7 @@
  * work under its id, whatever is read later.
  */
 import type { EndpointId } from '../ids/index.js';
+import type { EndpointChange } from './source.js';
 import type { PublishedConfig, PublishedEndpoint } from './types.js';
 
 /** What changed in the list of endpoints. */
@@ -13,6 +14,8 @@
   readonly gone: readonly EndpointId[];
 }
 
+const NO_CHANGE: ListChange = { joined: [], leaving: [], gone: [] };
+
 /** Published state of one daemon. Times are monotonic ms. */
 export class PublishedState {
   private current: PublishedConfig | undefined;
@@ -86,11 +89,25 @@
     return { joined, leaving, gone };
   }
 
-  /** Drops endpoints that were missing from the last list and whose grace is over. */
-  settleMissing(askedAtMs: number, missingGraceMs: number): void {
-    if (this.missingSinceMs.size === 0) return void (this.listedAtMs = askedAtMs);
-    const listed = [...this.endpoints.values()].filter((e) => !this.missingSinceMs.has(e.id));
-    this.offerList(listed, askedAtMs, missingGraceMs);
+  /**
+   * Takes changes that were asked for at `askedAtMs`, and drops endpoints whose grace is over.
+   * @example state.applyChanges([{ kind: 'removed', id }], clock.nowMs(), 0).gone // [id]
+   */
+  applyChanges(
+    changes: readonly EndpointChange[],
+    askedAtMs: number,
+    missingGraceMs: number,
+  ): ListChange {
+    if (changes.length === 0 && this.missingSinceMs.size === 0) {
+      this.listedAtMs = Math.max(this.listedAtMs, askedAtMs);
+      return NO_CHANGE;
+    }
+    const listed = new Map([...this.endpoints].filter(([id]) => !this.missingSinceMs.has(id)));
+    for (const change of changes) {
+      if (change.kind === 'written') listed.set(change.endpoint.id, change.endpoint);
+      else listed.delete(change.id);
+    }
+    return this.offerList([...listed.values()], askedAtMs, missingGraceMs);
   }
 
   /** Keeps missing endpoints for their grace, and returns those whose grace is over. */
--- a/src/core/published/source.ts
+++ b/src/core/published/source.ts
@@ -1,4 +1,5 @@
 /** Where the published state is read. What may go wrong is a value, so that no reader can miss it. */
+import type { EndpointId } from '../ids/index.js';
 import type { Result } from '../result/index.js';
 import type { PublishedConfig, PublishedEndpoint } from './types.js';
 
@@ -10,26 +11,44 @@
   readonly detail: string;
 }
 
-/** What is published. */
-export type PublishedKind = 'config' | 'endpoints';
+/** One change of the list of endpoints. */
+export type EndpointChange =
+  | { readonly kind: 'written'; readonly endpoint: PublishedEndpoint }
+  | { readonly kind: 'removed'; readonly id: EndpointId };
 
-/** Something read, and the revision of the store at which it was the newest. */
-export interface Read<T> {
-  readonly value: T;
+/** What was learnt of the configuration. */
+export type ConfigNews =
+  | { readonly kind: 'read'; readonly config: PublishedConfig }
+  /** There is a newer one that cannot be taken: the one in force is not the newest any more. */
+  | { readonly kind: 'unreadable' }
+  /** It has not changed. */
+  | { readonly kind: 'same' };
+
+/** Everything that is published, and the revision of the store from which changes are to be watched. */
+export interface PublishedRead {
+  readonly config: ConfigNews;
+  readonly endpoints: readonly PublishedEndpoint[];
   readonly revision: number;
+  /** Records that were left out, each with field, value and remedy. */
+  readonly invalid: readonly string[];
 }
 
+/** What came of watching for changes. */
+export type Watched =
+  | {
+      readonly kind: 'changes';
+      readonly config: ConfigNews;
+      /** In the order in which they were made. */
+      readonly endpoints: readonly EndpointChange[];
+      readonly revision: number;
+      readonly invalid: readonly string[];
+    }
+  /** The history since the revision is no longer known: everything has to be read again. */
+  | { readonly kind: 'forgotten' };
+
 /** Reads what operators and endpoints publish. Each answer is the newest state, never a stale one. */
 export interface PublishedSource {
-  readConfig(): Promise<Result<Read<PublishedConfig>, ReadFault>>;
-  readEndpoints(): Promise<Result<Read<readonly PublishedEndpoint[]>, ReadFault>>;
-  /**
-   * Waits for a change after a revision, `waitMs` at most; true when there is one, or when the history
-   * since then is no longer known.
-   */
-  waitForChange(
-    kind: PublishedKind,
-    revision: number,
-    waitMs: number,
-  ): Promise<Result<boolean, ReadFault>>;
+  readAll(): Promise<Result<PublishedRead, ReadFault>>;
+  /** Changes after a revision, as soon as there are some, or none after `waitMs`. */
+  watch(revision: number, waitMs: number): Promise<Result<Watched, ReadFault>>;
 }
--- a/src/core/published/types.ts
+++ b/src/core/published/types.ts
@@ -60,6 +60,13 @@
   readonly slotsPerRank: number;
   /** Experts that one map may bring anew to a rank and layer. */
   readonly mostNew: number;
+  /** Time that one rank takes to copy an expert, ms. */
+  readonly copyMs: number;
+  /** Size of an expert, GB. */
+  readonly expertGb: number;
+  /** Time of a token step, ms: `stepMs`, and `perRequestMs` more for each request of a rank. */
+  readonly stepMs: number;
+  readonly perRequestMs: number;
 }
 
 /** One organisation and what it may be recognised by. */
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,15 +1,19 @@
 /** What the parts of one gateway share. */
 import type { Clock } from '../core/clock/index.js';
-import { Outage, PaceLimit, TurnQueue } from '../core/limits/index.js';
-import type { EndpointId } from '../core/ids/index.js';
 import type { Log } from '../core/logging/index.js';
 import type { Metrics } from '../core/metrics/index.js';
-import type { PublishedState, ServiceId } from '../core/published/index.js';
+import type {
+  EngineInfo,
+  PublishedEndpoint,
+  PublishedState,
+  ServiceId,
+} from '../core/published/index.js';
 import { RetryBudget } from '../core/retry/index.js';
 import { KEY_PROOF_MARGIN_MS, RETRY_SHARERS, RETRY_SHARE_USED } from './consts.js';
 import { Endpoints } from './endpoints.js';
-import type { EngineSight } from './group-sight.js';
+import type { EngineSight, GroupSize } from './group-sight.js';
 import type { ServiceState } from './serve-request.js';
+import { Turns } from './turns.js';
 import type { GatewaySettings, HeaderCodec } from './types.js';
 
 /** What a gateway is made from. */
@@ -22,7 +26,9 @@
   readonly log: Log;
   readonly metrics: Metrics;
   /** What is known of a model engine beyond this entry's own requests. */
-  readonly sightOf: (id: EndpointId) => EngineSight | undefined;
+  readonly sightOf: (endpoint: PublishedEndpoint) => EngineSight | undefined;
+  /** What is known of a group as a whole; undefined when nothing was heard of it lately. */
+  readonly groupSize: (service: ServiceId) => GroupSize | undefined;
 }
 
 /** Shared by all requests of one gateway. */
@@ -41,8 +47,7 @@
   const { settings, state, clock } = parts;
   const services = new Map<ServiceId, ServiceState>();
   const makeService = (id: ServiceId): ServiceState => {
-    const isGroup = state.config?.services.get(id)?.engine !== undefined;
-    const pace = new PaceLimit();
+    const engine = (): EngineInfo | undefined => state.config?.services.get(id)?.engine;
     const budget = new RetryBudget(
       () => settings.retryShare * RETRY_SHARE_USED,
       Math.max(2, settings.retryExtra / RETRY_SHARERS),
@@ -50,9 +55,15 @@
     return {
       id,
       budget,
-      turns: isGroup
-        ? { pace, queue: new TurnQueue(() => pace.allowed), outage: new Outage() }
-        : undefined,
+      turns:
+        engine() &&
+        new Turns({
+          clock,
+          metrics: parts.metrics,
+          service: id,
+          engine,
+          size: () => parts.groupSize(id),
+        }),
     };
   };
   return {
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -22,8 +22,12 @@
 const SLOW_PACE = 1.3;
 const SLOW_PENALTY = 100;
 
+function isSlowPace(sight: EngineSight | undefined): boolean {
+  return sight !== undefined && sight.pace > SLOW_PACE;
+}
+
 function slownessOf(sight: EngineSight): number {
-  return sight.pace > SLOW_PACE ? SLOW_PENALTY * sight.pace : 1;
+  return isSlowPace(sight) ? SLOW_PENALTY * sight.pace : 1;
 }
 
 /** One endpoint at this entry. */
@@ -48,7 +52,7 @@
   readonly log: Log;
   readonly metrics: Metrics;
   /** What is known of a model engine beyond this entry's own requests. */
-  readonly sightOf: (id: EndpointId) => EngineSight | undefined;
+  readonly sightOf: (endpoint: PublishedEndpoint) => EngineSight | undefined;
 }
 
 /** All endpoints of this entry. */
@@ -94,7 +98,7 @@
   }
 
   private score(known: EndpointState, nowMs: number): number {
-    const sight = this.parts.sightOf(known.endpoint.id);
+    const sight = this.parts.sightOf(known.endpoint);
     const load = (known.running + 1) / known.endpoint.slots;
     // Ranks of a group answer in lock-step: only their own pace tells them apart.
     const slowness = sight ? slownessOf(sight) : 1 + known.answerMs / 1000;
@@ -106,7 +110,7 @@
 
   /** Whether an endpoint is known to hold its group up. */
   isSlow(known: EndpointState): boolean {
-    return (this.parts.sightOf(known.endpoint.id)?.pace ?? 1) > SLOW_PACE;
+    return isSlowPace(this.parts.sightOf(known.endpoint));
   }
 
   private stateOf(endpoint: PublishedEndpoint): EndpointState {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -146,7 +146,6 @@
     const id = head.requestId ?? 'none';
     const note: RequestNote = {
       service: '',
-      attempts: 0,
       tries: [],
       queuedMs: 0,
       firstMs: undefined,
--- a/src/gateway/group-sight.ts
+++ b/src/gateway/group-sight.ts
@@ -23,6 +23,22 @@
   readonly pace: number;
 }
 
+/** A group as a whole. */
+export interface GroupSize {
+  readonly ranks: number;
+  /** Streams that run or wait at all its engines. */
+  readonly running: number;
+  /** Entries that send to it. */
+  readonly entries: number;
+}
+
+/** What was seen of one service's group. */
+interface Sight {
+  readonly seenAtMs: number;
+  readonly engines: ReadonlyMap<EndpointId, EngineSight>;
+  readonly size: GroupSize;
+}
+
 /** Asks the agent at an address for its group. */
 export type AskGroup = (address: string, withinMs: number) => Promise<GroupDigest | undefined>;
 
@@ -37,22 +53,33 @@
   /** Port of the agents. */
   readonly port: number;
   readonly ask: AskGroup;
+  /** Called when a service's group was seen anew. */
+  readonly onSeen: (service: ServiceId) => void;
 }
 
 const hostOf = (endpoint: PublishedEndpoint): string => endpoint.address.split(':', 1)[0] ?? '';
 
 /** The groups behind one entry. */
 export class GroupSight {
-  private readonly sights = new Map<EndpointId, EngineSight>();
-  private seenAtMs = Number.NEGATIVE_INFINITY;
+  private readonly sights = new Map<ServiceId, Sight>();
   private lost = false;
 
   constructor(private readonly parts: GroupSightParts) {}
 
   /** What was seen of an engine; undefined when that is too old to count on. */
-  of(endpoint: EndpointId): EngineSight | undefined {
-    if (this.parts.clock.nowMs() - this.seenAtMs > STALE_MS) return undefined;
-    return this.sights.get(endpoint);
+  of(endpoint: PublishedEndpoint): EngineSight | undefined {
+    return this.fresh(endpoint.service)?.engines.get(endpoint.id);
+  }
+
+  /** What was seen of a service's group; undefined when that is too old to count on. */
+  sizeOf(service: ServiceId): GroupSize | undefined {
+    return this.fresh(service)?.size;
+  }
+
+  private fresh(service: ServiceId): Sight | undefined {
+    const sight = this.sights.get(service);
+    if (!sight || this.parts.clock.nowMs() - sight.seenAtMs > STALE_MS) return undefined;
+    return sight;
   }
 
   /** Asks on until the signal aborts. */
@@ -78,7 +105,7 @@
     if (!agent) return;
     try {
       const digest = await parts.ask(`${hostOf(agent)}:${parts.port}`, ASK_MS);
-      if (digest?.whole) this.take(digest, engines);
+      if (digest?.whole) this.take(service, digest, engines);
     } catch (err) {
       parts.metrics.count('group_asks_failed_total');
       if (!this.lost) parts.log.info('group.lost', { agent: hostOf(agent), err: errorText(err) });
@@ -86,15 +113,24 @@
     }
   }
 
-  private take(digest: GroupDigest, engines: readonly PublishedEndpoint[]): void {
-    this.sights.clear();
-    for (const engine of engines) {
+  private take(
+    service: ServiceId,
+    digest: GroupDigest,
+    listed: readonly PublishedEndpoint[],
+  ): void {
+    const engines = new Map<EndpointId, EngineSight>();
+    for (const engine of listed) {
       const rank = digest.hosts.indexOf(hostOf(engine));
-      if (rank < 0) continue;
-      this.sights.set(engine.id, { pace: digest.pace[rank] ?? 1 });
+      if (rank >= 0) engines.set(engine.id, { pace: digest.pace[rank] ?? 1 });
     }
-    this.seenAtMs = this.parts.clock.nowMs();
-    if (this.lost) this.parts.log.info('group.regained', { engines: this.sights.size });
+    const size: GroupSize = {
+      ranks: digest.hosts.length,
+      running: digest.load.reduce((sum, load) => sum + load, 0),
+      entries: digest.entries,
+    };
+    this.sights.set(service, { seenAtMs: this.parts.clock.nowMs(), engines, size });
+    if (this.lost) this.parts.log.info('group.regained', { engines: engines.size });
     this.lost = false;
+    this.parts.onSeen(service);
   }
 }
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -6,9 +6,8 @@
 import { createLog, type Log } from '../core/logging/index.js';
 import { Metrics } from '../core/metrics/index.js';
 import {
-  ENTRY_WAIT_MS,
-  followConfig,
-  followEndpoints,
+  ENTRY_PACE,
+  followPublished,
   PublishedState,
   type PublishedSource,
 } from '../core/published/index.js';
@@ -16,7 +15,7 @@
 import { createPeers } from '../rpc/peers.js';
 import { watchSettings } from '../runtime/settings-watch.js';
 import { STOP_CUT_MS, STOP_POLL_MS, STOP_SERVING_MS } from './consts.js';
-import { createContext } from './context.js';
+import { createContext, type GatewayContext } from './context.js';
 import { createGateway, type Gateway } from './gateway.js';
 import { GroupSight } from './group-sight.js';
 import type { GatewaySettings, HeaderCodec, ListenAddress } from './types.js';
@@ -63,18 +62,21 @@
     dataCentre: settings.dataCentre,
     port: settings.internalPort,
     ask: (address, withinMs) =>
-      peers.at(address).group.query(undefined, { signal: AbortSignal.timeout(withinMs) }),
+      peers
+        .at(address)
+        .group.query({ from: settings.instance }, { signal: AbortSignal.timeout(withinMs) }),
+    // More may be allowed than when those who wait asked.
+    onSeen: (service) => ctx.serviceOf(service).turns?.queue.giveFree(),
   });
-  const ctx = createContext({
+  const ctx: GatewayContext = createContext({
     ...shared,
     settings,
     codec: parts.codec,
-    sightOf: (id) => groups.of(id),
+    sightOf: (endpoint) => groups.of(endpoint),
+    groupSize: (service) => groups.sizeOf(service),
   });
   const gateway = createGateway(ctx);
-  const follow = { ...shared, source: parts.source, waitMs: ENTRY_WAIT_MS };
-  void followConfig(follow, ending.signal);
-  void followEndpoints(follow, ending.signal);
+  void followPublished({ ...shared, source: parts.source, pace: ENTRY_PACE }, ending.signal);
   void groups.run(ending.signal);
   setInterval(() => ctx.endpoints.prune(), PRUNE_MS).unref();
   watchSettings(parts.reread, settings, log);
--- a/src/gateway/serve-request.ts
+++ b/src/gateway/serve-request.ts
@@ -1,6 +1,5 @@
 /** Serves one request: its turn, its attempts, its one final answer. */
 import type { EndpointId } from '../core/ids/index.js';
-import type { Outage, PaceLimit, TurnQueue } from '../core/limits/index.js';
 import { pickService, type ServiceId } from '../core/published/index.js';
 import type { RetryBudget } from '../core/retry/index.js';
 import { sendAttempt, type Answer } from './attempt.js';
@@ -19,6 +18,7 @@
 import type { Refusal } from './refuse.js';
 import { relayStream, type StreamEnd, type StreamProgress } from './relay-stream.js';
 import { readWhole } from './relay-whole.js';
+import type { Turns } from './turns.js';
 import type { AttemptFault, GatewayRequest } from './types.js';
 
 /** What is kept of one service at this entry. */
@@ -26,14 +26,12 @@
   readonly id: ServiceId;
   readonly budget: RetryBudget;
   /** Turns and their limit; undefined for services whose endpoints do not run in lock-step. */
-  readonly turns:
-    { readonly queue: TurnQueue; readonly pace: PaceLimit; readonly outage: Outage } | undefined;
+  readonly turns: Turns | undefined;
 }
 
 /** What became of one request, for its log line. */
 export interface RequestNote {
   service: string;
-  attempts: number;
   /** Endpoints tried, in order, with what came of each. */
   tries: string[];
   queuedMs: number;
@@ -173,7 +171,6 @@
   const { ctx, request, progress, service } = work;
   const { status } = answer.head;
   if (status < 200 || status >= 300) return deliverWhole(work, target, answer);
-  const gapMs = request.route.gapMs ?? request.route.targetMs;
   const end: StreamEnd = await relayStream(
     {
       res: request.res,
@@ -189,12 +186,7 @@
         ctx.endpoints.noteGood(target, nowMs - sentAtMs);
         service.turns?.outage.noteGood();
       },
-      onPause: (pauseMs) =>
-        service.turns?.pace.notePause(
-          pauseMs / gapMs,
-          service.turns.queue.running,
-          ctx.clock.nowMs(),
-        ),
+      onPause: (pauseMs) => service.turns?.notePause(pauseMs),
     },
     answer,
   );
@@ -212,7 +204,6 @@
 async function tryOnce(work: Work, target: EndpointState): Promise<RequestEnd | undefined> {
   const { ctx, request, progress } = work;
   work.tried.add(target.endpoint.id);
-  work.note.attempts += 1;
   const sentAtMs = ctx.clock.nowMs();
   ctx.endpoints.noteSent(target);
   try {
@@ -301,6 +292,7 @@
   };
   const { turns } = service;
   if (!turns) return runAttempts(work);
+  if (request.route.gapMs !== undefined) turns.allowPauses(request.route.gapMs);
   const askedAtMs = ctx.clock.nowMs();
   if (turns.outage.refuses(askedAtMs))
     return refused('outage', 'no endpoint of the service serves', outageRetryS(ctx));
@@ -310,8 +302,7 @@
   note.queuedMs = ctx.clock.nowMs() - askedAtMs;
   if (!got) {
     if (request.gone.aborted) return { kind: 'gone' };
-    const detail = `${turns.queue.running} of ${turns.pace.allowed} places taken, ${turns.queue.queued} wait`;
-    return refused('busy', detail, busyRetryS(ctx));
+    return refused('busy', turns.describe(), busyRetryS(ctx));
   }
   try {
     return await runAttempts(work);
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -8,8 +8,8 @@
 import { createLog, type Log } from '../core/logging/index.js';
 import { Metrics } from '../core/metrics/index.js';
 import {
-  followConfig,
-  followEndpoints,
+  AGENT_PACE,
+  followPublished,
   PublishedState,
   type EngineInfo,
   type PublishedEndpoint,
@@ -23,13 +23,12 @@
 import { RPC_PATH } from '../rpc/consts.js';
 import { buildRouter } from '../rpc/router.js';
 import type { GatewaySettings } from '../gateway/types.js';
+import { Askers } from './askers.js';
 import { UNLOOKED_MS, UNLOOKED_STAGGER_MS } from './consts.js';
 import { CoordinatorTask } from './coordinator-task.js';
 import type { EngineCalls } from './engine-calls.js';
 import { createSwitchEngine } from './switch-engine.js';
 
-/** Longest wait for a change of what is published, ms: agents act on it rarely. */
-const AGENT_WAIT_MS = 15_000;
 /** Largest order, bytes: a map of 8 layers, 63 ranks and 5 experts takes 12 KB. */
 const MAX_ORDER_BYTES = 1024 * 1024;
 
@@ -55,14 +54,8 @@
   const state = new PublishedState();
   const shared = { clock, random: Math.random, log, metrics };
   const ending = new AbortController();
-  const follow = {
-    ...shared,
-    state,
-    source: parts.source,
-    waitMs: { config: AGENT_WAIT_MS, endpoints: AGENT_WAIT_MS },
-  };
-  void followConfig(follow, ending.signal);
-  void followEndpoints(follow, ending.signal);
+  const follow = { ...shared, state, source: parts.source, pace: AGENT_PACE };
+  void followPublished(follow, ending.signal);
 
   const own = (): PublishedEndpoint | undefined =>
     [...state.list.values()].find((e) => e.address === `${ownEndpoint.host}:${ownEndpoint.port}`);
@@ -86,6 +79,7 @@
     () => 0,
   );
   let digest: GroupDigest | undefined;
+  const askers = new Askers();
   let lookedAtMs = clock.nowMs();
   /** Whether another agent looks after the group; of two, the one with the lower address goes on. */
   const noteLook = (from: string): void => {
@@ -95,12 +89,13 @@
     const before = Math.max(0, agents().indexOf(self));
     return clock.nowMs() - lookedAtMs > UNLOOKED_MS + before * UNLOOKED_STAGGER_MS;
   };
-  const serveRank = (order: RankOrder): ReturnType<RankGate['serve']> => {
+  const serveRank = async (order: RankOrder): ReturnType<RankGate['serve']> => {
     if (order.kind === 'look') {
       digest = order.digest ?? digest;
       if (order.from !== undefined && order.from !== self) noteLook(order.from);
     }
-    return gate.serve(order);
+    const reply = await gate.serve(order);
+    return order.kind === 'look' ? { ...reply, askers: askers.recent(clock.nowMs()) } : reply;
   };
 
   const standIns = new Map<string, RankGate>();
@@ -120,7 +115,13 @@
     return made;
   };
 
-  const router = buildRouter({ rank: serveRank, group: () => digest });
+  const router = buildRouter({
+    rank: serveRank,
+    group: (ask) => {
+      askers.note(ask.from, clock.nowMs());
+      return digest;
+    },
+  });
   const rpc = createHTTPHandler({ router, basePath: RPC_PATH, maxBodySize: MAX_ORDER_BYTES });
   const server = createServer({ requestTimeout: 0 }, rpc);
   await new Promise<void>((resolve, reject) => {
--- a/src/group/consts.ts
+++ b/src/group/consts.ts
@@ -2,6 +2,13 @@
 
 /** Pause between two looks at all ranks, ms: demand changes every few seconds, a copy takes 0.1 s. */
 export const LOOK_PAUSE_MS = 100;
+/**
+ * Ranks that each look asks; larger groups are asked whole only now and then. With 16 ranks a look costs
+ * what it does in a group of 12, and 40 streams or so tell what is in demand.
+ */
+export const SAMPLE_RANKS = 16;
+/** Time between two looks at all ranks of a large group, ms: 63 questions take 50 ms of an agent's share. */
+export const WHOLE_LOOK_MS = 600;
 /** Time for the answer to a look, ms. */
 export const LOOK_MS = 250;
 /** Time for the answer to an order of a switch, ms; ranks may stand still meanwhile. */
@@ -16,19 +23,20 @@
 export const UNLOOKED_MS = 500;
 /** Further wait for each agent before this one in order of address, ms: one begins, not all. */
 export const UNLOOKED_STAGGER_MS = 120;
-/** Half-life of the popularity estimate, ms: demand shifts every four seconds or so. */
-export const PICKED_HALF_LIFE_MS = 300;
 /**
- * New experts for a rank in one map, over all layers. Each takes 0.1 s to copy, a round 0.15 s besides,
- * and a shift of demand that comes while a round is made waits for its end.
+ * Time that a round's copies may take, ms: a shift of demand that comes meanwhile waits for their end, and
+ * the orders of a round take 0.3 s besides.
+ */
+export const COPY_MS = 110;
+/**
+ * Fall of the summed largest loads, as a share of their mean and for one stream, that each GB copied must
+ * bring; on recorded counts half of the copies below it brought no lower skew (docs/EXPERIMENTS.md).
  */
-export const MOST_NEW = { usual: 1, urgent: 2 } as const;
-/** Skew from which a round is urgent: the map in use was made for other demand. */
-export const URGENT_SKEW = 1.6;
-/** Fall of the summed largest loads, as a share of their mean, that a copy must bring. */
-export const GAIN_PER_COPY = 0.003;
+export const GAIN_PER_GB = 0.14;
+/** Streams that a group counts for at least when a copy is weighed: an idle one is about to get more. */
+export const LEAST_STREAMS = 12;
 /** Skew before over skew after below which the present map stays. */
-export const LEAST_SKEW_GAIN = 1.06;
+export const LEAST_SKEW_GAIN = 1.08;
 /** Steps between arming and the switch, at least and at most. */
 export const MARGIN_STEPS = { least: 2, most: 10 } as const;
 /** Steps between arming and the switch while it is not known how long either takes. */
--- a/src/group/coordinator-task.ts
+++ b/src/group/coordinator-task.ts
@@ -1,5 +1,4 @@
 /** The coordinator of a group: looks at every rank, and brings in a new map when it is worth its copies. */
-import type { Clock } from '../core/clock/index.js';
 import { errorText } from '../core/errors/index.js';
 import {
   nextEpoch,
@@ -13,41 +12,30 @@
 import type { Log } from '../core/logging/index.js';
 import type { Metrics } from '../core/metrics/index.js';
 import type { GroupDigest } from '../generated/messages.types.js';
-import { planRound, PopularityEstimate, skewOf, type Placement } from '../core/placement/index.js';
+import { DemandEstimate, planRound, type Placement } from '../core/placement/index.js';
 import type { EngineInfo } from '../core/published/index.js';
 import {
   DECISION_MS,
-  GAIN_PER_COPY,
   LEAST_SKEW_GAIN,
   LEAST_TOKENS,
   LOG_PAUSE_MS,
-  LOOK_MS,
   LOOK_PAUSE_MS,
-  MOST_NEW,
   ORDER_MS,
-  PICKED_HALF_LIFE_MS,
   PREPARE_ORDER_MS,
   SILENT_MS,
   STANDS_MS,
-  URGENT_SKEW,
 } from './consts.js';
 import { Digester } from './digest.js';
+import { gainPerCopy, newPerRound } from './round-policy.js';
 import { SwitchMargin } from './switch-margin.js';
-import { orderReplies, PickedDeltas, placementOf, type GroupReplies } from './group-view.js';
-
-/** Sends one order to the agent at an address; rejects when it cannot be reached in time. */
-export type CallAgent = (address: string, order: RankOrder, withinMs: number) => Promise<RankReply>;
+import { GroupLooks, type LookParts } from './group-looks.js';
+import { countsOf, KnownMaps, orderReplies, runningOf, type GroupReplies } from './group-view.js';
 
 /** What a coordinator needs. */
-export interface CoordinatorParts {
-  readonly self: string;
-  /** Addresses of the agents of the group, this one's included. */
-  readonly agents: () => readonly string[];
+export interface CoordinatorParts extends LookParts {
   readonly engine: () => EngineInfo | undefined;
-  readonly call: CallAgent;
   /** Acts for the agent at an address, straight on its engine; used only while that agent is silent. */
   readonly standIn: (address: string, order: RankOrder) => Promise<RankReply>;
-  readonly clock: Clock;
   /** Waits, ms; a test may bring its own time. */
   readonly pause: (ms: number) => Promise<void>;
   readonly random: () => number;
@@ -57,8 +45,9 @@
 
 /** Coordinates while `isMine` says so. */
 export class CoordinatorTask {
-  private estimate: PopularityEstimate | undefined;
-  private readonly deltas = new PickedDeltas();
+  private estimate: DemandEstimate | undefined;
+  private readonly looks: GroupLooks;
+  private readonly maps = new KnownMaps();
   private readonly margin: SwitchMargin;
   private readonly digester: Digester;
   private digest: GroupDigest | undefined;
@@ -67,11 +56,11 @@
   private silentSinceMs: number | undefined;
   private lastStep = 0;
   private steppedAtMs = 0;
-  private takenAtMs = 0;
   private highestEpoch = 0;
   private loggedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly parts: CoordinatorParts) {
+    this.looks = new GroupLooks(parts);
     this.digester = new Digester(parts.clock);
     this.margin = new SwitchMargin(parts.clock);
   }
@@ -90,24 +79,21 @@
   }
 
   private async round(): Promise<void> {
-    const { parts } = this;
-    const addresses = parts.agents();
-    const look: RankOrder = {
-      group: '',
-      kind: 'look',
-      epoch: 0,
-      from: parts.self,
-      digest: this.digest,
-    };
-    const replies = await Promise.all(
-      addresses.map((address) => parts.call(address, look, LOOK_MS).catch(() => undefined)),
-    );
-    const ordered = orderReplies(replies, addresses.length);
-    this.digest = this.digester.take(ordered, ordered ? hostsOf(ordered, replies, addresses) : []);
-    if (ordered) {
-      this.silentSinceMs = undefined;
-      return this.goOn(ordered, addressesOf(ordered, replies, addresses));
-    }
+    const seen = await this.looks.look(this.digest, this.maps.ids);
+    if (seen.kind === 'unseen') return this.goOnUnseen(seen.addresses, seen.replies);
+    this.silentSinceMs = undefined;
+    this.digest = this.digester.take(seen.replies, seen.addresses.map(hostOf));
+    this.noteEpochs(seen.replies);
+    this.takeCounts(seen.fresh);
+    // Looks go on while a switch is made: entries and the next plan need what they tell.
+    if (!this.isSwitching) this.goOn(seen.replies, seen.addresses);
+  }
+
+  private goOnUnseen(
+    addresses: readonly string[],
+    replies: readonly (RankReply | undefined)[],
+  ): void {
+    this.digest = this.digester.take(undefined, []);
     const silent = addresses.filter((_, i) => replies[i]?.rank === undefined);
     this.note('group not whole', `${silent.length} of ${addresses.length}: ${silent.join(',')}`);
     if (replies.some((reply) => reply?.armed) || this.stands(replies))
@@ -168,10 +154,6 @@
   }
 
   private goOn(ordered: GroupReplies, byRank: readonly string[]): void {
-    this.noteEpochs(ordered);
-    this.takeCounts(ordered);
-    // Looks go on while a switch is made: entries and the next plan need what they tell.
-    if (this.isSwitching) return;
     // A map that every rank has confirmed comes into use by itself as its step begins.
     if (ordered.every((reply) => reply.armed?.confirmed)) return;
     const isOpen = ordered.some((reply) => reply.armed);
@@ -191,37 +173,37 @@
       );
   }
 
-  private takeCounts(replies: GroupReplies): void {
-    const nowMs = this.parts.clock.nowMs();
-    const counts = this.deltas.take(replies);
-    const layers = replies[0]?.picked?.length ?? 0;
-    const experts = replies[0]?.picked?.[0]?.length ?? 0;
-    this.estimate ??= new PopularityEstimate(layers, experts, PICKED_HALF_LIFE_MS);
-    this.estimate.add(counts, nowMs - this.takenAtMs);
-    this.takenAtMs = nowMs;
+  private takeCounts(replies: readonly RankReply[]): void {
+    const counts = countsOf(replies);
+    if (!counts) return;
+    this.estimate ??= new DemandEstimate(counts.length, counts[0]?.length ?? 0);
+    this.estimate.add(counts, this.parts.clock.nowMs());
   }
 
   private async improve(replies: GroupReplies, byRank: readonly string[]): Promise<void> {
     const engine = this.parts.engine();
-    const current = placementOf(replies);
+    const current = this.maps.inUse(replies);
     const popularity = this.estimate?.read();
     if (!engine || !current || !popularity) return;
     const tokens = popularity[0]?.reduce((sum, count) => sum + count, 0) ?? 0;
     if (tokens < LEAST_TOKENS) return;
     const pace = replies.map((reply) => reply.pace ?? 1);
-    const isUrgent = skewOf(current, popularity, pace) >= URGENT_SKEW;
     const plan = planRound(current, popularity, {
       slotsPerRank: engine.slotsPerRank,
-      mostNew: Math.min(isUrgent ? MOST_NEW.urgent : MOST_NEW.usual, engine.mostNew),
-      gainPerCopy: GAIN_PER_COPY,
+      mostNew: newPerRound(engine),
+      mostNewInLayer: engine.mostNew,
+      gainPerCopy: gainPerCopy(engine, runningOf(replies)),
       pace,
     });
     this.parts.metrics.observe('group_skew_permille', plan.skewBefore * 1000);
     if (plan.copies === 0 || plan.skewBefore < plan.skewAfter * LEAST_SKEW_GAIN) return;
     const startedAtMs = this.parts.clock.nowMs();
-    const end = await this.switchMaps(byRank, (view) =>
-      view.mapId === replies[0]?.mapId ? mapOf(view, plan.placement) : undefined,
-    );
+    const end = await this.switchMaps(byRank, (view) => {
+      if (view.mapId !== replies[0]?.mapId) return undefined;
+      const map = mapOf(view, plan.placement);
+      this.maps.note(map.id, plan.placement);
+      return map;
+    });
     this.parts.log.info('group.switch', {
       end: end.kind,
       detail: 'detail' in end ? end.detail : undefined,
@@ -252,6 +234,7 @@
         return this.margin.timed(order.kind, parts.call(address, order, orderMs(order)));
       },
       known: undefined,
+      wantsCounts: false,
       marginSteps: this.margin.steps(this.digest?.stepMs ?? 0),
     };
     const end = await runSwitch(coordination, epoch, chooseMap);
@@ -284,8 +267,8 @@
   return ordered.map((reply) => addresses[replies.indexOf(reply)] as string);
 }
 
-function hostsOf(...args: Parameters<typeof addressesOf>): string[] {
-  return addressesOf(...args).map((address) => address.split(':', 1)[0] as string);
+function hostOf(address: string): string {
+  return address.split(':', 1)[0] as string;
 }
 
 /** A map of this round: its version is the round's epoch, so no other round can have made it. */
--- a/src/group/digest.ts
+++ b/src/group/digest.ts
@@ -21,7 +21,7 @@
   take(replies: GroupReplies | undefined, hosts: readonly string[]): GroupDigest {
     if (!replies) {
       this.step = undefined;
-      return { whole: false, hosts: [], pace: [], load: [], stepMs: 0 };
+      return { whole: false, hosts: [], pace: [], load: [], stepMs: 0, entries: 0 };
     }
     this.takeStep(Math.max(...replies.map((reply) => reply.step)));
     return {
@@ -30,6 +30,7 @@
       pace: replies.map((reply) => Number((reply.pace ?? 1).toFixed(2))),
       load: replies.map((reply) => (reply.running ?? 0) + (reply.queued ?? 0)),
       stepMs: Math.round(this.stepMs),
+      entries: new Set(replies.flatMap((reply) => reply.askers ?? [])).size,
     };
   }
 
--- /dev/null
+++ b/src/group/group-looks.ts
@@ -0,0 +1,149 @@
+/**
+ * Looks at the ranks of a group through their agents. Of a large group most looks ask a sample only: each
+ * question costs the coordinator processor time and bytes, and tokens counted at some ranks tell what is
+ * in demand at all of them.
+ */
+import type { Clock } from '../core/clock/index.js';
+import type { RankOrder, RankReply } from '../core/groups/index.js';
+import type { GroupDigest } from '../generated/messages.types.js';
+import { LOOK_MS, SAMPLE_RANKS, WHOLE_LOOK_MS } from './consts.js';
+import { mapIdOf, orderReplies, type GroupReplies } from './group-view.js';
+
+/** Sends one order to the agent at an address; rejects when it cannot be reached in time. */
+export type CallAgent = (address: string, order: RankOrder, withinMs: number) => Promise<RankReply>;
+
+/** What looking needs. */
+export interface LookParts {
+  readonly self: string;
+  /** Addresses of the agents of the group, this one's included. */
+  readonly agents: () => readonly string[];
+  readonly call: CallAgent;
+  readonly clock: Clock;
+}
+
+/** A group as it was seen. */
+export type Sighting =
+  | {
+      readonly kind: 'seen';
+      /** In order of rank; a rank that was not asked is as at the last look at all. */
+      readonly replies: GroupReplies;
+      /** Addresses of the agents, in order of rank. */
+      readonly addresses: readonly string[];
+      /** Replies of this look. */
+      readonly fresh: readonly RankReply[];
+      /** Whether all ranks were asked. */
+      readonly isWhole: boolean;
+    }
+  /** Some agent did not answer, or the ranks do not make one group. */
+  | {
+      readonly kind: 'unseen';
+      readonly addresses: readonly string[];
+      /** By address. */
+      readonly replies: readonly (RankReply | undefined)[];
+    };
+
+type Seen = Extract<Sighting, { kind: 'seen' }>;
+
+/**
+ * Some of the agents, spread evenly over the list, which is ordered by address and so by data centre.
+ * @example sampleOf(['a', 'b', 'c', 'd'], 2) // ['a', 'c']
+ */
+export function sampleOf(addresses: readonly string[], size: number): readonly string[] {
+  if (addresses.length <= size) return addresses;
+  const stride = addresses.length / size;
+  return Array.from({ length: size }, (_, i) => addresses[Math.floor(i * stride)] as string);
+}
+
+/** Looks of one coordinator. */
+export class GroupLooks {
+  /** The last look at all ranks, with what was seen of some since. */
+  private last: Seen | undefined;
+  private wholeAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly parts: LookParts) {}
+
+  /**
+   * Looks once.
+   * @example const seen = await looks.look(digest, maps.ids);
+   */
+  async look(digest: GroupDigest | undefined, knownMapIds: readonly string[]): Promise<Sighting> {
+    const { parts } = this;
+    const addresses = parts.agents();
+    const sample = sampleOf(addresses, SAMPLE_RANKS);
+    const order: RankOrder = {
+      group: '',
+      kind: 'look',
+      epoch: 0,
+      from: parts.self,
+      knownMapIds: [...knownMapIds],
+    };
+    if (!this.isWholeDue(addresses, sample)) {
+      const some = await this.ask(sample, () => ({ ...order, wantsCounts: true }));
+      const merged = this.merge(some);
+      if (merged) return merged;
+    }
+    const counting = new Set(sample);
+    const all = await this.ask(addresses, (address) => ({
+      ...order,
+      wantsCounts: counting.has(address),
+      digest,
+    }));
+    return this.takeWhole(addresses, all);
+  }
+
+  private isWholeDue(addresses: readonly string[], sample: readonly string[]): boolean {
+    if (!this.last || sample.length === addresses.length) return true;
+    if (this.last.addresses.length !== addresses.length) return true;
+    return this.parts.clock.nowMs() - this.wholeAtMs >= WHOLE_LOOK_MS;
+  }
+
+  private ask(
+    addresses: readonly string[],
+    orderFor: (address: string) => RankOrder,
+  ): Promise<(RankReply | undefined)[]> {
+    return Promise.all(
+      addresses.map((address) =>
+        this.parts.call(address, orderFor(address), LOOK_MS).catch(() => undefined),
+      ),
+    );
+  }
+
+  private takeWhole(
+    addresses: readonly string[],
+    replies: readonly (RankReply | undefined)[],
+  ): Sighting {
+    this.wholeAtMs = this.parts.clock.nowMs();
+    const ordered = orderReplies(replies, addresses.length);
+    if (!ordered) {
+      this.last = undefined;
+      return { kind: 'unseen', addresses, replies };
+    }
+    const byRank = ordered.map((reply) => addresses[replies.indexOf(reply)] as string);
+    this.last = {
+      kind: 'seen',
+      replies: ordered,
+      addresses: byRank,
+      fresh: ordered,
+      isWhole: true,
+    };
+    return this.last;
+  }
+
+  /** Puts what a sample tells into the last look at all; undefined when it does not fit there. */
+  private merge(some: readonly (RankReply | undefined)[]): Seen | undefined {
+    const { last } = this;
+    if (!last) return undefined;
+    const replies = [...last.replies];
+    const mapId = mapIdOf(last.replies);
+    const fresh: RankReply[] = [];
+    for (const reply of some) {
+      const before = reply?.rank === undefined ? undefined : replies[reply.rank];
+      if (!reply || !before || reply.rank === undefined) return undefined;
+      if (reply.groupEpoch !== before.groupEpoch || reply.mapId !== mapId) return undefined;
+      replies[reply.rank] = reply;
+      fresh.push(reply);
+    }
+    this.last = { ...last, replies };
+    return { ...last, replies, fresh, isWhole: false };
+  }
+}
--- a/src/group/group-view.ts
+++ b/src/group/group-view.ts
@@ -1,5 +1,5 @@
 /** Puts together what the ranks of a group tell. */
-import type { RankReply } from '../core/groups/index.js';
+import { unpackCounts, type RankReply } from '../core/groups/index.js';
 import type { Placement, Popularity } from '../core/placement/index.js';
 
 /** Replies of all ranks of one group, in order of rank. */
@@ -22,45 +22,83 @@
 }
 
 /**
- * The map in use, from what each rank holds; undefined while ranks are seen in different maps.
+ * The id of the map that all ranks use; undefined while they are seen in different ones.
+ * @example mapIdOf(replies) // '4096'
+ */
+export function mapIdOf(replies: GroupReplies): string | undefined {
+  const ids = new Set(replies.map((reply) => reply.mapId));
+  return ids.size === 1 ? replies[0]?.mapId : undefined;
+}
+
+/**
+ * The map in use, from what each rank holds; undefined where a rank did not tell.
  * @example placementOf(replies)?.[layer]?.[rank]
  */
 export function placementOf(replies: GroupReplies): Placement | undefined {
-  if (new Set(replies.map((reply) => reply.mapId)).size !== 1) return undefined;
+  if (!replies.every((reply) => reply.placed)) return undefined;
   const layers = replies[0]?.placed?.length ?? 0;
   return Array.from({ length: layers }, (_, layer) =>
     replies.map((reply) => reply.placed?.[layer] ?? []),
   );
 }
 
-/** Turns the ranks' totals into what was chosen since the last look. */
-export class PickedDeltas {
-  private last = new Map<number, number[][]>();
-  private groupEpoch: number | undefined;
+/**
+ * Tokens by layer and expert that the replies tell together; undefined when none tells any.
+ * @example countsOf(replies)?.[layer]?.[expert]
+ */
+export function countsOf(replies: readonly (RankReply | undefined)[]): Popularity | undefined {
+  const told = replies.flatMap((reply) => (reply?.counted ? [unpackCounts(reply.counted)] : []));
+  const [first, ...others] = told;
+  if (!first) return undefined;
+  for (const counts of others)
+    counts.forEach((layer, l) =>
+      layer.forEach((count, expert) => addTo(first[l] ?? [], expert, count)),
+    );
+  return first;
+}
+
+function addTo(sums: number[], at: number, count: number): void {
+  sums[at] = (sums[at] ?? 0) + count;
+}
+
+/**
+ * Streams that run or wait at all engines together.
+ * @example runningOf(replies) // 48
+ */
+export function runningOf(replies: GroupReplies): number {
+  return replies.reduce((sum, reply) => sum + (reply.running ?? 0) + (reply.queued ?? 0), 0);
+}
+
+/** Maps kept; one is in use and one may be on its way. */
+const MOST_MAPS = 4;
+
+/** Maps that a coordinator made or was told, by id. An id never stands for another map. */
+export class KnownMaps {
+  private readonly byId = new Map<string, Placement>();
+
+  /** Ids of the maps held. */
+  get ids(): string[] {
+    return [...this.byId.keys()];
+  }
+
+  /** Notes a map. */
+  note(id: string, placement: Placement): void {
+    this.byId.delete(id);
+    this.byId.set(id, placement);
+    if (this.byId.size > MOST_MAPS) this.byId.delete(this.byId.keys().next().value as string);
+  }
 
   /**
-   * Tokens by layer and expert since the last call; none for a rank that is seen for the first time.
-   * @example deltas.take(replies)
+   * The map in use; undefined while ranks are seen in different ones, or nobody has told it.
+   * @example maps.inUse(replies)?.[layer]?.[rank]
    */
-  take(replies: GroupReplies): Popularity {
-    const epoch = replies[0]?.groupEpoch;
-    if (epoch !== this.groupEpoch) this.last.clear();
-    this.groupEpoch = epoch;
-    const sums: number[][] = [];
-    replies.forEach((reply, rank) => {
-      const before = this.last.get(rank);
-      const now = reply.picked ?? [];
-      this.last.set(rank, now);
-      if (before) now.forEach((layer, l) => addDelta((sums[l] ??= []), layer, before[l] ?? []));
-    });
-    return sums;
+  inUse(replies: GroupReplies): Placement | undefined {
+    const id = mapIdOf(replies);
+    if (id === undefined) return undefined;
+    const known = this.byId.get(id);
+    if (known) return known;
+    const told = placementOf(replies);
+    if (told) this.note(id, told);
+    return told;
   }
 }
-
-function addDelta(sums: number[], now: readonly number[], before: readonly number[]): void {
-  now.forEach((count, expert) => {
-    // A total that fell is that of an engine that was started anew.
-    const delta = Math.max(0, count - (before[expert] ?? 0));
-    sums[expert] = (sums[expert] ?? 0) + delta;
-  });
-}
--- a/src/group/switch-engine.ts
+++ b/src/group/switch-engine.ts
@@ -7,7 +7,7 @@
  * step therefore begins only when every rank has been told what was decided.
  */
 import type { Clock } from '../core/clock/index.js';
-import type { EngineOrder, EngineState, RankEngine } from '../core/groups/index.js';
+import type { EngineOrder, EngineState, RankEngine, ReadWants } from '../core/groups/index.js';
 import type { CommandAnswer, EngineCalls, EngineCommand, EngineReport } from './engine-calls.js';
 
 /** Time for an order and its proof, ms; a copy of one expert takes 0.1 s, three in each layer 0.5 s. */
@@ -153,13 +153,14 @@
     }
   }
 
-  async function read(takeCounts: boolean): Promise<EngineState> {
+  async function read(wants: ReadWants): Promise<EngineState> {
     const report = await calls.report();
     if (!report.isOpen) throw new Error('the group is broken: a rank is missing');
     const open = openOf(report);
+    const mapId = String(report.mapVersion);
     const state: EngineState = {
       step: report.step,
-      map: { id: String(report.mapVersion), layers: [] },
+      map: { id: mapId, layers: [] },
       armed: open,
       lastConfirmed: Math.max(report.mapVersion, open?.confirmed ? open.epoch : 0),
       rank: report.rank,
@@ -168,9 +169,12 @@
       queued: report.queued,
       groupEpoch: report.groupEpoch,
     };
-    if (!takeCounts || !parts.isOwn) return state;
-    const placed = await calls.placed();
-    return { ...state, placed, picked: await calls.picked(parts.layers() || placed.length) };
+    if (!parts.isOwn) return state;
+    const wantsPlaced = wants.placed && !wants.knownMapIds.includes(mapId);
+    const placed = wantsPlaced ? await calls.placed() : undefined;
+    const layers = parts.layers();
+    const picked = wants.counts && layers > 0 ? await calls.picked(layers) : undefined;
+    return { ...state, ...(placed && { placed }), ...(picked && { picked }) };
   }
 
   return { read, order };
--- a/src/rpc/router.ts
+++ b/src/rpc/router.ts
@@ -5,6 +5,7 @@
   CancelAnswer,
   CancelInput,
   FeedWatchInput,
+  GroupAsk,
   GroupDigest,
   HelloAnswer,
   InquiryInput,
@@ -17,6 +18,7 @@
 import {
   isCancelInput,
   isFeedWatchInput,
+  isGroupAsk,
   isInquiryInput,
   isLoadInput,
   isRankOrder,
@@ -31,7 +33,7 @@
   load?(input: LoadInput): LoadAnswer;
   rank?(order: RankOrder): Promise<RankReply>;
   /** The group as last seen; undefined before the first look. */
-  group?(): GroupDigest | undefined;
+  group?(ask: GroupAsk): GroupDigest | undefined;
 }
 
 const trpc = initTRPC.create();
@@ -75,7 +77,9 @@
     load: trpc.procedure
       .input(checked(isLoadInput))
       .query(({ input }) => required(calls.load)(input)),
-    group: trpc.procedure.query(() => required(calls.group)()),
+    group: trpc.procedure
+      .input(checked(isGroupAsk))
+      .query(({ input }) => required(calls.group)(input)),
     rank: trpc.procedure
       .input(checked(isRankOrder))
       .mutation(({ input }) => required(calls.rank)(input)),
--- /dev/null
+++ b/test/core/groups/packing.test.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import {
+  CountDeltas,
+  packCounts,
+  packMap,
+  unpackCounts,
+  unpackMap,
+} from '../../../src/core/groups/index.js';
+
+const maps = (most: number) =>
+  fc.array(
+    fc.array(fc.array(fc.nat({ max: most }), { maxLength: 8 }), { minLength: 1, maxLength: 12 }),
+    { minLength: 1, maxLength: 4 },
+  );
+
+test('a map comes back as it was, also with more experts than a byte can name', () => {
+  for (const most of [250, 60_000])
+    fc.assert(
+      fc.property(maps(most), (layers) => {
+        const map = { id: 'm', layers };
+        assert.deepEqual(unpackMap(packMap(map)), map);
+      }),
+    );
+});
+
+test('a map that was cut short is none', () => {
+  const packed = packMap({ id: 'm', layers: [[[1, 2], [3]]] });
+  const [layer = ''] = packed.layers;
+  const cut = Buffer.from(layer, 'base64').subarray(0, 2).toString('base64');
+  assert.equal(unpackMap({ ...packed, layers: [cut] }), undefined);
+});
+
+test('counts come back to within half a step of the largest', () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.array(fc.nat({ max: 1e7 }), { minLength: 1, maxLength: 40 }), { minLength: 1 }),
+      (counts) => {
+        const packed = packCounts(counts);
+        unpackCounts(packed).forEach((layer, l) =>
+          layer.forEach((count, e) =>
+            assert.ok(Math.abs(count - (counts[l]?.[e] ?? 0)) <= packed.unit / 2 + 1e-6),
+          ),
+        );
+      },
+    ),
+  );
+  assert.deepEqual(unpackCounts(packCounts([[0, 0]])), [[0, 0]]);
+});
+
+test('the map of 63 ranks and the counts of one fit a link of 5.6 Mbit/s', () => {
+  const layers = Array.from({ length: 8 }, () =>
+    Array.from({ length: 63 }, (_, rank) => [0, 1, 2, 3, 4].map((k) => (rank + 63 * k) % 252)),
+  );
+  assert.ok(JSON.stringify(packMap({ id: '1024', layers })).length < 4300);
+  const counts = Array.from({ length: 8 }, () => Array.from({ length: 252 }, (_, e) => e * 997));
+  assert.ok(JSON.stringify(packCounts(counts)).length < 2900);
+});
+
+test('each asker is told what was counted since it asked last, also through a restart', () => {
+  const deltas = new CountDeltas();
+  assert.equal(deltas.take('a', 1, [[10, 0]]), undefined);
+  assert.deepEqual(deltas.take('a', 1, [[15, 1]]), [[5, 1]]);
+  assert.equal(deltas.take('b', 1, [[20, 1]]), undefined, 'a second coordinator begins anew');
+  assert.deepEqual(deltas.take('a', 1, [[25, 1]]), [[10, 0]]);
+  assert.deepEqual(deltas.take('a', 1, [[3, 4]]), [[0, 3]], 'an engine that was started anew');
+  assert.equal(deltas.take('a', 2, [[9, 9]]), undefined, 'a group that was formed anew');
+});
--- a/test/core/groups/switch.test.ts
+++ b/test/core/groups/switch.test.ts
@@ -137,6 +137,7 @@
           group: 'g',
           ranks: RANKS,
           known: undefined,
+          wantsCounts: false,
           marginSteps: 2,
           call: async (rank, order) => {
             sent += 1;
@@ -210,7 +211,14 @@
   );
   const call = (rank: number, order: Parameters<RankGate['serve']>[0]) =>
     (gates[rank] as RankGate).serve(order);
-  const c = { group: 'g', ranks: RANKS, known: undefined, marginSteps: 2, call };
+  const c = {
+    group: 'g',
+    ranks: RANKS,
+    known: undefined,
+    wantsCounts: false,
+    marginSteps: 2,
+    call,
+  };
   const dying = runSwitch(
     {
       ...c,
@@ -258,7 +266,14 @@
     new RankGate(asId<Incarnation>(`r${rank}-${n}`), engines[rank] as SimEngine, () => rank);
   const gates = engines.map((_, rank) => start(rank, 1));
   const serve = (rank: number, order: RankOrder) => (gates[rank] as RankGate).serve(order);
-  const c = { group: 'g', ranks: RANKS, known: undefined, marginSteps: 2, call: serve };
+  const c = {
+    group: 'g',
+    ranks: RANKS,
+    known: undefined,
+    wantsCounts: false,
+    marginSteps: 2,
+    call: serve,
+  };
   // A coordinator arms rank 1 alone and falls silent.
   await runSwitch(
     {
--- a/test/core/limits/limits.test.ts
+++ b/test/core/limits/limits.test.ts
@@ -1,44 +1,102 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
-import { Outage, PACE_LIMIT, PaceLimit, TurnQueue } from '../../../src/core/limits/index.js';
+import fc from 'fast-check';
+import {
+  Outage,
+  placesOf,
+  STREAM_LIMIT,
+  StreamLimit,
+  TurnQueue,
+  type StepModel,
+} from '../../../src/core/limits/index.js';
 
 const never = new AbortController().signal;
 
-/** Notes pauses of one share for a while, with all places in use. */
-function pace(limit: PaceLimit, share: number, fromMs: number, forMs: number): void {
-  for (let at = fromMs; at < fromMs + forMs; at += 20) limit.notePause(share, limit.allowed, at);
+const MODEL: StepModel = { ranks: 12, slots: 8, stepMs: 4.5, perRequestMs: 1.4 };
+const ALLOWED_MS = 120;
+
+/** Pauses of a group that runs `streams`, each `factor` times the published time of a step. */
+function pause(streams: number, factor: number): number {
+  return factor * (MODEL.stepMs + (MODEL.perRequestMs * streams) / MODEL.ranks);
+}
+
+/** Notes such pauses for a while. */
+function note(limit: StreamLimit, streams: number, factor: number, from: number, to: number): void {
+  for (let at = from; at < to; at += 20)
+    limit.notePause(pause(streams, factor), streams, MODEL, at);
 }
 
-test('the limit falls when pauses come near what is allowed, and rises when they are short', () => {
-  const limit = new PaceLimit({ ...PACE_LIMIT, start: 10 });
-  pace(limit, 1, 1000, 1000);
-  assert.ok(limit.allowed < 10);
-  pace(limit, 3, 2000, 20_000);
-  assert.equal(limit.allowed, PACE_LIMIT.least);
-  pace(limit, 0.3, 30_000, 10_000);
-  assert.ok(limit.allowed > PACE_LIMIT.least + 10);
-  pace(limit, 0.3, 50_000, 100_000);
-  assert.equal(limit.allowed, PACE_LIMIT.most);
+test('the limit is what keeps pauses within what is allowed even in the slowest steps of late', () => {
+  const limit = new StreamLimit();
+  assert.equal(limit.streams(ALLOWED_MS, MODEL), STREAM_LIMIT.startPerRank * MODEL.ranks);
+  // Steps of five times the published time, and of ten times for half a second each four seconds.
+  for (let at = 0; at < 16_000; at += 4000) {
+    note(limit, 40, 10, at, at + 750);
+    note(limit, 40, 5, at + 750, at + 4000);
+  }
+  const streams = limit.streams(ALLOWED_MS, MODEL);
+  assert.ok(pause(streams, 10) <= ALLOWED_MS * STREAM_LIMIT.targetShare + 0.01, `${streams}`);
+  assert.ok(pause(streams + 3, 10) > ALLOWED_MS * STREAM_LIMIT.targetShare, `${streams}`);
+});
+
+test('where no limit keeps pauses in time, streams are let in as usual, not refused', () => {
+  const limit = new StreamLimit();
+  note(limit, 40, 30, 0, 8000);
+  assert.equal(limit.streams(ALLOWED_MS, MODEL), STREAM_LIMIT.usualPerRank * MODEL.ranks);
+});
+
+test('the limit rises again when slow steps are long past, to what the ranks take at most', () => {
+  const limit = new StreamLimit();
+  note(limit, 40, 12, 0, 8000);
+  assert.ok(limit.streams(ALLOWED_MS, MODEL) < 45);
+  note(limit, 18, 2, 8000, 17_000);
+  assert.equal(limit.streams(ALLOWED_MS, MODEL), MODEL.slots * MODEL.ranks);
 });
 
-test('a limit that is not used up does not rise', () => {
-  const limit = new PaceLimit();
-  for (let at = 0; at < 20_000; at += 20) limit.notePause(0.2, 1, at);
-  assert.equal(limit.allowed, PACE_LIMIT.start);
+test('a group that was held for a moment does not lower the limit', () => {
+  const limit = new StreamLimit();
+  note(limit, 40, 5, 0, 8000);
+  const before = limit.streams(ALLOWED_MS, MODEL);
+  limit.notePause(1500, 40, MODEL, 8010);
+  note(limit, 40, 5, 8020, 9000);
+  assert.ok(Math.abs(limit.streams(ALLOWED_MS, MODEL) - before) < 1);
 });
 
-test('of entries that see the same pace, the one with more gives way', () => {
-  const one = new PaceLimit({ ...PACE_LIMIT, start: 30 });
-  const two = new PaceLimit({ ...PACE_LIMIT, start: 6 });
-  for (let at = 0; at < 120_000; at += 20) {
-    // The pace follows from all streams together, as in a group that steps in lock-step.
-    const share = (one.allowed + two.allowed) / 30;
-    one.notePause(share, one.allowed, at);
-    two.notePause(share, two.allowed, at);
+test('the places of all entries together are the limit, and what is free is shared out once', () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.integer({ min: 0, max: 20 }), { minLength: 1, maxLength: 40 }),
+      fc.integer({ min: 10, max: 300 }),
+      (owns, limit) => {
+        const running = owns.reduce((sum, own) => sum + own, 0);
+        const places = owns.map((own) => placesOf({ limit, running, own, entries: owns.length }));
+        const all = places.reduce((sum, n) => sum + n, 0);
+        // Each entry keeps two places and rounds by half a place.
+        assert.ok(all <= limit + Math.max(0, limit - running) + 2.5 * owns.length);
+      },
+    ),
+  );
+});
+
+test('of entries that ask for all they can get, unequal shares become equal', () => {
+  const own = [30, 6, 6];
+  for (let round = 0; round < 60; round += 1) {
+    const running = own.reduce((sum, n) => sum + n, 0);
+    own.forEach((n, i) => {
+      const places = placesOf({ limit: 42, running, own: n, entries: own.length });
+      // Streams end and begin: an entry moves part of the way to its places.
+      own[i] = n + (places - n) * 0.3;
+    });
   }
-  assert.ok(one.allowed <= 21, `${one.allowed}`);
-  assert.ok(two.allowed >= 6, `${two.allowed}`);
+  for (const n of own) assert.ok(Math.abs(n - 14) <= 3, own.join(' '));
+});
+
+test('an entry with all the callers may use nearly all of the group', () => {
+  let own = 4;
+  for (let round = 0; round < 40; round += 1)
+    own = placesOf({ limit: 48, running: own, own, entries: 7 });
+  assert.ok(own >= 40 && own <= 52, `${own}`);
 });
 
 test('a place is given at once, after a wait, or not at all', async () => {
@@ -68,6 +126,16 @@
   assert.deepEqual(order, ['urgent', 'usual']);
 });
 
+test('who waits gets a place as soon as more are allowed', async () => {
+  let allowed = 1;
+  const turns = new TurnQueue(() => allowed);
+  await turns.take(1, 10, never);
+  const waiting = turns.take(1, 5000, never);
+  allowed = 2;
+  turns.giveFree();
+  assert.equal(await waiting, true);
+});
+
 test('a caller that leaves gives its wait up and takes no place', async () => {
   const turns = new TurnQueue(() => 1);
   await turns.take(1, 10, never);
--- a/test/core/placement/round-plan.test.ts
+++ b/test/core/placement/round-plan.test.ts
@@ -23,12 +23,13 @@
   fc.array(fc.nat({ max: 1000 }), { minLength: EXPERTS, maxLength: EXPERTS }),
   { minLength: LAYERS, maxLength: LAYERS },
 );
+const some = fc.integer({ min: 1, max: 3 });
 const paces = fc.array(fc.constantFrom(1, 1, 1, 5), { minLength: RANKS, maxLength: RANKS });
 
 test('a round keeps every expert, keeps to slots and copies a rank, and never makes skew worse', () => {
   fc.assert(
-    fc.property(popularity, paces, fc.integer({ min: 1, max: 3 }), (counts, pace, mostNew) => {
-      const policy = { slotsPerRank: SLOTS, mostNew, gainPerCopy: 0.002, pace };
+    fc.property(popularity, paces, some, some, (counts, pace, mostNew, mostNewInLayer) => {
+      const policy = { slotsPerRank: SLOTS, mostNew, mostNewInLayer, gainPerCopy: 0.002, pace };
       const plan = planRound(dealt, counts, policy);
       plan.placement.forEach((layer) => {
         assert.equal(new Set(layer.flat()).size, EXPERTS);
@@ -40,6 +41,11 @@
       for (let rank = 0; rank < RANKS; rank += 1) {
         const own = (p: Placement): Placement => p.map((layer) => [layer[rank] ?? []]);
         assert.ok(fetchedExperts(own(dealt), own(plan.placement)) <= mostNew);
+        dealt.forEach((layer, l) => {
+          const had = new Set(layer[rank]);
+          const brought = (plan.placement[l]?.[rank] ?? []).filter((e) => !had.has(e));
+          assert.ok(brought.length <= mostNewInLayer, 'an engine refuses more');
+        });
       }
       assert.ok(plan.skewAfter <= plan.skewBefore + 1e-9);
       assert.ok(Math.abs(plan.skewAfter - skewOf(plan.placement, counts, pace)) < 1e-6);
@@ -52,7 +58,7 @@
   const pace = [5, 1, 1, 1];
   let current = dealt;
   for (let round = 0; round < 6; round += 1) {
-    const policy = { slotsPerRank: SLOTS, mostNew: 2, gainPerCopy: 0.002, pace };
+    const policy = { slotsPerRank: SLOTS, mostNew: 2, mostNewInLayer: 2, gainPerCopy: 0.002, pace };
     current = planRound(current, even, policy).placement;
   }
   assert.ok(skewOf(dealt, even, pace) > 4.9);
@@ -62,7 +68,13 @@
 
 test('nothing is copied where nothing is gained', () => {
   const even = Array.from({ length: LAYERS }, () => new Array<number>(EXPERTS).fill(100));
-  const policy = { slotsPerRank: SLOTS, mostNew: 2, gainPerCopy: 0.002, pace: [1, 1, 1, 1] };
+  const policy = {
+    slotsPerRank: SLOTS,
+    mostNew: 2,
+    mostNewInLayer: 2,
+    gainPerCopy: 0.002,
+    pace: [1, 1, 1, 1],
+  };
   assert.equal(planRound(dealt, even, policy).copies, 0);
   const none = Array.from({ length: LAYERS }, () => new Array<number>(EXPERTS).fill(0));
   assert.equal(planRound(dealt, none, policy).copies, 0);
--- a/test/core/published/published-state.test.ts
+++ b/test/core/published/published-state.test.ts
@@ -7,15 +7,16 @@
 import { Metrics } from '../../../src/core/metrics/index.js';
 import {
   findRoute,
-  followConfig,
-  followEndpoints,
+  followPublished,
   pickService,
   PublishedState,
+  type ConfigNews,
+  type EndpointChange,
   type PublishedConfig,
-  type PublishedEndpoint,
   type PublishedSource,
-  type Read,
+  type PublishedRead,
   type ReadFault,
+  type Watched,
 } from '../../../src/core/published/index.js';
 import { Err, Ok, type Result } from '../../../src/core/result/index.js';
 import { config, endpoint, route } from '../../gateway/harness.js';
@@ -70,7 +71,7 @@
   assert.deepEqual(state.offerList([a], 1000, 2000).gone, []);
   assert.deepEqual(ids(state), ['a', 'b']);
   assert.deepEqual(state.offerList([a], 2900, 2000).gone, []);
-  state.settleMissing(3100, 2000);
+  state.applyChanges([], 3100, 2000);
   assert.deepEqual(ids(state), ['a']);
 });
 
@@ -101,29 +102,90 @@
   );
 });
 
-/** A source whose answers a test sets. */
+test('changes are taken one by one, and what is not named stays as it was', () => {
+  const state = new PublishedState();
+  const a = endpoint('a', 'x:1');
+  const b = endpoint('b', 'x:2');
+  state.offerList([a], 0, 0);
+  const change = state.applyChanges(
+    [
+      { kind: 'written', endpoint: b },
+      { kind: 'written', endpoint: { ...a, isLeaving: true } },
+    ],
+    10,
+    0,
+  );
+  assert.deepEqual(
+    [change.joined.map((e) => e.id), change.leaving, change.gone],
+    [['b'], ['a'], []],
+  );
+  assert.equal(state.takesWork(a.id), false);
+  const removed = state.applyChanges([{ kind: 'removed', id: a.id }], 20, 0);
+  assert.deepEqual(removed.gone, ['a']);
+  assert.deepEqual(ids(state), ['b']);
+});
+
+test('an entry that lapsed and is written again within its grace was never gone', () => {
+  const state = new PublishedState();
+  const a = endpoint('a', 'x:1');
+  state.offerList([a], 0, 0);
+  assert.deepEqual(state.applyChanges([{ kind: 'removed', id: a.id }], 1000, 2000).gone, []);
+  assert.equal(state.takesWork(a.id), true);
+  assert.deepEqual(state.applyChanges([{ kind: 'written', endpoint: a }], 2500, 2000).gone, []);
+  assert.deepEqual(state.applyChanges([], 9000, 0).gone, []);
+  assert.deepEqual(ids(state), ['a']);
+});
+
+const ENDPOINT_CHANGE: EndpointChange = { kind: 'written', endpoint: endpoint('a', 'x:1') };
+const SAME: ConfigNews = { kind: 'same' };
+
+/** A source whose answers a test sets; a watch answers what is queued, or nothing after its wait. */
 class SourceFake implements PublishedSource {
-  config: Result<Read<PublishedConfig>, ReadFault> = Ok({ value: version(1), revision: 1 });
-  endpoints: Result<Read<readonly PublishedEndpoint[]>, ReadFault> = Ok({ value: [], revision: 1 });
-  changed = false;
-  readonly readConfig = (): Promise<Result<Read<PublishedConfig>, ReadFault>> =>
-    Promise.resolve(this.config);
-  readonly readEndpoints = (): Promise<Result<Read<readonly PublishedEndpoint[]>, ReadFault>> =>
-    Promise.resolve(this.endpoints);
-  async waitForChange(): Promise<Result<boolean, ReadFault>> {
-    await wait(10);
-    if (this.config.err) return this.config;
-    const { changed } = this;
-    this.changed = false;
-    return Ok(changed);
+  all: Result<PublishedRead, ReadFault> = Ok({
+    config: { kind: 'read', config: version(1) },
+    endpoints: [],
+    revision: 1,
+    invalid: [],
+  });
+  readonly queued: Result<Watched, ReadFault>[] = [];
+  reads = 0;
+  /** Time after which each wait that is longer ends with a change, ms. */
+  changesAfterMs = Number.POSITIVE_INFINITY;
+  /** Revision and wait of each watch. */
+  readonly watches: (readonly [number, number])[] = [];
+  readonly readAll = (): Promise<Result<PublishedRead, ReadFault>> => {
+    this.reads += 1;
+    return Promise.resolve(this.all);
+  };
+  async watch(revision: number, waitMs: number): Promise<Result<Watched, ReadFault>> {
+    this.watches.push([revision, waitMs]);
+    const queued = this.queued.shift();
+    if (queued) return queued;
+    const isChanged = waitMs > this.changesAfterMs;
+    await wait(isChanged ? this.changesAfterMs : waitMs + 2);
+    const endpoints = isChanged ? [ENDPOINT_CHANGE] : [];
+    return Ok({ kind: 'changes', config: SAME, endpoints, revision, invalid: [] });
   }
 }
 
-test('following takes changes, keeps the last good state through faults, and logs both ends', async () => {
+function changes(config: ConfigNews, revision: number): Result<Watched, ReadFault> {
+  return Ok({ kind: 'changes', config, endpoints: [], revision, invalid: [] });
+}
+
+const LOST: Result<Watched, ReadFault> = Err({ kind: 'timeout', detail: 'silent' });
+
+interface Following {
+  readonly source: SourceFake;
+  readonly state: PublishedState;
+  readonly events: string[];
+}
+
+async function following(run: (f: Following) => Promise<void>, waitMs = 20): Promise<void> {
   const source = new SourceFake();
   const state = new PublishedState();
   const events: string[] = [];
   const note = (event: string): void => void events.push(event);
+  const ending = new AbortController();
   const parts = {
     source,
     state,
@@ -131,25 +193,96 @@
     random: () => 0.5,
     log: { ...silentLog, info: note, warn: note },
     metrics: new Metrics(),
-    waitMs: { config: 10, endpoints: 10 },
+    pace: { waitMs, leastWaitMs: waitMs / 10, changePauseMs: 1, failedPauseMs: 5 },
   };
-  const ending = new AbortController();
-  const following = [followConfig(parts, ending.signal), followEndpoints(parts, ending.signal)];
-  await wait(40);
-  assert.equal(state.config?.version, 1);
-  source.config = Ok({ value: version(2), revision: 2 });
-  source.changed = true;
-  await wait(60);
-  assert.equal(state.config?.version, 2);
-  source.config = Err({ kind: 'timeout', detail: 'silent' });
-  await wait(60);
-  assert.equal(state.config?.version, 2);
-  assert.ok(state.proofAgeMs(systemClock.nowMs()) > 30, 'a failed read proves nothing');
-  source.config = Ok({ value: version(1), revision: 3 });
-  await wait(500);
-  assert.equal(state.config?.version, 2, 'an older version is not taken');
-  assert.ok(events.includes('published.lost') && events.includes('published.regained'));
-  assert.ok(events.includes('config.older'));
-  ending.abort();
-  await Promise.all(following);
+  const done = followPublished(parts, ending.signal);
+  try {
+    await run({ source, state, events });
+  } finally {
+    ending.abort();
+    await done;
+  }
+}
+
+test('following takes changes from the watch itself, without another read', async () => {
+  await following(async ({ source, state }) => {
+    await wait(30);
+    assert.equal(state.config?.version, 1);
+    source.queued.push(changes({ kind: 'read', config: version(2) }, 7));
+    await wait(60);
+    assert.equal(state.config?.version, 2);
+    assert.equal(source.reads, 1);
+    assert.equal(source.watches.at(-1)?.[0], 7, 'it goes on from the newest revision');
+  });
+});
+
+test('the last good state is kept through faults, both ends are logged, and it asks at once when back', async () => {
+  await following(async ({ source, state, events }) => {
+    await wait(30);
+    source.queued.push(...Array.from({ length: 12 }, () => LOST));
+    await wait(60);
+    assert.equal(state.config?.version, 1);
+    assert.ok(state.proofAgeMs(systemClock.nowMs()) > 30, 'a failed call proves nothing');
+    await wait(120);
+    assert.ok(state.proofAgeMs(systemClock.nowMs()) < 60);
+    assert.deepEqual(
+      events.filter((event) => event.startsWith('published.')),
+      ['published.lost', 'published.regained'],
+    );
+    assert.equal(source.reads, 1, 'the history told what was missed');
+    assert.ok(source.watches.some(([, waitMs]) => waitMs === 0));
+  });
+});
+
+test('a history that is gone is read again, and an older version is not taken', async () => {
+  await following(async ({ source, state, events }) => {
+    await wait(30);
+    source.queued.push(changes({ kind: 'read', config: version(4) }, 7), Ok({ kind: 'forgotten' }));
+    await wait(80);
+    assert.equal(source.reads, 2);
+    assert.equal(state.config?.version, 4);
+    assert.ok(events.includes('config.older'));
+  });
+});
+
+test('a newer configuration that cannot be read is no proof, until one can', async () => {
+  await following(async ({ source, state }) => {
+    await wait(30);
+    source.queued.push(changes({ kind: 'unreadable' }, 7));
+    await wait(100);
+    assert.equal(state.config?.version, 1);
+    assert.ok(state.proofAgeMs(systemClock.nowMs()) > 60);
+    source.queued.push(changes({ kind: 'read', config: version(3) }, 8));
+    await wait(60);
+    assert.ok(state.proofAgeMs(systemClock.nowMs()) < 60);
+  });
+});
+
+test('a wait without a change proves at its end: its age stays below two waits', async () => {
+  const waitMs = 200;
+  await following(async ({ state }) => {
+    await wait(2 * waitMs);
+    let oldest = 0;
+    const untilMs = systemClock.nowMs() + 3 * waitMs;
+    while (systemClock.nowMs() < untilMs) {
+      oldest = Math.max(oldest, state.proofAgeMs(systemClock.nowMs()));
+      await wait(5);
+    }
+    assert.ok(oldest < 1.7 * waitMs, `${oldest}`);
+  }, waitMs);
+});
+
+test('changes that come midway through a wait do not let the proof grow old', async () => {
+  const waitMs = 600;
+  await following(async ({ source, state }) => {
+    source.changesAfterMs = 500;
+    await wait(2 * waitMs);
+    let oldest = 0;
+    const untilMs = systemClock.nowMs() + 4 * waitMs;
+    while (systemClock.nowMs() < untilMs) {
+      oldest = Math.max(oldest, state.proofAgeMs(systemClock.nowMs()));
+      await wait(5);
+    }
+    assert.ok(oldest < 1.5 * waitMs, `${oldest}`);
+  }, waitMs);
 });
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -150,6 +150,7 @@
     log: recordingLog(lines),
     metrics,
     sightOf: () => undefined,
+    groupSize: () => undefined,
   });
   const gateway = createGateway(ctx);
   await new Promise<void>((resolve) => gateway.server.listen(0, '127.0.0.1', resolve));
--- a/test/group/coordinator-task.test.ts
+++ b/test/group/coordinator-task.test.ts
@@ -6,6 +6,7 @@
 import { asId } from '../../src/core/ids/index.js';
 import { silentLog } from '../../src/core/logging/index.js';
 import { Metrics } from '../../src/core/metrics/index.js';
+import type { EngineInfo } from '../../src/core/published/index.js';
 import { CoordinatorTask } from '../../src/group/coordinator-task.js';
 import type { EngineCalls } from '../../src/group/engine-calls.js';
 import { createSwitchEngine } from '../../src/group/switch-engine.js';
@@ -13,6 +14,17 @@
 const RANKS = 3;
 const ADDRESSES = Array.from({ length: RANKS }, (_, rank) => `10.0.0.${rank}:1`);
 
+const ENGINE: EngineInfo = {
+  slots: 4,
+  layers: 1,
+  slotsPerRank: 3,
+  mostNew: 2,
+  copyMs: 100,
+  expertGb: 2,
+  stepMs: 5,
+  perRequestMs: 1,
+};
+
 interface Play {
   readonly time: VirtualTime;
   readonly group: RankGroup;
@@ -88,7 +100,7 @@
     const task = new CoordinatorTask({
       self: ADDRESSES[own] as string,
       agents: () => ADDRESSES,
-      engine: () => ({ slots: 4, layers: 1, slotsPerRank: 3, mostNew: 2 }),
+      engine: () => ENGINE,
       call: (address, order, withinMs) => callFrom(own, address, order, withinMs),
       standIn: (address, order) => (standIns[ADDRESSES.indexOf(address)] as RankGate).serve(order),
       clock: time,
--- /dev/null
+++ b/test/group/group-looks.test.ts
@@ -0,0 +1,114 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { RankOrder, RankReply } from '../../src/core/groups/index.js';
+import { SAMPLE_RANKS, WHOLE_LOOK_MS } from '../../src/group/consts.js';
+import { GroupLooks, sampleOf, type Sighting } from '../../src/group/group-looks.js';
+
+interface Group {
+  readonly looks: GroupLooks;
+  /** Changes of single ranks' replies. */
+  readonly changes: Map<number, Partial<RankReply>>;
+  readonly silent: Set<number>;
+  asked: RankOrder[];
+  nowMs: number;
+}
+
+function startGroup(ranks: number): Group {
+  const addresses = Array.from({ length: ranks }, (_, rank) => `10.0.0.${rank}:1`);
+  const group: Group = {
+    looks: new GroupLooks({
+      self: '10.0.0.0:1',
+      agents: () => addresses,
+      clock: { nowMs: () => group.nowMs, wallMs: () => group.nowMs },
+      call: (address, order) => {
+        const rank = addresses.indexOf(address);
+        group.asked.push(order);
+        if (group.silent.has(rank)) return Promise.reject(new Error('silent'));
+        return Promise.resolve({
+          done: true,
+          incarnation: 'i',
+          promised: 0,
+          step: 10,
+          mapId: '0',
+          rank,
+          groupEpoch: 1,
+          ...group.changes.get(rank),
+        });
+      },
+    }),
+    changes: new Map(),
+    silent: new Set(),
+    asked: [],
+    nowMs: 0,
+  };
+  return group;
+}
+
+async function look(group: Group): Promise<Sighting> {
+  group.asked = [];
+  return group.looks.look(undefined, []);
+}
+
+test('a sample is spread over the whole list, and is all of a small one', () => {
+  const addresses = Array.from({ length: 63 }, (_, i) => String(i));
+  const sample = sampleOf(addresses, 16).map(Number);
+  assert.equal(new Set(sample).size, 16);
+  for (const third of [0, 21, 42])
+    assert.ok(sample.filter((i) => i >= third && i < third + 21).length >= 5);
+  assert.deepEqual(sampleOf(['a', 'b'], 16), ['a', 'b']);
+});
+
+test('a small group is asked whole each time, with counts from each rank', async () => {
+  const group = startGroup(12);
+  for (let i = 0; i < 2; i += 1) {
+    const seen = await look(group);
+    assert.ok(seen.kind === 'seen' && seen.isWhole);
+    assert.equal(group.asked.filter((order) => order.wantsCounts).length, 12);
+  }
+});
+
+test('a large group is asked whole now and then, a sample in between', async () => {
+  const group = startGroup(63);
+  const first = await look(group);
+  assert.ok(first.kind === 'seen' && first.isWhole);
+  assert.equal(group.asked.length, 63);
+  assert.equal(group.asked.filter((order) => order.wantsCounts).length, SAMPLE_RANKS);
+  group.nowMs += 100;
+  group.changes.set(0, { step: 12 });
+  const second = await look(group);
+  assert.ok(second.kind === 'seen' && !second.isWhole);
+  assert.equal(group.asked.length, SAMPLE_RANKS);
+  assert.deepEqual([second.replies.length, second.fresh.length], [63, SAMPLE_RANKS]);
+  assert.equal(second.replies[0]?.step, 12);
+  group.nowMs += WHOLE_LOOK_MS;
+  const third = await look(group);
+  assert.ok(third.kind === 'seen' && third.isWhole);
+});
+
+test('what does not fit the last whole look is looked at whole at once', async () => {
+  for (const change of [{ mapId: '7' }, { groupEpoch: 2 }]) {
+    const group = startGroup(63);
+    await look(group);
+    group.nowMs += 100;
+    for (let rank = 0; rank < 63; rank += 1) group.changes.set(rank, change);
+    const seen = await look(group);
+    assert.ok(seen.kind === 'seen' && seen.isWhole);
+    assert.equal(seen.replies[62]?.mapId, change.mapId ?? '0');
+  }
+});
+
+test('a silent rank of the sample shows at once, one beside it with the next whole look', async () => {
+  const group = startGroup(63);
+  await look(group);
+  group.nowMs += 100;
+  group.silent.add(0);
+  assert.equal((await look(group)).kind, 'unseen');
+  group.silent.clear();
+  assert.equal((await look(group)).kind, 'seen');
+  group.silent.add(1);
+  assert.equal((await look(group)).kind, 'seen');
+  group.nowMs += WHOLE_LOOK_MS;
+  const seen = await look(group);
+  assert.ok(seen.kind === 'unseen');
+  assert.equal(seen.replies[1], undefined);
+});
--- a/test/group/group-view.test.ts
+++ b/test/group/group-view.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { RankReply } from '../../src/core/groups/index.js';
+import { packCounts, type RankReply } from '../../src/core/groups/index.js';
 import { Digester } from '../../src/group/digest.js';
-import { orderReplies, PickedDeltas, placementOf } from '../../src/group/group-view.js';
+import { countsOf, KnownMaps, orderReplies, placementOf } from '../../src/group/group-view.js';
 import { SwitchMargin } from '../../src/group/switch-margin.js';
 
 function reply(rank: number, change: Partial<RankReply> = {}): RankReply {
@@ -15,7 +15,6 @@
     rank,
     groupEpoch: 1,
     placed: [[rank]],
-    picked: [[rank * 10, 0]],
     ...change,
   };
 }
@@ -32,20 +31,33 @@
 });
 
 test('the map is put together from the ranks, while they are in the same one', () => {
+  const maps = new KnownMaps();
   assert.deepEqual(placementOf([reply(0), reply(1)]), [[[0], [1]]]);
-  assert.equal(placementOf([reply(0), reply(1, { mapId: '7' })]), undefined);
+  assert.equal(placementOf([reply(0), reply(1, { placed: undefined })]), undefined);
+  assert.equal(maps.inUse([reply(0), reply(1, { mapId: '7' })]), undefined);
+  assert.deepEqual(maps.inUse([reply(0), reply(1)]), [[[0], [1]]]);
 });
 
-test('what was chosen is counted from the second look on, also through a restart', () => {
-  const deltas = new PickedDeltas();
-  assert.deepEqual(deltas.take([reply(0), reply(1)]), []);
-  const next = [reply(0, { picked: [[5, 1]] }), reply(1, { picked: [[12, 0]] })];
-  assert.deepEqual(deltas.take(next), [[7, 1]]);
-  assert.deepEqual(deltas.take([reply(0, { picked: [[0, 0]] }), reply(1, { picked: [[12, 4]] })]), [
-    [0, 4],
-  ]);
-  const anew = [reply(0, { groupEpoch: 2 }), reply(1, { groupEpoch: 2 })];
-  assert.deepEqual(deltas.take(anew), []);
+test('a map that is held already need not be told again, and old ones are dropped', () => {
+  const maps = new KnownMaps();
+  const untold = [0, 1].map((rank) => reply(rank, { mapId: '7', placed: undefined }));
+  assert.equal(maps.inUse(untold), undefined);
+  maps.note('7', [[[5], [6]]]);
+  assert.deepEqual(maps.ids, ['7']);
+  assert.deepEqual(maps.inUse(untold), [[[5], [6]]]);
+  for (const id of ['8', '9', '10', '11']) maps.note(id, []);
+  assert.equal(maps.inUse(untold), undefined);
+});
+
+test('counts of all ranks that tell some are added up', () => {
+  const told = [
+    reply(0, { counted: packCounts([[255, 51]]) }),
+    reply(1),
+    undefined,
+    reply(2, { counted: packCounts([[0, 510]]) }),
+  ];
+  assert.deepEqual(countsOf(told), [[255, 561]]);
+  assert.equal(countsOf([reply(0), undefined]), undefined);
 });
 
 test('a digest tells pace and load by host, and the time of a step', () => {
@@ -53,7 +65,10 @@
   const digester = new Digester({ nowMs: () => nowMs, wallMs: () => nowMs });
   const look = (step: number) =>
     digester.take(
-      [reply(0, { step, pace: 5.456, running: 2, queued: 1 }), reply(1, { step })],
+      [
+        reply(0, { step, pace: 5.456, running: 2, queued: 1, askers: ['e-1', 'e-2'] }),
+        reply(1, { step, askers: ['e-2', 'e-3'] }),
+      ],
       ['a', 'b'],
     );
   assert.equal(look(10).stepMs, 0);
@@ -64,6 +79,7 @@
     pace: [5.46, 1],
     load: [3, 0],
     stepMs: 50,
+    entries: 3,
   });
   assert.equal(digester.take(undefined, []).whole, false);
 });
--- a/test/group/switch-play.ts
+++ b/test/group/switch-play.ts
@@ -83,7 +83,7 @@
     for (;;) {
       await time.sleep(50 + random() * 200);
       const end = await runSwitch(
-        { group: 'g', ranks: RANKS, call, known: undefined, marginSteps: 3 },
+        { group: 'g', ranks: RANKS, call, known: undefined, wantsCounts: false, marginSteps: 3 },
         nextEpoch(highest, own),
         (view) => ({ id: String(view.epoch), layers: [[[0], [1], [2]]] }),
       );
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -2,7 +2,14 @@
 import { test } from 'node:test';
 import { connectStore } from '../../platform/store-client.js';
 import { startStore, type StoreFake, type StoreMood } from '../../fakes/store/index.js';
-import { findRoute, type PublishedSource, type ReadFault } from '../../src/core/published/index.js';
+import {
+  findRoute,
+  type PublishedConfig,
+  type PublishedRead,
+  type PublishedSource,
+  type ReadFault,
+  type Watched,
+} from '../../src/core/published/index.js';
 
 const CONFIG = {
   version: 7,
@@ -55,9 +62,29 @@
   }
 }
 
+async function readAll(source: PublishedSource): Promise<PublishedRead> {
+  return (await source.readAll()).unwrap();
+}
+
+async function readConfig(source: PublishedSource): Promise<PublishedConfig> {
+  const { config } = await readAll(source);
+  assert.ok(config.kind === 'read');
+  return config.config;
+}
+
+async function watch(
+  source: PublishedSource,
+  revision: number,
+  waitMs: number,
+): Promise<Extract<Watched, { kind: 'changes' }>> {
+  const watched = (await source.watch(revision, waitMs)).unwrap();
+  assert.ok(watched.kind === 'changes');
+  return watched;
+}
+
 test('a configuration is decoded once into what its fields mean', async () => {
   await withStore(async (_, source) => {
-    const { value } = (await source.readConfig()).unwrap();
+    const value = await readConfig(source);
     assert.equal(value.version, 7);
     const stream = findRoute(value, 'a.example', '/x/y/1?q=/x/');
     assert.deepEqual([stream?.id, stream?.kind, stream?.resumable], ['r-2', 'stream', true]);
@@ -76,7 +103,7 @@
     store.pageSize = 2;
     for (let i = 0; i < 5; i += 1) store.put(`servers/i-${i}`, ENDPOINT);
     store.put('servers/i-5', { ...ENDPOINT, state: 'draining' });
-    const { value } = (await source.readEndpoints()).unwrap();
+    const value = (await readAll(source)).endpoints;
     assert.deepEqual(
       value.map((e) => e.id),
       ['i-0', 'i-1', 'i-2', 'i-3', 'i-4', 'i-5'],
@@ -88,26 +115,69 @@
   });
 });
 
-test('a wait ends with a change, with its time, or with a history that is gone', async () => {
+test('a watch ends with a change, with its time, or with a history that is gone', async () => {
   await withStore(async (store, source) => {
-    const { revision } = (await source.readConfig()).unwrap();
-    assert.equal((await source.waitForChange('config', revision, 30)).unwrap(), false);
-    const waiting = source.waitForChange('config', revision, 5000);
+    const { revision } = await readAll(source);
+    assert.equal((await watch(source, revision, 30)).config.kind, 'same');
+    const waiting = watch(source, revision, 5000);
     setTimeout(() => store.put('op/config', { ...CONFIG, version: 9 }), 20);
-    assert.equal((await waiting).unwrap(), true);
+    const changed = await waiting;
+    assert.ok(changed.config.kind === 'read');
+    assert.equal(changed.config.config.version, 9);
+    assert.ok(changed.revision > revision);
     store.compact();
-    assert.equal((await source.waitForChange('config', revision, 5000)).unwrap(), true);
+    assert.equal((await source.watch(revision, 5000)).unwrap().kind, 'forgotten');
   });
 });
 
-test('what is newer beside the configuration does not end a wait for it', async () => {
+test('one watch tells of endpoints that come, leave and go, in their order', async () => {
   await withStore(async (store, source) => {
+    const { revision } = await readAll(source);
     store.put('servers/i-1', ENDPOINT);
+    store.put('servers/i-1', { ...ENDPOINT, state: 'draining' });
+    store.remove('servers/i-1');
     store.put('op/other', {});
-    const { revision } = (await source.readConfig()).unwrap();
+    const { config, endpoints } = await watch(source, revision, 5000);
+    assert.equal(config.kind, 'same');
+    assert.deepEqual(
+      endpoints.map((c) => (c.kind === 'written' ? c.endpoint.isLeaving : c.id)),
+      [false, true, 'i-1'],
+    );
+  });
+});
+
+test('what changed between the reads of the start is told by the watch from them', async () => {
+  await withStore(async (store, source) => {
+    const { revision } = await readAll(source);
+    store.put('servers/i-1', ENDPOINT);
+    store.put('op/config', { ...CONFIG, version: 8 });
+    store.put('op/config', { ...CONFIG, version: 9 });
+    const { config, endpoints } = await watch(source, revision, 5000);
+    assert.ok(config.kind === 'read');
+    assert.equal(config.config.version, 9, 'only the newest one counts');
+    assert.equal(endpoints.length, 1);
     const startedAt = performance.now();
-    assert.equal((await source.waitForChange('config', revision, 60)).unwrap(), false);
-    assert.ok(performance.now() - startedAt >= 55);
+    const now = (await readAll(source)).revision;
+    assert.equal((await watch(source, now, 60)).endpoints.length, 0);
+    assert.ok(performance.now() - startedAt >= 55, 'nothing newer, so it waits');
+  });
+});
+
+test('an endpoint record that cannot be taken is told by field, value and remedy, and costs no other', async () => {
+  await withStore(async (store, source) => {
+    store.put('servers/i-1', { ...ENDPOINT, address: 7 });
+    store.put('servers/i-2', ENDPOINT);
+    const { endpoints, invalid, revision } = await readAll(source);
+    assert.deepEqual(
+      endpoints.map((e) => e.id),
+      ['i-2'],
+    );
+    assert.match(invalid[0] ?? '', /servers\/i-1\.address: 7 is no text; publish a text/);
+    store.put('servers/i-3', { ...ENDPOINT, slots: -1 });
+    store.put('servers/i-4', ENDPOINT);
+    const changed = await watch(source, revision, 5000);
+    assert.equal(changed.endpoints.length, 1);
+    assert.match(changed.invalid[0] ?? '', /i-3\.slots: -1/);
   });
 });
 
@@ -123,12 +193,14 @@
   test(`a store that is ${mood} gives a fault of kind ${kind}, and serves again afterwards`, async () => {
     await withStore(async (store, source) => {
       store.mood = mood;
-      assert.equal((await source.readConfig()).val instanceof Error, false);
-      const read = await source.readConfig();
+      const read = await source.readAll();
       assert.ok(read.err);
       assert.equal((read.val as ReadFault).kind, kind);
+      const watched = await source.watch(1, 20);
+      assert.ok(watched.err);
+      assert.equal((watched.val as ReadFault).kind, kind);
       store.mood = 'well';
-      assert.ok((await source.readConfig()).ok);
+      assert.ok((await source.readAll()).ok);
     });
   });
 }
@@ -147,11 +219,16 @@
 for (const [what, document, message] of IMPOSSIBLE) {
   test(`a configuration with ${what} is refused by field, value and remedy`, async () => {
     await withStore(async (store, source) => {
+      const { revision } = await readAll(source);
+      store.put('servers/i-1', ENDPOINT);
       store.put('op/config', document);
-      const read = await source.readConfig();
-      assert.ok(read.err);
-      assert.equal((read.val as ReadFault).kind, 'invalid');
-      assert.match((read.val as ReadFault).detail, message);
+      const read = await readAll(source);
+      assert.equal(read.config.kind, 'unreadable');
+      assert.match(read.invalid[0] ?? '', message);
+      assert.equal(read.endpoints.length, 1, 'what is well beside it is taken');
+      const watched = await watch(source, revision, 5000);
+      assert.equal(watched.config.kind, 'unreadable');
+      assert.match(watched.invalid[0] ?? '', message);
     });
   });
 }
@@ -159,19 +236,16 @@
 test('a value that is no base64, or no JSON inside, is refused', async () => {
   await withStore(async (store, source) => {
     store.putRaw('op/config', '%%%');
-    assert.match(
-      ((await source.readConfig()).val as ReadFault).detail,
-      /no base64; write it again/,
-    );
+    assert.match((await readAll(source)).invalid[0] ?? '', /no base64; write it again/);
     store.putRaw('op/config', Buffer.from('{"version":').toString('base64'));
-    assert.equal(((await source.readConfig()).val as ReadFault).kind, 'invalid');
+    assert.equal((await readAll(source)).config.kind, 'unreadable');
   });
 });
 
 test('a route of a kind that is not known is treated as the strictest', async () => {
   await withStore(async (store, source) => {
     store.put('op/config', { ...CONFIG, routes: [{ ...CONFIG.routes[0], kind: 'keyed' }] });
-    const { value } = (await source.readConfig()).unwrap();
+    const value = await readConfig(source);
     assert.equal(findRoute(value, 'a.example', '/x/1')?.kind, 'once');
   });
 });
