Take a group for whole only when all of its ranks are seen

Cause: engines come to the list one by one while they start. Change: an engine's report tells how many ranks there are; a map that does not fit the ranks is told again. Test: group-view.test, both fail before.

--- a/fakes/rank-engine/rank-group.ts
+++ b/fakes/rank-engine/rank-group.ts
@@ -105,6 +105,7 @@
         const report: EngineReport = {
           groupEpoch: this.epoch,
           rank: index,
+          ranks: this.options.ranks,
           isOpen: true,
           pace: 1,
           running: 1,
--- a/src/core/groups/rank-gate.ts
+++ b/src/core/groups/rank-gate.ts
@@ -16,6 +16,8 @@
   readonly lastConfirmed: number;
   /** Place in the group, as the engine tells it. */
   readonly rank?: number;
+  /** Ranks of the group, as the engine tells it. */
+  readonly ranks?: number;
   /** How slow the engine is; 1 is its ordinary pace. */
   readonly pace?: number;
   readonly running?: number;
@@ -163,6 +165,7 @@
       mapId: state.map.id,
       lastConfirmed: state.lastConfirmed,
       ...(state.rank === undefined ? {} : { rank: state.rank }),
+      ...(state.ranks === undefined ? {} : { ranks: state.ranks }),
       ...(state.groupEpoch === undefined ? {} : { groupEpoch: state.groupEpoch }),
       ...(state.armed ? { armed: state.armed } : {}),
     };
--- a/src/group/engine-calls.ts
+++ b/src/group/engine-calls.ts
@@ -5,6 +5,8 @@
   /** How often the group was formed; each time it starts with its first map and nothing armed. */
   readonly groupEpoch: number;
   readonly rank: number;
+  /** Ranks of the group; undefined where the engine does not say. */
+  readonly ranks: number | undefined;
   /** Whether the group runs; a broken one has lost a rank. */
   readonly isOpen: boolean;
   /** How slow the engine is; 1 is its ordinary pace. */
--- a/src/group/group-view.ts
+++ b/src/group/group-view.ts
@@ -7,14 +7,18 @@
 
 /**
  * Orders replies by rank; undefined unless they are whole: each rank once, of one forming of the group.
+ * Engines that know how many ranks there are count for more than the list, which may name only some of
+ * them while they start; where none says, each of those asked is one.
  * @example orderReplies(replies, 12)?.[0]?.rank // 0
  */
 export function orderReplies(
   replies: readonly (RankReply | undefined)[],
-  ranks: number,
+  asked: number,
 ): GroupReplies | undefined {
   const byRank = new Map<number, RankReply>();
   for (const reply of replies) if (reply?.rank !== undefined) byRank.set(reply.rank, reply);
+  const told = replies.find((reply) => reply?.ranks !== undefined)?.ranks;
+  const ranks = told ?? asked;
   if (ranks === 0 || byRank.size !== ranks) return undefined;
   const ordered = Array.from({ length: ranks }, (_, rank) => byRank.get(rank));
   if (!ordered.every((reply) => reply !== undefined)) return undefined;
@@ -96,9 +100,11 @@
     const id = mapIdOf(replies);
     if (id === undefined) return undefined;
     const known = this.byId.get(id);
-    if (known) return known;
+    if (known && known[0]?.length === replies.length) return known;
     const told = placementOf(replies);
     if (told) this.note(id, told);
+    // What is held does not fit these ranks: it has to be told again.
+    else this.byId.delete(id);
     return told;
   }
 }
--- a/src/group/switch-engine.ts
+++ b/src/group/switch-engine.ts
@@ -164,6 +164,7 @@
       armed: open,
       lastConfirmed: Math.max(report.mapVersion, open?.confirmed ? open.epoch : 0),
       rank: report.rank,
+      ...(report.ranks !== undefined && { ranks: report.ranks }),
       pace: report.pace,
       running: report.running,
       queued: report.queued,
--- a/test/group/group-view.test.ts
+++ b/test/group/group-view.test.ts
@@ -30,6 +30,24 @@
   assert.equal(orderReplies([], 0), undefined);
 });
 
+test('a group of which the list names only some ranks yet is not whole, and its map is not taken', () => {
+  const some = [0, 1].map((rank) => reply(rank, { ranks: 3 }));
+  assert.equal(orderReplies(some, 2), undefined);
+  const all = [0, 1, 2].map((rank) => reply(rank, { ranks: 3 }));
+  assert.equal(orderReplies(all, 3)?.length, 3);
+  // An engine that was replaced stands in the list beside its successor for a while.
+  assert.equal(orderReplies([...all, undefined], 4)?.length, 3);
+});
+
+test('a map that was put together from fewer ranks is told again', () => {
+  const maps = new KnownMaps();
+  maps.note('0', [[[0], [1]]]);
+  const untold = [0, 1, 2].map((rank) => reply(rank, { placed: undefined }));
+  assert.equal(maps.inUse(untold), undefined);
+  assert.deepEqual(maps.ids, []);
+  assert.deepEqual(maps.inUse([reply(0), reply(1), reply(2)]), [[[0], [1], [2]]]);
+});
+
 test('the map is put together from the ranks, while they are in the same one', () => {
   const maps = new KnownMaps();
   assert.deepEqual(placementOf([reply(0), reply(1)]), [[[0], [1]]]);
