Soak the real programs under overlapping faults; one coordinator of a large group

Soak: bench/soak starts a store, plain endpoints, a group of engines, entries and agents, harms links by loopback proxies and processes by signals, and checks eleven promises from what callers and endpoints saw.

Test: group-looks.test. While the store is away the pause between calls grows from 0.3 to 1.2 s.

--- /dev/null
+++ b/bench/soak/faults.ts
@@ -0,0 +1,219 @@
+/** What is done to a deployment from outside: series of faults and planned work that overlap. */
+import type { StoreMood } from '../../fakes/store/index.js';
+import { GRACE_S, KEYS, type Deployment, type SoakInstance } from './deployment.js';
+import type { Program } from './program.js';
+import { WHOLE, type LinkState, type LoopbackProxy } from './proxy.js';
+
+const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
+/** What a fault needs. */
+interface FaultParts {
+  readonly deployment: Deployment;
+  readonly random: () => number;
+}
+
+/** Does one thing, and resolves when it is over. */
+type Fault = (parts: FaultParts) => Promise<void>;
+
+function pick<T>(items: readonly T[], random: () => number): T {
+  return items[Math.floor(random() * items.length)] as T;
+}
+
+/** Notes a disturbance for as long as something is done. */
+async function during(
+  { deployment }: FaultParts,
+  kind: string,
+  target: string,
+  act: () => Promise<void>,
+): Promise<void> {
+  const note = { kind, target, fromMs: deployment.nowMs(), untilMs: Number.POSITIVE_INFINITY };
+  deployment.disturbances.push(note);
+  await act();
+  note.untilMs = deployment.nowMs();
+}
+
+function anyInstance({ deployment, random }: FaultParts): SoakInstance {
+  return pick([...deployment.entries, ...deployment.agents], random);
+}
+
+/** Ends an instance in some way and starts it again; its start takes its time as well. */
+async function restarted(
+  parts: FaultParts,
+  kind: string,
+  end: (program: Program) => Promise<void>,
+): Promise<void> {
+  const { name, program } = anyInstance(parts);
+  if (program.isClaimed) return;
+  program.isClaimed = true;
+  await during(parts, kind, name, async () => {
+    await end(program);
+    program.start();
+    await sleep(1000);
+  });
+  program.isClaimed = false;
+}
+
+const killed: Fault = (parts) =>
+  restarted(parts, 'kill', async (program) => {
+    await program.kill();
+    await sleep(100 + 500 * parts.random());
+  });
+
+const stopped: Fault = (parts) =>
+  restarted(parts, 'stop', (program) => program.stop(GRACE_S * 1000));
+
+const paused: Fault = async (parts) => {
+  const { name, program } = anyInstance(parts);
+  await during(parts, 'pause', name, async () => {
+    program.pause(true);
+    await sleep(200 + 2500 * parts.random());
+    program.pause(false);
+  });
+};
+
+const settingsChanged: Fault = async (parts) => {
+  const { name, program } = anyInstance(parts);
+  await during(parts, 'hup', name, async () => {
+    program.rewriteBoot(`changed at ${parts.deployment.nowMs()}`);
+    if (parts.random() < 0.7) program.hangUp();
+    await sleep(200);
+  });
+};
+
+const LINK_STATES: readonly LinkState[] = [
+  { delayMs: 80, cut: [] },
+  { delayMs: 0, cut: ['out'] },
+  { delayMs: 0, cut: ['back'] },
+  { delayMs: 0, cut: ['out', 'back'] },
+];
+
+async function harmLink(parts: FaultParts, target: string, link: LoopbackProxy): Promise<void> {
+  const state = pick(LINK_STATES, parts.random);
+  const what = state.cut.length > 0 ? `cut ${state.cut.join(' ')}` : 'delay';
+  await during(parts, what, target, async () => {
+    link.set(state);
+    await sleep(300 + 2500 * parts.random());
+    if (parts.random() < 0.5) link.reset();
+    link.set(WHOLE);
+  });
+}
+
+const storeLinkHarmed: Fault = (parts) => {
+  const { name, storeLink } = anyInstance(parts);
+  return harmLink(parts, name, storeLink);
+};
+
+const endpointLinkHarmed: Fault = (parts) => {
+  const { id, proxy } = pick(parts.deployment.endpoints, parts.random);
+  return harmLink(parts, id, proxy);
+};
+
+const connectionsReset: Fault = async (parts) => {
+  const { id, proxy } = pick(parts.deployment.endpoints, parts.random);
+  await during(parts, 'reset', id, async () => {
+    proxy.reset();
+    await sleep(50);
+  });
+};
+
+const STORE_MOODS: readonly StoreMood[] = ['busy', 'reset', 'silent', 'no-json', 'half'];
+
+const storeAway: Fault = async (parts) => {
+  const { store } = parts.deployment;
+  await during(parts, 'store', 'store', async () => {
+    store.mood = pick(STORE_MOODS, parts.random);
+    await sleep(300 + 3000 * parts.random());
+    store.mood = 'well';
+  });
+};
+
+const historyForgotten: Fault = async (parts) => {
+  parts.deployment.store.compact();
+  await sleep(50);
+};
+
+const endpointFails: Fault = async (parts) => {
+  const { id, faults } = pick(parts.deployment.endpoints, parts.random);
+  await during(parts, 'endpoint', id, async () => {
+    for (let i = 0; i < 6; i += 1) faults.push(pick(['full', 'error', 'cut'], parts.random));
+    await sleep(1000);
+    faults.length = 0;
+  });
+};
+
+const configChanged: Fault = async ({ deployment, random }) => {
+  const { config } = deployment;
+  const name = `extra-${config.version}`;
+  config.extraRoutes.add(name);
+  deployment.publish();
+  await sleep(1500 + 1000 * random());
+  config.extraRoutes.delete(name);
+  deployment.publish();
+  deployment.withdrawals.push({ what: 'route', name: `/${name}/`, atMs: deployment.nowMs() });
+};
+
+const keyTakenAway: Fault = async ({ deployment }) => {
+  const key = KEYS.slice(1).find((k) => deployment.config.keys.has(k));
+  if (key === undefined || deployment.config.keys.size <= 2) return;
+  deployment.config.keys.delete(key);
+  deployment.publish();
+  deployment.withdrawals.push({ what: 'key', name: key, atMs: deployment.nowMs() });
+  await sleep(50);
+};
+
+/** A plain endpoint announces that it leaves, serves on for a while, and is gone. */
+const endpointLeaves: Fault = async ({ deployment }) => {
+  const plain = deployment.endpoints.filter((e) => e.service === 'plain');
+  const left = new Set(deployment.withdrawals.map((w) => w.name));
+  const leaving = plain.filter((e) => !left.has(e.id));
+  const [first] = leaving;
+  if (!first || leaving.length < 2) return;
+  deployment.store.put(`servers/${first.id}`, {
+    service: first.service,
+    address: `${first.host}:8228`,
+    zone: 'a',
+    slots: 8,
+    state: 'draining',
+  });
+  deployment.withdrawals.push({ what: 'endpoint', name: first.id, atMs: deployment.nowMs() });
+  await sleep(2500);
+  deployment.store.remove(`servers/${first.id}`);
+};
+
+const FAULTS: readonly Fault[] = [
+  killed,
+  stopped,
+  stopped,
+  paused,
+  settingsChanged,
+  storeLinkHarmed,
+  endpointLinkHarmed,
+  connectionsReset,
+  storeAway,
+  historyForgotten,
+  endpointFails,
+  configChanged,
+  keyTakenAway,
+  endpointLeaves,
+];
+
+/** Series that run at once: faults overlap. */
+const SERIES = 2;
+
+/**
+ * Does one thing after the other, in several series at once, until `untilMs`; resolves when all is over.
+ * @example await disturb(deployment, random, 8000);
+ */
+export async function disturb(
+  deployment: Deployment,
+  random: () => number,
+  untilMs: number,
+): Promise<void> {
+  const series = async (): Promise<void> => {
+    while (deployment.nowMs() < untilMs) {
+      await pick(FAULTS, random)({ deployment, random });
+      await sleep(400 * random());
+    }
+  };
+  await Promise.all(Array.from({ length: SERIES }, series));
+}
--- /dev/null
+++ b/bench/soak/proxy.ts
@@ -0,0 +1,100 @@
+/** A loopback proxy that harms the connections that go through it: delays, resets, cuts one way, silences. */
+import { connect, createServer, type Server, type Socket } from 'node:net';
+
+/** Where a connection goes to or comes from. */
+export interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** The two directions of a connection, as whoever opened it sees them. */
+export type Way = 'out' | 'back';
+
+/** What a proxy does to its connections now. */
+export interface LinkState {
+  /** Time by which each piece is late, ms. */
+  readonly delayMs: number;
+  /** Directions in which nothing gets through until the link is whole again. */
+  readonly cut: readonly Way[];
+}
+
+/** A link that harms nothing. */
+export const WHOLE: LinkState = { delayMs: 0, cut: [] };
+
+/** How often a piece that is held up looks whether the link is whole again, ms. */
+const HELD_POLL_MS = 20;
+
+const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
+/** One proxy. */
+export class LoopbackProxy {
+  private state = WHOLE;
+  private readonly sockets = new Set<Socket>();
+
+  private constructor(
+    private readonly server: Server,
+    private readonly target: Address,
+  ) {
+    server.on('connection', (socket) => this.join(socket));
+  }
+
+  /**
+   * Starts a proxy.
+   * @example const proxy = await LoopbackProxy.start(listen, target); proxy.set({ delayMs: 50, cut: [] });
+   */
+  static async start(listen: Address, target: Address): Promise<LoopbackProxy> {
+    const server = createServer();
+    const proxy = new LoopbackProxy(server, target);
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(listen.port, listen.host, resolve);
+    });
+    return proxy;
+  }
+
+  /** From now on connections are treated so; pieces that are held up go on when the link is whole. */
+  set(state: LinkState): void {
+    this.state = state;
+  }
+
+  /** Resets every connection that is open. */
+  reset(): void {
+    for (const socket of this.sockets) socket.resetAndDestroy();
+  }
+
+  /** Ends the proxy and its connections. */
+  close(): void {
+    this.server.close();
+    for (const socket of this.sockets) socket.destroy();
+  }
+
+  private join(near: Socket): void {
+    const far = connect(this.target.port, this.target.host);
+    for (const socket of [near, far]) {
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
+    }
+    this.carry(near, far, 'out');
+    this.carry(far, near, 'back');
+  }
+
+  /** Carries one direction, piece by piece and in order. */
+  private carry(from: Socket, to: Socket, way: Way): void {
+    let last: Promise<void> = Promise.resolve();
+    const after = (act: () => void): void => {
+      last = last.then(() => this.pass(way, to)).then(act);
+    };
+    from.on('data', (piece) => after(() => void (to.destroyed || to.write(piece))));
+    from.on('end', () => after(() => to.end()));
+    // A reset is told as one; what was held up before it is lost.
+    from.on('error', () => to.resetAndDestroy());
+    from.on('close', (hadError) => {
+      if (!hadError) after(() => to.end());
+    });
+  }
+
+  private async pass(way: Way, to: Socket): Promise<void> {
+    if (this.state.delayMs > 0) await sleep(this.state.delayMs);
+    while (this.state.cut.includes(way) && !to.destroyed) await sleep(HELD_POLL_MS);
+  }
+}
--- /dev/null
+++ b/bench/soak/run.ts
@@ -0,0 +1,87 @@
+/** One soak run: starts a deployment, lets callers ask while it is disturbed, and checks what was seen. */
+import { seededRandom } from '../../src/core/clock/index.js';
+import { Callers } from './callers.js';
+import { violationsOf } from './check.js';
+import {
+  KEYS,
+  ORGANISATION,
+  startDeployment,
+  type Deployment,
+  type SoakSize,
+} from './deployment.js';
+import { disturb } from './faults.js';
+import type { SoakRecord } from './record.js';
+
+/** The usual size: a few processes. */
+export const USUAL_SIZE: SoakSize = { entries: 3, ranks: 3, plain: 3 };
+
+/** Time that entries may take to become ready, ms: all start at once on a machine that may be busy. */
+const READY_MS = 30_000;
+/** Time without disturbance at the end, ms: what was harmed has to come back. */
+const CALM_MS = 6000;
+/** Time for what was sent last to be answered, ms. */
+const LAST_ANSWERS_MS = 3500;
+
+const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
+/** What came of a run. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly asks: number;
+  readonly answered: number;
+  readonly disturbances: number;
+  readonly violations: readonly string[];
+  /** Where the logs and boot files lie. */
+  readonly folder: string;
+}
+
+function recordOf(deployment: Deployment, seed: number, calmFromMs: number): SoakRecord {
+  const programs = [...deployment.entries, ...deployment.agents].map((i) => i.program);
+  return {
+    seed,
+    asks: deployment.asks,
+    runs: deployment.endpoints.flatMap((endpoint) => endpoint.engine.runs),
+    disturbances: deployment.disturbances,
+    withdrawals: deployment.withdrawals,
+    organisations: Object.fromEntries(KEYS.map((key) => [key, ORGANISATION])),
+    mixedSteps: deployment.group.mixed,
+    longestHoldMs: deployment.group.longestHoldMs,
+    badEnds: programs.flatMap((program) => program.badEnds),
+    calmFromMs,
+  };
+}
+
+/**
+ * Plays one seed with `seconds` of disturbances.
+ * @example (await soak(7, 8)).violations // []
+ */
+export async function soak(
+  seed: number,
+  seconds: number,
+  size: SoakSize = USUAL_SIZE,
+): Promise<SoakResult> {
+  const deployment = await startDeployment(size, seededRandom(seed));
+  const callers = new Callers(deployment, seededRandom(seed + 1_000_000));
+  try {
+    if (!(await callers.untilReady(READY_MS)))
+      throw new Error(`entries are not ready after ${READY_MS} ms; logs in ${deployment.folder}`);
+    const asking = callers.run();
+    await disturb(deployment, seededRandom(seed + 2_000_000), deployment.nowMs() + seconds * 1000);
+    const calmFromMs = deployment.nowMs();
+    await sleep(CALM_MS);
+    callers.stop();
+    await sleep(LAST_ANSWERS_MS);
+    await asking;
+    const record = recordOf(deployment, seed, calmFromMs);
+    return {
+      seed,
+      asks: record.asks.length,
+      answered: record.asks.filter((ask) => ask.end?.isComplete).length,
+      disturbances: record.disturbances.length,
+      violations: violationsOf(record),
+      folder: deployment.folder,
+    };
+  } finally {
+    await deployment.close();
+  }
+}
--- /dev/null
+++ b/fakes/platform-engine/engine.ts
@@ -0,0 +1,125 @@
+/**
+ * Stand-in of one endpoint on the platform's wire: a plain service, or a model engine whose streams
+ * advance with the steps of its group. It notes every request that it began to run.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { EngineCalls } from '../../src/group/engine-calls.js';
+import { closeServer } from '../http/index.js';
+import { serveRankCalls } from './rank-calls.js';
+
+/** A request that an endpoint began to run. */
+export interface EndpointRun {
+  readonly endpoint: string;
+  readonly requestId: string;
+  readonly path: string;
+  readonly body: string;
+  readonly organisation: string;
+  readonly startedAtMs: number;
+}
+
+/** Ways in which an endpoint fails a request. */
+export type EndpointFault = 'full' | 'error' | 'cut';
+
+/** How an endpoint behaves. */
+export interface EndpointOptions {
+  readonly id: string;
+  readonly host: string;
+  readonly port: number;
+  /** Time of a plain request, ms. */
+  readonly workMs: number;
+  /** The calls of its rank; undefined for a plain service. */
+  readonly rank: EngineCalls | undefined;
+  /** The step that its group began last. */
+  readonly step: () => number;
+  /** What goes wrong with the next request; undefined when nothing does. */
+  readonly nextFault: () => EndpointFault | undefined;
+  readonly nowMs: () => number;
+}
+
+/** A running stand-in. */
+export interface PlatformEngine {
+  readonly runs: readonly EndpointRun[];
+  close(): void;
+}
+
+/** Events of a stream. */
+export const STREAM_EVENTS = 12;
+/** How often a stream looks whether its group has begun another step, ms. */
+const STEP_POLL_MS = 10;
+
+/** The whole answer to a plain request. */
+export const plainAnswer = (requestId: string): string => `answer to ${requestId}`;
+/** The data of one event of a request's stream. */
+export const eventData = (requestId: string, id: number): string => `${requestId} ${id}`;
+
+const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
+async function readText(req: IncomingMessage): Promise<string> {
+  let text = '';
+  for await (const piece of req as AsyncIterable<Buffer>) text += piece.toString('latin1');
+  return text;
+}
+
+function oneHeader(req: IncomingMessage, name: string): string {
+  const value = req.headers[name];
+  return typeof value === 'string' ? value : '';
+}
+
+/**
+ * Starts an endpoint.
+ * @example const engine = await startPlatformEngine(options); engine.runs.length
+ */
+export async function startPlatformEngine(options: EndpointOptions): Promise<PlatformEngine> {
+  const runs: EndpointRun[] = [];
+
+  function headOf(requestId: string, more: Record<string, string> = {}): Record<string, string> {
+    return { 'x-request-id': requestId, 'x-server-stamp': `stamp.${options.id}`, ...more };
+  }
+
+  async function stream(req: IncomingMessage, res: ServerResponse, isCut: boolean): Promise<void> {
+    const requestId = oneHeader(req, 'x-request-id');
+    const after = Number(oneHeader(req, 'last-event-id') || 0);
+    res.writeHead(200, headOf(requestId, { 'content-type': 'text/event-stream' }));
+    let seen = options.step();
+    for (let id = after + 1; id <= STREAM_EVENTS; id += 1) {
+      while (options.step() === seen && !res.destroyed) await sleep(STEP_POLL_MS);
+      if (res.destroyed) return;
+      seen = options.step();
+      if (isCut && id > STREAM_EVENTS / 2) return void req.socket.resetAndDestroy();
+      res.write(`id: ${id}\ndata: ${eventData(requestId, id)}\n\n`);
+    }
+    res.end();
+  }
+
+  async function run(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const requestId = oneHeader(req, 'x-request-id');
+    if (oneHeader(req, 'x-expect-instance') !== options.id)
+      return void res.writeHead(421, headOf(requestId)).end();
+    const fault = options.nextFault();
+    if (fault === 'full')
+      return void res.writeHead(503, headOf(requestId, { 'x-not-executed': '1' })).end();
+    const body = await readText(req);
+    runs.push({
+      endpoint: options.id,
+      requestId,
+      path: req.url ?? '',
+      body,
+      organisation: oneHeader(req, 'x-tenant'),
+      startedAtMs: options.nowMs(),
+    });
+    if (options.rank) return stream(req, res, fault === 'cut');
+    await sleep(options.workMs);
+    if (fault === 'cut') return void req.socket.resetAndDestroy();
+    if (fault === 'error') return void res.writeHead(500, headOf(requestId)).end('failed');
+    const text = plainAnswer(requestId);
+    res.writeHead(200, headOf(requestId, { 'content-length': String(text.length) })).end(text);
+  }
+
+  const server: Server = createServer((req, res) => {
+    req.on('error', () => undefined);
+    const served = options.rank ? serveRankCalls(options.rank, req, res) : Promise.resolve(false);
+    served.then((done) => (done ? undefined : run(req, res))).catch(() => req.socket.destroy());
+  });
+  await new Promise<void>((resolve) => server.listen(options.port, options.host, resolve));
+  return { runs, close: () => closeServer(server) };
+}
--- /dev/null
+++ b/fakes/platform-engine/index.ts
@@ -0,0 +1,2 @@
+export * from './engine.js';
+export * from './rank-calls.js';
--- a/fakes/rank-engine/rank-group.ts
+++ b/fakes/rank-engine/rank-group.ts
@@ -9,7 +9,14 @@
   EngineCommand,
   EngineReport,
 } from '../../src/group/engine-calls.js';
-import type { VirtualTime } from './virtual-time.js';
+
+/** Time as the group needs it: played or real. */
+export interface GroupTime {
+  nowMs(): number;
+  /** Calls back after so many ms. */
+  after(ms: number, run: () => void): void;
+  sleep(ms: number): Promise<void>;
+}
 
 /** How the group behaves. */
 export interface RankGroupOptions {
@@ -57,7 +64,7 @@
   private ranks: Rank[];
 
   constructor(
-    private readonly time: VirtualTime,
+    private readonly time: GroupTime,
     private readonly random: () => number,
     private readonly options: RankGroupOptions,
   ) {
--- a/src/core/published/follow.ts
+++ b/src/core/published/follow.ts
@@ -14,10 +14,15 @@
   readonly leastWaitMs: number;
   /** Pause after a change before the next watch, ms: changes come in bursts, as when all endpoints start. */
   readonly changePauseMs: number;
-  /** Pause after a call that failed, ms. */
+  /** Pause after a call that failed, ms; it grows with each further failure. */
   readonly failedPauseMs: number;
 }
 
+/** Factor by which the pause grows from one failure to the next. */
+const PAUSE_GROWTH = 1.5;
+/** Longest pause after a failure, ms: a store that is back has to be seen soon. */
+const LONGEST_PAUSE_MS = 1200;
+
 /**
  * An entry's pace. A wait without a change proves at its end that the configuration in force is still the
  * newest, and keys may be honoured for 3.5 s after such a proof: that leaves time for one failed call.
@@ -26,7 +31,7 @@
 export const ENTRY_PACE: FollowPace = {
   waitMs: 2400,
   leastWaitMs: 200,
-  changePauseMs: 400,
+  changePauseMs: 500,
   failedPauseMs: 300,
 };
 /** An agent's pace: it acts on what is published rarely. */
@@ -151,15 +156,17 @@
   const storeLog = new StoreLog(parts);
   const taker = new Taker(parts);
   let revision: number | undefined;
-  let hasFailed = false;
+  /** Calls that failed since the last one that worked. */
+  let failures = 0;
 
   const fail = async (fault: ReadFault): Promise<void> => {
     storeLog.failed(fault);
-    hasFailed = true;
-    await sleep(pace.failedPauseMs * (0.8 + 0.4 * parts.random()), signal);
+    const pauseMs = Math.min(LONGEST_PAUSE_MS, pace.failedPauseMs * PAUSE_GROWTH ** failures);
+    failures += 1;
+    await sleep(pauseMs * (0.8 + 0.4 * parts.random()), signal);
   };
   const worked = (): number => {
-    hasFailed = false;
+    failures = 0;
     return storeLog.worked();
   };
 
@@ -179,7 +186,7 @@
       continue;
     }
     // After a failure the question is where we stand now, not what comes next.
-    const waitMs = hasFailed ? 0 : waitFor(pace, state.proofAgeMs(askedAtMs));
+    const waitMs = failures > 0 ? 0 : waitFor(pace, state.proofAgeMs(askedAtMs));
     const watched = await source.watch(revision, waitMs);
     if (watched.err) {
       await fail(watched.val);
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -24,7 +24,7 @@
 import { buildRouter } from '../rpc/router.js';
 import type { GatewaySettings } from '../gateway/types.js';
 import { Askers } from './askers.js';
-import { UNLOOKED_MS, UNLOOKED_STAGGER_MS } from './consts.js';
+import { UNLOOKED_STAGGER_MS, unlookedMs } from './consts.js';
 import { CoordinatorTask } from './coordinator-task.js';
 import type { EngineCalls } from './engine-calls.js';
 import { createSwitchEngine } from './switch-engine.js';
@@ -86,8 +86,9 @@
     if (from < self || !isMine()) lookedAtMs = clock.nowMs();
   };
   const isMine = (): boolean => {
-    const before = Math.max(0, agents().indexOf(self));
-    return clock.nowMs() - lookedAtMs > UNLOOKED_MS + before * UNLOOKED_STAGGER_MS;
+    const all = agents();
+    const before = Math.max(0, all.indexOf(self));
+    return clock.nowMs() - lookedAtMs > unlookedMs(all.length) + before * UNLOOKED_STAGGER_MS;
   };
   const serveRank = async (order: RankOrder): ReturnType<RankGate['serve']> => {
     if (order.kind === 'look') {
--- a/src/group/consts.ts
+++ b/src/group/consts.ts
@@ -20,7 +20,17 @@
 /** An agent that is silent for so long while a switch is open is acted for, ms: callers leave after 2 s. */
 export const SILENT_MS = 150;
 /** An agent that nobody has looked at for this long begins to coordinate, ms. */
-export const UNLOOKED_MS = 500;
+const UNLOOKED_MS = 500;
+/** The same where most looks ask a sample only, ms: two looks at all ranks may be late. */
+const UNLOOKED_LARGE_MS = 2.5 * WHOLE_LOOK_MS;
+/**
+ * Time without a look after which an agent of a group of so many ranks begins to coordinate, ms.
+ * @example unlookedMs(12) // 500
+ */
+export function unlookedMs(ranks: number): number {
+  return ranks > SAMPLE_RANKS ? UNLOOKED_LARGE_MS : UNLOOKED_MS;
+}
+
 /** Further wait for each agent before this one in order of address, ms: one begins, not all. */
 export const UNLOOKED_STAGGER_MS = 120;
 /**
--- a/test/group/group-looks.test.ts
+++ b/test/group/group-looks.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { RankOrder, RankReply } from '../../src/core/groups/index.js';
-import { SAMPLE_RANKS, WHOLE_LOOK_MS } from '../../src/group/consts.js';
+import { LOOK_MS, SAMPLE_RANKS, unlookedMs, WHOLE_LOOK_MS } from '../../src/group/consts.js';
 import { GroupLooks, sampleOf, type Sighting } from '../../src/group/group-looks.js';
 
 interface Group {
@@ -112,3 +112,8 @@
   assert.ok(seen.kind === 'unseen');
   assert.equal(seen.replies[1], undefined);
 });
+
+test('no agent begins to coordinate between two looks at all ranks that come in time', () => {
+  assert.ok(unlookedMs(63) > 2 * WHOLE_LOOK_MS + LOOK_MS);
+  assert.equal(unlookedMs(12), 500);
+});
