Let callers that come back go first and outlast an outage; one set of functions for a callers' interface

Callers of streams say how long they still wait, and wait up to 2 s for an event. Change: who says that it waits much less than others of its route has been refused before; it goes first, may wait 1.5 s, also for the end of an outage, and is then answered at once. What an interface does in its own way is one set of functions (CallerInterface), so that the product's own can use this path. Not measured yet.

--- a/src/core/limits/turn-queue.ts
+++ b/src/core/limits/turn-queue.ts
@@ -1,5 +1,11 @@
 /** Turns for a limited number of places; who cannot have one in time is refused at once. */
 
+/**
+ * Requests that may wait, as a share of the places: no more than come free in a tenth of a second, or
+ * most would wait for nothing.
+ */
+const WAITING_SHARE = 0.25;
+
 interface Waiting {
   readonly priority: number;
   readonly give: (got: boolean) => void;
@@ -25,16 +31,21 @@
 
   /**
    * Takes a place, waiting for `waitMs` at most; false when there is none in time or the signal aborts.
-   * A place that was taken must be given back with `release`.
+   * A place that was taken must be given back with `release`. `waitingShare` tells how many may wait
+   * before this one is turned away, as a share of the places.
    * @example if (!(await turns.take(0, 110, gone))) return refuse();
    */
-  take(priority: number, waitMs: number, gone: AbortSignal): Promise<boolean> {
+  take(
+    priority: number,
+    waitMs: number,
+    gone: AbortSignal,
+    waitingShare = WAITING_SHARE,
+  ): Promise<boolean> {
     if (this.taken < this.allowed() && this.waiting.length === 0) {
       this.taken += 1;
       return Promise.resolve(true);
     }
-    // No more may wait than places come free in that time, or most would wait for nothing.
-    if (this.waiting.length >= Math.max(1, Math.ceil(this.allowed() / 4)))
+    if (this.waiting.length >= Math.max(1, Math.ceil(this.allowed() * waitingShare)))
       return Promise.resolve(false);
     return new Promise((resolve) => {
       const leave = (): void => entry.give(false);
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -4,7 +4,7 @@
 import { Err, Ok, type Result } from '../core/result/index.js';
 import { wasNotSent } from '../rpc/connection.js';
 import type { EndpointState } from './endpoints.js';
-import type { AnswerHead, AttemptFault, GatewayRequest, HeaderCodec } from './types.js';
+import type { AnswerHead, AttemptFault, GatewayRequest, CallerInterface } from './types.js';
 
 /** An answer whose head has been read and checked; its body has yet to come. */
 export interface Answer {
@@ -16,7 +16,7 @@
 
 /** What an attempt needs to know. */
 export interface AttemptOptions {
-  readonly codec: HeaderCodec;
+  readonly callers: CallerInterface;
   readonly request: GatewayRequest;
   readonly target: EndpointState;
   /** Time that is left, ms. */
@@ -49,12 +49,17 @@
   return undefined;
 }
 
+function pathOf(callers: CallerInterface, request: GatewayRequest): string {
+  const url = request.req.url ?? '/';
+  return callers.pathAt?.(url) ?? url;
+}
+
 /**
  * Sends one attempt. An error tells whether the request may have run.
  * @example const sent = await sendAttempt(options); if (sent.ok) await relay(sent.val);
  */
 export async function sendAttempt(options: AttemptOptions): Promise<Result<Answer, AttemptFault>> {
-  const { codec, request, target } = options;
+  const { callers, request, target } = options;
   const ending = new AbortController();
   const drop = (): void => ending.abort();
   const onGone = (): void => ending.abort();
@@ -67,8 +72,8 @@
   try {
     const res = await target.pool.request({
       method: request.req.method as Dispatcher.HttpMethod,
-      path: request.req.url ?? '/',
-      headers: codec.writeAttempt(request.req.headers, {
+      path: pathOf(callers, request),
+      headers: callers.writeAttempt(request.req.headers, {
         endpoint: target.endpoint,
         organisation: request.organisation?.id,
         deadlineMs: Math.max(1, Math.floor(options.leftMs)),
@@ -79,7 +84,7 @@
     });
     // A body that breaks off while nobody reads it must not end the process.
     res.body.on('error', () => undefined);
-    const head = codec.readAnswer(res.statusCode, res.headers);
+    const head = callers.readAnswer(res.statusCode, res.headers);
     const wrong = checkHead(head, request, drop);
     if (!wrong) return Ok({ head, body: res.body, drop });
     await res.body.dump().catch(() => drop());
--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -34,6 +34,16 @@
 /** Part of the target for which a request may wait for its turn: held longer, a refusal costs. */
 export const QUEUE_TARGET_SHARE = 0.22;
 
+/**
+ * Time for which a caller that came back may wait for its turn, ms: a second refusal ends its request.
+ * Callers of streams leave after 2 s without an event, and the first one takes 0.2 to 0.4 s.
+ */
+export const RETURNING_WAIT_MS = 1500;
+/** Places that callers who came back may wait for, as a share of all: each comes free within 1.5 s. */
+export const RETURNING_WAITING_SHARE = 1;
+/** Priority of callers that came back, before all others. */
+export const RETURNING_PRIORITY = -1;
+
 /** Retry-After of a refusal for want of room, s, lower and upper end: spreads those who return. */
 export const BUSY_RETRY_S = { least: 1.0, most: 2.5 } as const;
 /**
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -14,12 +14,12 @@
 import type { EngineSight, GroupSize } from './group-sight.js';
 import type { ServiceState } from './serve-request.js';
 import { Turns } from './turns.js';
-import type { GatewaySettings, HeaderCodec } from './types.js';
+import type { CallerInterface, GatewaySettings } from './types.js';
 
 /** What a gateway is made from. */
 export interface GatewayParts {
   readonly settings: GatewaySettings;
-  readonly codec: HeaderCodec;
+  readonly callers: CallerInterface;
   readonly state: PublishedState;
   readonly clock: Clock;
   readonly random: () => number;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -45,7 +45,7 @@
  * @example const gateway = createGateway(ctx); gateway.server.listen(8227, '10.1.0.40');
  */
 export function createGateway(ctx: GatewayContext): Gateway {
-  const { clock, state, log, metrics, settings } = ctx;
+  const { callers, clock, state, log, metrics, settings } = ctx;
   let running = 0;
   let stoppingAtMs: number | undefined;
 
@@ -82,13 +82,16 @@
   }
 
   /** Checks what can be checked before the body is read. */
-  function checkHead(head: CallerHead, path: string): Result<Admitted, Refusal> {
+  function checkHead(head: CallerHead, req: IncomingMessage): Result<Admitted, Refusal> {
     const { config } = state;
     if (!config)
       return refusal('no-config', 'no configuration has been read yet', ELSEWHERE_RETRY_S);
     if (refusesAll()) return refusal('stopping', 'this entry is stopping', ELSEWHERE_RETRY_S);
     if (head.requestId === undefined) return refusal('id-missing', 'send a request id');
-    const route = findRoute(config, head.host, path);
+    if (head.invalid !== undefined) return refusal('header-invalid', head.invalid);
+    const route = callers.routeOf
+      ? callers.routeOf(config, head, req)
+      : findRoute(config, head.host, req.url ?? '/');
     if (!route) {
       // A route may have been added since; only a fresh configuration can say that there is none.
       const ageMs = state.proofAgeMs(clock.nowMs());
@@ -135,14 +138,14 @@
       detail:
         end.kind === 'refused' ? end.refusal.detail : end.kind === 'cut' ? end.detail : undefined,
     });
-    if (end.kind === 'refused') refuse(res, metrics, end.refusal);
+    if (end.kind === 'refused') refuse(res, metrics, end.refusal, callers.describe);
     // A stream that cannot go on must not look whole: its connection is closed instead.
     if (end.kind === 'cut' || end.kind === 'gone') res.destroy();
   }
 
   async function serveCaller(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedAtMs = clock.nowMs();
-    const head = ctx.codec.readCaller(req.headers);
+    const head = callers.readCaller(req.headers);
     const id = head.requestId ?? 'none';
     const note: RequestNote = {
       service: '',
@@ -153,13 +156,14 @@
       events: 0,
     };
     if (isStopping()) res.setHeader('connection', 'close');
-    const admitted = checkHead(head, req.url ?? '/');
+    const admitted = checkHead(head, req);
     if (admitted.err) {
       // What is left of the body must not be taken for the next request.
       if (!req.complete) req.resume();
       return finish(undefined, id, res, { kind: 'refused', refusal: admitted.val }, note);
     }
     const { config, route, organisation } = admitted.val;
+    if (callers.answer?.(config, req, res)) return;
     const gone = new AbortController();
     res.on('close', () => {
       if (!res.writableFinished) gone.abort();
@@ -186,10 +190,28 @@
           : { kind: 'refused', refusal: { reason, detail: body.val.message, close: true } };
       return finish(request, id, res, end, note);
     }
-    const end = await withinRouteTime(request, serveRequest(ctx, request, note), note);
+    const end = await serveAdmitted(config, request, note);
     finish(request, id, res, end, note);
   }
 
+  /** Serves a request whose body has come, once its interface lets it. */
+  async function serveAdmitted(
+    config: PublishedConfig,
+    request: GatewayRequest,
+    note: RequestNote,
+  ): Promise<RequestEnd> {
+    const route = callers.routeByBody?.(config, request.route, request.body) ?? Ok(request.route);
+    if (route.err) return { kind: 'refused', refusal: route.val };
+    const routed = { ...request, route: route.val };
+    const admitted = callers.admit?.(routed);
+    if (admitted?.err) return { kind: 'refused', refusal: admitted.val };
+    try {
+      return await withinRouteTime(routed, serveRequest(ctx, routed, note), note);
+    } finally {
+      admitted?.val();
+    }
+  }
+
   /** The request's end, or the route's time being over, whichever is first. */
   async function withinRouteTime(
     request: GatewayRequest,
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -18,7 +18,7 @@
 import { createContext, type GatewayContext } from './context.js';
 import { createGateway, type Gateway } from './gateway.js';
 import { GroupSight } from './group-sight.js';
-import type { GatewaySettings, HeaderCodec, ListenAddress } from './types.js';
+import type { CallerInterface, GatewaySettings, ListenAddress } from './types.js';
 
 /** Port of the metrics address; the deploy file names it too. */
 const METRICS_PORT = 9464;
@@ -33,7 +33,7 @@
   readonly settings: GatewaySettings;
   readonly reread: () => Result<GatewaySettings, HarriergladeError>;
   readonly source: PublishedSource;
-  readonly codec: HeaderCodec;
+  readonly callers: CallerInterface;
   /** Path at which the platform asks whether callers may be sent here. */
   readonly readyPath: string;
 }
@@ -71,7 +71,7 @@
   const ctx: GatewayContext = createContext({
     ...shared,
     settings,
-    codec: parts.codec,
+    callers: parts.callers,
     sightOf: (endpoint) => groups.of(endpoint),
     groupSize: (service) => groups.sizeOf(service),
   });
--- a/src/gateway/refuse.ts
+++ b/src/gateway/refuse.ts
@@ -15,6 +15,7 @@
   'body-late': { status: 408, notRun: true },
   'host-missing': { status: 400, notRun: true },
   'id-missing': { status: 400, notRun: true },
+  'header-invalid': { status: 400, notRun: true },
   'route-unknown': { status: 404, notRun: true },
   'key-unknown': { status: 401, notRun: true },
   'body-large': { status: 413, notRun: true },
@@ -36,20 +37,29 @@
   readonly close?: boolean;
 }
 
+function asText(refusal: Refusal): { type: string; text: string } {
+  return { type: 'text/plain', text: `${refusal.reason}: ${refusal.detail}\n` };
+}
+
 /**
  * Writes a final answer of our own; false when the caller is no longer there to get it.
  * @example refuse(res, metrics, { reason: 'busy', detail: '8 of 8 places', retryAfterS: 1 });
  */
-export function refuse(res: ServerResponse, metrics: Metrics, refusal: Refusal): boolean {
+export function refuse(
+  res: ServerResponse,
+  metrics: Metrics,
+  refusal: Refusal,
+  describe = asText,
+): boolean {
   metrics.count('refusals_total', { reason: refusal.reason });
   if (res.headersSent || res.destroyed) {
     res.destroy();
     return false;
   }
   const { status } = REFUSALS[refusal.reason];
-  const text = `${refusal.reason}: ${refusal.detail}\n`;
+  const { type, text } = describe(refusal);
   res.writeHead(status, {
-    'content-type': 'text/plain',
+    'content-type': type,
     'content-length': Buffer.byteLength(text),
     ...(refusal.retryAfterS !== undefined && { 'retry-after': refusal.retryAfterS.toFixed(2) }),
     ...(refusal.close && { connection: 'close' }),
--- a/src/gateway/serve-request.ts
+++ b/src/gateway/serve-request.ts
@@ -5,11 +5,15 @@
 import { sendAttempt, type Answer } from './attempt.js';
 import {
   BUSY_RETRY_S,
+  DEFAULT_DEADLINE_MS,
   ELSEWHERE_RETRY_S,
   FINAL_ANSWER_MS,
   LEAST_ATTEMPT_MS,
   OUTAGE_RETRY_S,
   QUEUE_TARGET_SHARE,
+  RETURNING_PRIORITY,
+  RETURNING_WAIT_MS,
+  RETURNING_WAITING_SHARE,
   SILENCE_FACTOR,
   STREAM_SILENCE_MS,
 } from './consts.js';
@@ -208,7 +212,7 @@
   ctx.endpoints.noteSent(target);
   try {
     const sent = await sendAttempt({
-      codec: ctx.codec,
+      callers: ctx.callers,
       request,
       target,
       leftMs: leftMs(work),
@@ -292,18 +296,8 @@
   };
   const { turns } = service;
   if (!turns) return runAttempts(work);
-  if (request.route.gapMs !== undefined) turns.allowPauses(request.route.gapMs);
-  const askedAtMs = ctx.clock.nowMs();
-  if (turns.outage.refuses(askedAtMs))
-    return refused('outage', 'no endpoint of the service serves', outageRetryS(ctx));
-  const waitMs = Math.min(request.route.targetMs * QUEUE_TARGET_SHARE, leftMs(work));
-  const priority = request.organisation?.priority ?? request.route.priority;
-  const got = await turns.queue.take(priority, waitMs, request.gone);
-  note.queuedMs = ctx.clock.nowMs() - askedAtMs;
-  if (!got) {
-    if (request.gone.aborted) return { kind: 'gone' };
-    return refused('busy', turns.describe(), busyRetryS(ctx));
-  }
+  const refusal = await takeTurn(work, turns);
+  if (refusal) return refusal;
   try {
     return await runAttempts(work);
   } finally {
@@ -312,3 +306,36 @@
     note.longestPauseMs = work.progress.longestPauseMs;
   }
 }
+
+/**
+ * Takes one of this entry's places at a group; its end when there is none in time. Who was refused before
+ * goes first and waits longer, also for the end of an outage: another refusal would be its last answer.
+ */
+async function takeTurn(work: Work, turns: Turns): Promise<RequestEnd | undefined> {
+  const { ctx, request, note } = work;
+  const { route, gone } = request;
+  if (route.gapMs !== undefined) turns.allowPauses(route.gapMs);
+  const askedAtMs = ctx.clock.nowMs();
+  const isReturning = turns.isReturning(route.id, request.head.deadlineMs ?? DEFAULT_DEADLINE_MS);
+  const patienceMs = isReturning ? RETURNING_WAIT_MS : route.targetMs * QUEUE_TARGET_SHARE;
+  const waitMs = Math.min(patienceMs, leftMs(work));
+  const isOut = isReturning
+    ? !(await turns.outlast(waitMs, gone))
+    : turns.outage.refuses(askedAtMs);
+  note.queuedMs = ctx.clock.nowMs() - askedAtMs;
+  if (gone.aborted) return { kind: 'gone' };
+  if (isOut) return refused('outage', 'no endpoint of the service serves', outageRetryS(ctx));
+  const priority = request.organisation?.priority ?? route.priority;
+  const got = isReturning
+    ? await turns.queue.take(
+        RETURNING_PRIORITY,
+        waitMs - note.queuedMs,
+        gone,
+        RETURNING_WAITING_SHARE,
+      )
+    : await turns.queue.take(priority, waitMs, gone);
+  note.queuedMs = ctx.clock.nowMs() - askedAtMs;
+  if (got) return undefined;
+  if (gone.aborted) return { kind: 'gone' };
+  return refused('busy', turns.describe(), busyRetryS(ctx));
+}
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -4,9 +4,12 @@
 import type {
   DataCentreId,
   Organisation,
+  PublishedConfig,
   PublishedEndpoint,
   Route,
 } from '../core/published/index.js';
+import type { Result } from '../core/result/index.js';
+import type { Refusal } from './refuse.js';
 
 /** Where a server listens. */
 export interface ListenAddress {
@@ -57,6 +60,8 @@
   readonly resumeAfter: number | undefined;
   /** Tokens of the prompt and, at most, of the answer. */
   readonly tokens: { readonly prompt: number; readonly answer: number } | undefined;
+  /** What is wrong with a header, and the remedy. */
+  readonly invalid?: string;
 }
 
 /** What an entry adds to a request for one attempt. */
@@ -84,6 +89,33 @@
   readonly headers: Record<string, string | string[]>;
 }
 
+/**
+ * What one interface towards callers and endpoints does in its own way. Only headers are needed; where a
+ * function is missing, routes are found by host and prefix, and refusals are plain text.
+ */
+export interface CallerInterface extends HeaderCodec {
+  /** The route of a request by its head. */
+  readonly routeOf?: (
+    config: PublishedConfig,
+    head: CallerHead,
+    req: IncomingMessage,
+  ) => Route | undefined;
+  /** The route where the body names it; an error is the final answer. */
+  readonly routeByBody?: (
+    config: PublishedConfig,
+    route: Route,
+    body: Buffer,
+  ) => Result<Route, Refusal>;
+  /** Answers a request that needs no endpoint; false when it is none of these. */
+  readonly answer?: (config: PublishedConfig, req: IncomingMessage, res: ServerResponse) => boolean;
+  /** The path of a request at its endpoint. */
+  readonly pathAt?: (url: string) => string;
+  /** Whether a request may run now; an error refuses it. What it returns is called at the request's end. */
+  readonly admit?: (request: GatewayRequest) => Result<() => void, Refusal>;
+  /** The body of a refusal. */
+  readonly describe?: (refusal: Refusal) => { readonly type: string; readonly text: string };
+}
+
 /** Reads and writes the headers of one interface; decides nothing. */
 export interface HeaderCodec {
   readonly readCaller: (headers: IncomingHttpHeaders) => CallerHead;
--- a/test/core/limits/limits.test.ts
+++ b/test/core/limits/limits.test.ts
@@ -126,6 +126,19 @@
   assert.deepEqual(order, ['urgent', 'usual']);
 });
 
+test('who came back waits before all others, and more of them may wait', async () => {
+  const turns = new TurnQueue(() => 4);
+  for (let i = 0; i < 4; i += 1) await turns.take(1, 10, never);
+  const order: string[] = [];
+  const first = turns.take(0, 500, never).then((got) => order.push(`first ${got}`));
+  const back = turns.take(-1, 500, never, 1).then((got) => order.push(`back ${got}`));
+  turns.release();
+  await back;
+  turns.release();
+  await first;
+  assert.deepEqual(order, ['back true', 'first true']);
+});
+
 test('who waits gets a place as soon as more are allowed', async () => {
   let allowed = 1;
   const turns = new TurnQueue(() => allowed);
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -143,7 +143,7 @@
   const lines: GatewayUnderTest['lines'] = [];
   const ctx = createContext({
     settings: SETTINGS,
-    codec: platformHeaders,
+    callers: platformHeaders,
     state,
     clock,
     random: seededRandom(1),
