Put the product's own interface on the one request path; remove the hop through agents

Cause: the request path stood twice. What went, each with its tests: - the data hop through an agent, with its attempts, cancels and tombstones (src/entry, src/agent/run-*, rpc/attempt, spec/attempt): an entry calls the endpoint, and closing the connection cancels; - homes, inquiries and the ledger of keys (core/ledger, membership/homes, spec/once): each attempt of a caller has its own id and is sent once, again only after proof that it did not run. What stays and why: admission by organisations' shares and events, documents and their relays, the rank's part of the own interface's agents (docs/DESIGN.md). Change: src/caller-api is the product's own interface as functions for the gateway; src/daemon starts it. One table of error kinds; settings of the gateway apart from those of an instance. An unknown key is answered 401 like a missing one (it was 403): RFC 9110 asks for it, and both interfaces now agree.

--- a/fakes/model-engine/group.ts
+++ b/fakes/model-engine/group.ts
@@ -88,7 +88,7 @@
     let tokens = 0;
     for (const rank of this.ranks) {
       rank.enterStep(next);
-      tokens += rank.advance(now);
+      tokens += rank.advance();
     }
     const skew = tokens > 0 ? this.spread(tokens) : 1;
     for (const rank of this.ranks) {
--- a/src/agent/index.ts
+++ b/src/agent/index.ts
@@ -1,1 +1,2 @@
-export * from './agent.js';
+export * from './endpoint.js';
+export * from './rank.js';
--- a/src/agent/rank.ts
+++ b/src/agent/rank.ts
@@ -79,7 +79,7 @@
   async function callRank(group: GroupConfig, rank: number, order: RankOrder): Promise<RankReply> {
     const target = group.endpoints[rank] ?? '';
     if (target === settings.id) return gate.serve(order);
-    const address = ctx.view().byEndpoint.get(target)?.address;
+    const address = ctx.view().agentByEndpoint.get(target)?.address;
     if (!address) throw new Error(`the list names no agent of ${target}`);
     return ctx.peers.at(address).rank.mutate(order, { signal: AbortSignal.timeout(ORDER_MS) });
   }
@@ -88,7 +88,7 @@
   async function earlierRankLives(group: GroupConfig): Promise<boolean> {
     const earlier = group.endpoints.slice(0, rankIndex());
     for (const endpointId of earlier) {
-      const address = ctx.view().byEndpoint.get(endpointId)?.address;
+      const address = ctx.view().agentByEndpoint.get(endpointId)?.address;
       if (!address) continue;
       try {
         const hello = await ctx.peers
--- a/src/cli/explain/index.ts
+++ b/src/cli/explain/index.ts
@@ -1,16 +1,8 @@
 /** `harrierglade explain`: why a request went where it did. */
-import type { DecisionNote } from '../../entry/explain.js';
+import type { DecisionNote } from '../../caller-api/decisions.js';
+import { formatLine } from '../../core/logging/index.js';
 import { fetchJson, operatorsUrl, print } from '../shared/io.js';
 
-function render(note: DecisionNote): string {
-  const head = `${note.id} ${note.organisation} ${note.target}: ${note.end} ${note.outcome}`;
-  const attempts = note.attempts.map((a) => {
-    const weighed = a.weighed.map((w) => `${w.id} ${Math.round(w.predictedMs)} ms`).join(', ');
-    return `  ${a.endpoint}: ${a.result}${weighed ? ` (predicted: ${weighed})` : ' (home of its key)'}`;
-  });
-  return [head, ...attempts].join('\n');
-}
-
 /** Runs the command. */
 export async function explain(
   address: string,
@@ -21,5 +13,5 @@
   const data = (await fetchJson(`${operatorsUrl(address)}/explain${query}`)) as
     DecisionNote | DecisionNote[];
   if (options.json) return print(JSON.stringify(data));
-  for (const note of [data].flat()) print(render(note));
+  for (const note of [data].flat()) print(formatLine(note));
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -20,11 +20,7 @@
     'settings, configuration (a document or a bare body) or intent',
     'settings',
   )
-  .option(
-    '--previous <file>',
-    'configuration that the new one replaces: members must stay listed for their retention',
-  )
-  .action(async (file: string, options: { kind: string; previous?: string }) =>
+  .action(async (file: string, options: { kind: string }) =>
     (await import('./check/index.js')).check(file, options),
   );
 program
--- a/src/cli/shared/io.ts
+++ b/src/cli/shared/io.ts
@@ -81,6 +81,6 @@
   }
   const held = await fetchJson(`${operatorsUrl(daemon)}/configuration`);
   const inForce = judgeDocument(held);
-  if (inForce.err) throw new CommandError(notRun('not-ready').message, EXIT.refused);
+  if (inForce.err) throw new CommandError(notRun('no-config').message, EXIT.refused);
   return { newest, doc: inForce.val };
 }
--- a/src/core/config-feed/accept.ts
+++ b/src/core/config-feed/accept.ts
@@ -62,18 +62,9 @@
 }
 
 function serviceFaults(body: ConfigurationBody): string[] {
-  return body.services.flatMap((service) => [
-    ...repeated(
-      `member of service "${service.id}"`,
-      service.members.map((m) => m.endpoint),
-    ),
-    ...service.members
-      .filter((m) => m.removedVersion !== undefined && m.removedVersion <= m.sinceVersion)
-      .map(
-        (m) =>
-          `member "${m.endpoint}" of "${service.id}" is removed before it was added; correct removedVersion`,
-      ),
-  ]);
+  return body.services.flatMap((service) =>
+    repeated(`endpoint of service "${service.id}"`, service.endpoints),
+  );
 }
 
 /**
--- a/src/core/errors/errors.ts
+++ b/src/core/errors/errors.ts
@@ -45,7 +45,7 @@
 
 /**
  * The caller's view of an error.
- * @example toProblem(notRun('leaving')).status // 503
+ * @example toProblem(notRun('stopping')).status // 503
  */
 export function toProblem(err: HarriergladeError): Problem {
   const row: ErrorKind = ERROR_KINDS[err.reason];
@@ -61,14 +61,6 @@
   };
 }
 
-/**
- * Whether a text names a row of the table.
- * @example isReason('leaving') // true
- */
-export function isReason(text: unknown): text is Reason {
-  return typeof text === 'string' && Object.hasOwn(ERROR_KINDS, text);
-}
-
 /**
  * Text of anything thrown, for logs.
  * @example errorText(new Error('reset')) // 'reset'
--- a/src/core/errors/kinds.ts
+++ b/src/core/errors/kinds.ts
@@ -27,7 +27,8 @@
 }
 
 const AGAIN_LATER = 'Send the request again after the time in Retry-After.';
-const SAME_KEY = 'Ask again with the same Idempotency-Key; it cannot run twice.';
+const ELSEWHERE = 'Send the request again at once; another entry takes it.';
+const MAY_HAVE_RUN = 'Find out whether it ran before you send it again, unless it may run twice.';
 
 /** Every reason that a daemon gives; the name is the `reason` label of the counters. */
 export const ERROR_KINDS = {
@@ -74,36 +75,34 @@
     (f) => f,
     'Nothing to do: the daemon keeps the version in force.',
   ),
-  'key-missing': kind(
-    401,
-    'No bearer key',
-    () => 'The request carries no Authorization: Bearer header.',
-    'Send the key of your organisation as Authorization: Bearer.',
+  'no-config': kind(503, 'No configuration yet', (f) => f, ELSEWHERE, 2),
+  'proof-old': kind(503, 'Configuration is not proved to be the newest', (f) => f, ELSEWHERE),
+  stopping: kind(503, 'Entry is stopping', (f) => f, ELSEWHERE, 1),
+  busy: kind(503, 'All places are taken', (f) => f, AGAIN_LATER, 1),
+  outage: kind(503, 'No endpoint serves', (f) => f, AGAIN_LATER, 2),
+  'no-endpoint': kind(503, 'No endpoint can take it', (f) => f, AGAIN_LATER, 2),
+  'not-run': kind(503, 'No endpoint ran it', (f) => f, AGAIN_LATER, 1),
+  'id-missing': kind(400, 'No request id', (f) => f, 'Send an id of its own with each request.'),
+  'route-unknown': kind(
+    404,
+    'No such route',
+    (f) => f,
+    'Check host and path, or ask the operators for the route.',
   ),
   'key-unknown': kind(
-    403,
-    'Unknown bearer key',
-    () => 'No organisation has this key.',
-    'Check the key, or ask the operators to publish its hash.',
-  ),
-  'path-unknown': kind(
-    404,
-    'No such path',
-    (f) => `Nothing is served at ${f}.`,
-    'Use /v1/chat/completions, /v1/models or /services/<service>/….',
+    401,
+    'No or unknown bearer key',
+    (f) => f,
+    'Send the key of your organisation as Authorization: Bearer, or ask the operators to publish it.',
   ),
+  'answer-lost': kind(502, 'Answer was lost on the way', (f) => f, MAY_HAVE_RUN),
+  'time-over': kind(504, 'Not answered in time', (f) => f, MAY_HAVE_RUN),
   'model-unknown': kind(
     404,
     'Unknown model',
     (f) => `No model ${f} is configured.`,
     'Name one of the models that GET /v1/models lists.',
   ),
-  'service-unknown': kind(
-    404,
-    'Unknown service',
-    (f) => `No service ${f} is configured.`,
-    'Name a configured service.',
-  ),
   'body-invalid': kind(
     400,
     'Body is not valid',
@@ -142,93 +141,7 @@
     1,
   ),
   'deadline-passed': kind(504, 'Deadline has passed', (f) => f, 'Allow a longer deadline.'),
-  'not-ready': kind(
-    503,
-    'No configuration yet',
-    () => 'This daemon has read no configuration so far.',
-    AGAIN_LATER,
-    2,
-  ),
-  'no-endpoint': kind(503, 'No endpoint can take it', (f) => f, AGAIN_LATER, 2),
-  'endpoint-full': kind(503, 'Endpoint is full', (f) => f, AGAIN_LATER, 1),
   'retry-budget': kind(503, 'Retry budget is spent', (f) => f, AGAIN_LATER, 2),
-  leaving: kind(
-    503,
-    'Instance is leaving',
-    () => 'The instance takes no new work.',
-    'Send the request to another instance.',
-    1,
-  ),
-  'incarnation-changed': kind(
-    503,
-    'Agent has restarted',
-    (f) => f,
-    'The entry asks again with the new incarnation.',
-    1,
-  ),
-  tombstoned: kind(409, 'Attempt was cancelled before it ran', (f) => f, 'Send a new request.'),
-  'attempt-duplicate': kind(
-    409,
-    'Attempt is known already',
-    (f) => f,
-    'Use a fresh attempt id for each try.',
-  ),
-  'not-member': kind(
-    503,
-    'Endpoint is no home of this key',
-    (f) => f,
-    'The entry tries the key at its home.',
-    1,
-  ),
-  'key-promised': kind(
-    409,
-    'Key was promised away',
-    (f) => f,
-    'Send a new request with a new Idempotency-Key.',
-  ),
-  'key-future': kind(
-    400,
-    'Key lies in the future',
-    (f) => f,
-    'Set the clock that makes your keys.',
-  ),
-  'key-expired': kind(
-    409,
-    'Key is older than what is remembered',
-    (f) => f,
-    'Find out by your own records whether it ran, then use a new key.',
-  ),
-  'key-older-than-agent': kind(
-    503,
-    'Agent restarted after the key was made',
-    (f) => f,
-    'Find out by your own records whether it ran, then use a new key.',
-  ),
-  'home-unreachable': kind(503, 'Home of the key is unreachable', (f) => f, SAME_KEY, 2),
-  'home-silent': kind(503, 'An earlier home of the key is silent', (f) => f, SAME_KEY, 2),
-  'ledger-full': kind(503, 'Ledger is full', (f) => f, AGAIN_LATER, 5),
-  'answer-not-kept': kind(
-    410,
-    'It ran, the answer is no longer kept',
-    (f) => f,
-    'It ran once: read the result from the service itself.',
-  ),
-  'answer-lost': kind(502, 'Answer was lost on the way', (f) => f, SAME_KEY, 1),
-  'answer-large': kind(502, 'Answer is too large', (f) => f, 'Ask for a stream.'),
-  'endpoint-unreachable': kind(502, 'Endpoint does not answer', (f) => f, AGAIN_LATER, 2),
-  'endpoint-broke': kind(502, 'Endpoint broke off', (f) => f, AGAIN_LATER, 1),
-  'stream-broke': kind(
-    502,
-    'Stream broke and could not be resumed',
-    (f) => f,
-    'Send the request again; the text so far is not the whole answer.',
-  ),
-  'order-stale': kind(
-    409,
-    'Order has an old epoch',
-    (f) => f,
-    'Read the newest epoch and start again above it.',
-  ),
 } satisfies Record<string, ErrorKind>;
 
 /** Name of a row. */
--- a/src/core/events/plan.ts
+++ b/src/core/events/plan.ts
@@ -99,7 +99,7 @@
     };
   }
   const service = body.services.find((s) => s.id === surge.target);
-  const endpoints = service?.members.filter((m) => m.removedVersion === undefined).length ?? 0;
+  const endpoints = service?.endpoints.length ?? 0;
   const each = service?.requestsPerSecondPerEndpoint;
   const capacity = each === undefined ? undefined : each * endpoints;
   const shortfall = capacity === undefined ? 0 : Math.max(0, surge.requestsPerSecond - capacity);
--- a/src/core/ledger/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-export * from './ledger.js';
-export * from './types.js';
--- a/src/core/membership/index.ts
+++ b/src/core/membership/index.ts
@@ -1,3 +1,2 @@
-export * from './homes.js';
 export * from './instance-view.js';
 export * from './rendezvous.js';
--- a/src/core/membership/instance-view.ts
+++ b/src/core/membership/instance-view.ts
@@ -10,7 +10,10 @@
   readonly version: number;
   readonly all: readonly ListedInstance[];
   readonly byInstance: ReadonlyMap<string, ListedInstance>;
-  readonly byEndpoint: ReadonlyMap<string, ListedInstance>;
+  /** Agents by the endpoint that they stand beside. */
+  readonly agentByEndpoint: ReadonlyMap<string, ListedInstance>;
+  /** Endpoints that take requests. */
+  readonly endpoints: readonly ListedInstance[];
   /** Entries not leaving, the count by which shares are split. */
   readonly liveEntries: number;
   readonly relayOrder: ReadonlyMap<string, readonly ListedInstance[]>;
@@ -20,7 +23,8 @@
   version: 0,
   all: [],
   byInstance: new Map(),
-  byEndpoint: new Map(),
+  agentByEndpoint: new Map(),
+  endpoints: [],
   liveEntries: 0,
   relayOrder: new Map(),
 };
@@ -28,7 +32,7 @@
 function orderRelays(all: readonly ListedInstance[]): Map<string, ListedInstance[]> {
   const byCentre = new Map<string, ListedInstance[]>();
   for (const instance of all) {
-    if (instance.state !== 'live') continue;
+    if (instance.state !== 'live' || instance.role === 'endpoint') continue;
     const members = byCentre.get(instance.dataCentre);
     if (members) members.push(instance);
     else byCentre.set(instance.dataCentre, [instance]);
@@ -44,16 +48,17 @@
 
 /**
  * Indexes a list.
- * @example buildInstanceView(list).byEndpoint.get('kgl-a-model-1')?.address
+ * @example buildInstanceView(list).agentByEndpoint.get('kgl-a-model-1')?.address
  */
 export function buildInstanceView(list: InstanceList): InstanceView {
   const all = list.instances.map((i) => ({ ...i, address: `${i.host}:${i.port}` }));
-  const agents = all.filter((i) => i.endpoint !== undefined);
+  const agents = all.filter((i) => i.role === 'agent' && i.endpoint !== undefined);
   return {
     version: list.version,
     all,
     byInstance: new Map(all.map((i) => [i.instance, i])),
-    byEndpoint: new Map(agents.map((i) => [i.endpoint as string, i])),
+    agentByEndpoint: new Map(agents.map((i) => [i.endpoint as string, i])),
+    endpoints: all.filter((i) => i.role === 'endpoint' && i.endpoint !== undefined),
     liveEntries: all.filter((i) => i.role === 'entry' && i.state === 'live').length,
     relayOrder: orderRelays(all),
   };
--- a/src/core/metrics/metrics.ts
+++ b/src/core/metrics/metrics.ts
@@ -33,7 +33,7 @@
 
   /**
    * Adds to a counter.
-   * @example metrics.count('refusals_total', { reason: 'leaving' });
+   * @example metrics.count('refusals_total', { reason: 'busy' });
    */
   count(name: string, labels: Labels = {}, by = 1): void {
     const key = seriesKey(name, labels);
--- a/src/core/settings/settings.ts
+++ b/src/core/settings/settings.ts
@@ -74,18 +74,9 @@
   ],
   '/platform': ['url'],
   '/listen': ['callers', 'daemons', 'operators'],
-  '/endpoint': ['id', 'kind', 'url', 'checksFences', 'maxRunning'],
+  '/endpoint': ['id', 'url', 'checksFences'],
   '/limits': ['headerBytes', 'bodyBytes', 'bodyMs', 'streamsPerOrganisation', 'defaultDeadlineMs'],
-  '/timing': [
-    'watchMs',
-    'fallbackMs',
-    'pauseMs',
-    'resumeGraceMs',
-    'drainMs',
-    'clockSkewMs',
-    'startMs',
-    'groupMs',
-  ],
+  '/timing': ['watchMs', 'fallbackMs', 'pauseMs', 'drainMs', 'startMs', 'groupMs'],
 };
 
 function roleFaults(settings: Settings): string[] {
--- /dev/null
+++ b/src/daemon/context.ts
@@ -0,0 +1,69 @@
+/** Makes what the parts of one daemon share. */
+import { Agent as Dispatcher, buildConnector } from 'undici';
+import { pauseDetector, systemClock } from '../core/clock/index.js';
+import { FeedStore } from '../core/config-feed/index.js';
+import { asId, newIncarnation, type InstanceId } from '../core/ids/index.js';
+import { createLog } from '../core/logging/index.js';
+import { buildInstanceView, EMPTY_VIEW, type InstanceView } from '../core/membership/index.js';
+import { Metrics } from '../core/metrics/index.js';
+import type { FullSettings } from '../core/settings/index.js';
+import { CONNECT_MS, createPeers } from '../rpc/index.js';
+import type { DaemonContext } from '../runtime/index.js';
+import type { SocketBytes } from './traffic.js';
+
+/** Time that an idle connection to another daemon is kept, ms. */
+const KEEP_ALIVE_MS = 30_000;
+
+/** Whether the daemon was told to stop. */
+export interface Leaving {
+  told: boolean;
+}
+
+/**
+ * Puts the shared parts together.
+ * @example const ctx = createDaemonContext(settings, { told: false }, countSocketBytes(), signal);
+ */
+export function createDaemonContext(
+  settings: FullSettings,
+  leaving: Leaving,
+  bytes: SocketBytes,
+  signal: AbortSignal,
+): DaemonContext {
+  const clock = systemClock;
+  const startedWallMs = clock.wallMs();
+  const log = createLog(settings.logLevel, { instance: settings.instance, role: settings.role });
+  const metrics = new Metrics();
+  const store = new FeedStore(clock, log, metrics);
+  let view: InstanceView = EMPTY_VIEW;
+  store.onChange(() => {
+    if (store.list && store.list.version !== view.version) view = buildInstanceView(store.list);
+  });
+  const dispatcher = new Dispatcher({
+    connect: bytes.connector(buildConnector({ timeout: CONNECT_MS })),
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    connections: null,
+    pipelining: 1,
+  });
+  const pause = pauseDetector(clock, settings.timing.pauseMs, (gapMs) => {
+    metrics.count('pauses_total');
+    log.warn('process.paused', { gapMs: Math.round(gapMs) });
+  });
+  const listedLeaving = (): boolean => view.byInstance.get(settings.instance)?.state === 'leaving';
+  return {
+    settings,
+    self: asId<InstanceId>(settings.instance),
+    incarnation: newIncarnation(startedWallMs),
+    startedWallMs,
+    clock,
+    random: Math.random,
+    log,
+    metrics,
+    store,
+    view: () => view,
+    peers: createPeers(dispatcher),
+    dispatcher,
+    pause,
+    isLeaving: () => leaving.told || listedLeaving(),
+    signal,
+  };
+}
--- /dev/null
+++ b/src/daemon/entry.ts
@@ -0,0 +1,98 @@
+/** Role entry: the gateway behind the product's own interface, fed by the operators' documents. */
+import {
+  createCallerApi,
+  DecisionRecord,
+  OrganisationLimits,
+  publishedConfig,
+  publishedEndpoints,
+} from '../caller-api/index.js';
+import { PublishedState, type CallerLimits } from '../core/published/index.js';
+import { createContext, createGateway, type Gateway } from '../gateway/index.js';
+import type { DaemonContext } from '../runtime/index.js';
+
+/** Retries that all entries together may make beyond their share, so that a quiet service has some. */
+const RETRY_EXTRA = 480;
+/** Time that a caller may leave a connection idle, ms: longer than clients' own. */
+const IDLE_MS = 65_000;
+/** How often endpoints that are gone are dropped, ms. */
+const PRUNE_MS = 2000;
+
+/** A started entry. */
+export interface Entry {
+  readonly gateway: Gateway;
+  readonly decisions: DecisionRecord;
+  close(): void;
+}
+
+function limitsOf(ctx: DaemonContext): CallerLimits {
+  const { headerBytes, bodyBytes, bodyMs } = ctx.settings.limits;
+  return { headerBytes, bodyBytes, headerMs: bodyMs, idleMs: IDLE_MS };
+}
+
+/** Takes each document and list that the feed accepted into the gateway's state. */
+function follow(ctx: DaemonContext, state: PublishedState): void {
+  ctx.store.onChange(() => {
+    const doc = ctx.store.config;
+    if (!doc) return;
+    const nowMs = ctx.clock.nowMs();
+    state.offerConfig(publishedConfig(doc, limitsOf(ctx)), nowMs);
+    state.offerList(publishedEndpoints(ctx.view(), doc.body), nowMs, 0);
+  });
+}
+
+/**
+ * Starts the parts of an entry.
+ * @example const entry = startEntry(ctx); entry.gateway.server.listen(port);
+ */
+export function startEntry(ctx: DaemonContext): Entry {
+  const { settings, clock, metrics } = ctx;
+  const decisions = new DecisionRecord();
+  const state = new PublishedState();
+  const body = () => ctx.store.config?.body;
+  let sequence = 0;
+  const callers = createCallerApi({
+    body,
+    nextRequestId: () => {
+      sequence += 1;
+      return `${ctx.self}/${ctx.incarnation}/r${sequence}`;
+    },
+    timeoutMs: settings.limits.defaultDeadlineMs,
+    limits: new OrganisationLimits({
+      clock,
+      metrics,
+      body,
+      liveEntries: () => Math.max(1, ctx.view().liveEntries),
+      mostOpen: settings.limits.streamsPerOrganisation,
+    }),
+  });
+  const gatewayCtx = createContext({
+    settings: {
+      // The feed takes no document back, and its keys need no proof of freshness.
+      keyProofMs: Number.POSITIVE_INFINITY,
+      configApplyMs: Number.POSITIVE_INFINITY,
+      bodyMs: settings.limits.bodyMs,
+      parserHeaderBytes: settings.limits.headerBytes,
+      retryExtra: RETRY_EXTRA,
+    },
+    retryShare: () => body()?.policy.retryShare ?? 0,
+    callers,
+    state,
+    clock,
+    random: ctx.random,
+    log: decisions.watch(ctx.log),
+    metrics,
+    sightOf: () => undefined,
+    groupSize: () => undefined,
+  });
+  follow(ctx, state);
+  const pruning = setInterval(() => gatewayCtx.endpoints.prune(), PRUNE_MS);
+  pruning.unref();
+  return {
+    gateway: createGateway(gatewayCtx),
+    decisions,
+    close: () => {
+      clearInterval(pruning);
+      gatewayCtx.endpoints.close();
+    },
+  };
+}
--- a/src/daemon/operators.ts
+++ b/src/daemon/operators.ts
@@ -1,6 +1,6 @@
 /** The operators' address: health, readiness, counters, status and past decisions. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { DecisionRecord } from '../entry/explain.js';
+import type { DecisionRecord } from '../caller-api/index.js';
 import type { DaemonContext } from '../runtime/index.js';
 
 /** Parts that an operator can look into. */
--- a/src/daemon/start.ts
+++ b/src/daemon/start.ts
@@ -2,40 +2,18 @@
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
-import { Agent as Dispatcher, buildConnector } from 'undici';
-import { createAgent, type Agent } from '../agent/index.js';
-import { pauseDetector, sleep, systemClock } from '../core/clock/index.js';
-import { FeedStore, runFeed, type FeedUpdate } from '../core/config-feed/index.js';
-import { asId, newIncarnation, type InstanceId } from '../core/ids/index.js';
-import { Ledger } from '../core/ledger/index.js';
-import { createLog } from '../core/logging/index.js';
-import {
-  buildInstanceView,
-  EMPTY_VIEW,
-  mustAsk,
-  type InstanceView,
-} from '../core/membership/index.js';
-import { Metrics } from '../core/metrics/index.js';
+import { connectEndpoint, startRank, type Rank } from '../agent/index.js';
+import { sleep } from '../core/clock/index.js';
+import { runFeed, type FeedUpdate } from '../core/config-feed/index.js';
 import type { FullSettings } from '../core/settings/index.js';
-import { createEntry, type Entry } from '../entry/index.js';
-import {
-  ATTEMPTS_PATH,
-  buildRouter,
-  CONNECT_MS,
-  createPeers,
-  RPC_PATH,
-  type DaemonCalls,
-} from '../rpc/index.js';
-import type { DaemonContext, Mechanisms } from '../runtime/index.js';
+import { buildRouter, CONNECT_MS, RPC_PATH, type DaemonCalls } from '../rpc/index.js';
+import type { DaemonContext } from '../runtime/index.js';
+import { listen } from '../runtime/listen.js';
+import { createDaemonContext, type Leaving } from './context.js';
+import { startEntry, type Entry } from './entry.js';
 import { createOperatorServer } from './operators.js';
 import { connectPlatform } from './platform-client.js';
-import { countSocketBytes, type SocketBytes } from './traffic.js';
-
-/** What a test may put in place of a part; empty in production. */
-export interface Overrides {
-  readonly connector?: buildConnector.connector;
-  readonly mechanisms?: Partial<Mechanisms>;
-}
+import { countSocketBytes } from './traffic.js';
 
 /** Ports that were opened. */
 export interface DaemonPorts {
@@ -55,68 +33,10 @@
 }
 
 const DRAIN_POLL_MS = 25;
-const DEFAULT_MECHANISMS: Mechanisms = { createLedger: (options) => new Ledger(options), mustAsk };
-
-interface Leaving {
-  told: boolean;
-}
-
-function createContext(
-  settings: FullSettings,
-  overrides: Overrides,
-  leaving: Leaving,
-  bytes: SocketBytes,
-  signal: AbortSignal,
-): DaemonContext {
-  const clock = systemClock;
-  const startedWallMs = clock.wallMs();
-  const incarnation = newIncarnation(startedWallMs);
-  const log = createLog(settings.logLevel, { instance: settings.instance, role: settings.role });
-  const metrics = new Metrics();
-  const store = new FeedStore(clock, log, metrics);
-  let view: InstanceView = EMPTY_VIEW;
-  store.onChange(() => {
-    if (store.list && store.list.version !== view.version) view = buildInstanceView(store.list);
-  });
-  const dispatcher = new Dispatcher({
-    connect: bytes.connector(overrides.connector ?? buildConnector({ timeout: CONNECT_MS })),
-    keepAliveTimeout: 30_000,
-    connections: null,
-    pipelining: 1,
-  });
-  const pause = pauseDetector(clock, settings.timing.pauseMs, (gapMs) => {
-    metrics.count('pauses_total');
-    log.warn('process.paused', { gapMs: Math.round(gapMs) });
-  });
-  const listedLeaving = (): boolean => view.byInstance.get(settings.instance)?.state === 'leaving';
-  return {
-    settings,
-    self: asId<InstanceId>(settings.instance),
-    incarnation,
-    startedWallMs,
-    clock,
-    random: Math.random,
-    log,
-    metrics,
-    store,
-    view: () => view,
-    peers: createPeers(dispatcher),
-    dispatcher,
-    pause,
-    mechanisms: { ...DEFAULT_MECHANISMS, ...overrides.mechanisms },
-    isLeaving: () => leaving.told || listedLeaving(),
-    signal,
-  };
-}
-
-function listen(server: Server, address: { host: string; port: number }): Promise<number> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(address.port, address.host, () =>
-      resolve((server.address() as AddressInfo).port),
-    );
-  });
-}
+/** Largest message between daemons, bytes: a document of thousands of organisations. */
+const MAX_RPC_BYTES = 4 * 1024 * 1024;
+/** Longer than the clients' own, so that a client never writes into a connection just closed. */
+const KEEP_ALIVE_MS = 65_000;
 
 function baseCalls(ctx: DaemonContext): Pick<DaemonCalls, 'hello' | 'feedWatch'> {
   return {
@@ -133,8 +53,8 @@
   };
 }
 
-function createDaemonServer(ctx: DaemonContext, agent: Agent | undefined): Server {
-  const router = buildRouter({ ...baseCalls(ctx), ...agent?.calls });
+function createDaemonServer(ctx: DaemonContext, rank: Rank | undefined): Server {
+  const router = buildRouter({ ...baseCalls(ctx), ...(rank && { rank: rank.serve }) });
   const rpc = createHTTPHandler({
     router,
     basePath: RPC_PATH,
@@ -142,15 +62,44 @@
     onError: ({ error, path }) =>
       ctx.metrics.count('rpc_errors_total', { path: path ?? '', code: error.code }),
   });
-  return createServer({ requestTimeout: 0, keepAliveTimeout: KEEP_ALIVE_MS }, (req, res) => {
-    if (req.url === ATTEMPTS_PATH && agent) return void agent.serveAttempt(req, res);
-    rpc(req, res);
-  });
+  return createServer({ requestTimeout: 0, keepAliveTimeout: KEEP_ALIVE_MS }, rpc);
 }
 
-const MAX_RPC_BYTES = 4 * 1024 * 1024;
-/** Longer than the clients' own, so that a client never writes into a connection just closed. */
-const KEEP_ALIVE_MS = 65_000;
+function startOwnRank(ctx: DaemonContext): Rank | undefined {
+  const { endpoint } = ctx.settings;
+  if (ctx.settings.role !== 'agent' || !endpoint) return undefined;
+  return startRank(ctx, connectEndpoint(ctx.dispatcher, endpoint.url), endpoint);
+}
+
+/** Follows the published documents, through relays where there are some. */
+function startFeed(ctx: DaemonContext): ReturnType<typeof runFeed> {
+  const { settings } = ctx;
+  const { timing } = settings;
+  return runFeed(
+    {
+      self: ctx.self,
+      dataCentre: settings.dataCentre,
+      seeds: settings.peers,
+      watchMs: timing.watchMs,
+      fallbackMs: timing.fallbackMs,
+      startMs: timing.startMs,
+      store: ctx.store,
+      view: ctx.view,
+      platform: connectPlatform(ctx.dispatcher, settings.platform.url),
+      watchPeer: async (address, held, waitMs, signal) => {
+        const timed = AbortSignal.any([signal, AbortSignal.timeout(waitMs + CONNECT_MS * 2)]);
+        return (await ctx.peers
+          .at(address)
+          .feedWatch.query({ ...held, waitMs }, { signal: timed })) as FeedUpdate | undefined;
+      },
+      clock: ctx.clock,
+      random: ctx.random,
+      log: ctx.log,
+      metrics: ctx.metrics,
+    },
+    ctx.signal,
+  );
+}
 
 async function drain(ctx: DaemonContext, running: () => number): Promise<number> {
   const untilMs = ctx.clock.nowMs() + ctx.settings.timing.drainMs;
@@ -164,70 +113,43 @@
   return user + system;
 }
 
+const portOf = (server: Server): number => (server.address() as AddressInfo).port;
+
 /**
  * Starts a daemon; resolves once its addresses are open and the published state was asked for.
  * @example const daemon = await startDaemon(settings); await daemon.stop();
  */
-export async function startDaemon(
-  settings: FullSettings,
-  overrides: Overrides = {},
-): Promise<Daemon> {
+export async function startDaemon(settings: FullSettings): Promise<Daemon> {
   const ending = new AbortController();
   const leaving: Leaving = { told: false };
   const bytes = countSocketBytes();
-  const ctx = createContext(settings, overrides, leaving, bytes, ending.signal);
-  const agent = settings.role === 'agent' ? createAgent(ctx) : undefined;
-  const entry: Entry | undefined = settings.role === 'entry' ? createEntry(ctx) : undefined;
-  const running = agent?.running ?? entry?.running ?? (() => 0);
+  const ctx = createDaemonContext(settings, leaving, bytes, ending.signal);
+  const rank = startOwnRank(ctx);
+  const entry: Entry | undefined = settings.role === 'entry' ? startEntry(ctx) : undefined;
+  const running = (): number => entry?.gateway.running() ?? 0;
 
-  const daemons = createDaemonServer(ctx, agent);
+  const daemons = createDaemonServer(ctx, rank);
   bytes.trackServer(daemons);
   ctx.metrics.gauge('socket_bytes', bytes.total);
   ctx.metrics.gauge('cpu_us', () => processCpuUs());
+  ctx.metrics.gauge('running', running);
   const operators = createOperatorServer({
     ctx,
     running,
     decisions: entry?.decisions,
-    group: agent?.groupStatus,
+    group: rank?.status,
   });
-  const daemonsPort = await listen(daemons, settings.listen.daemons);
-  const operatorsPort = await listen(operators, settings.listen.operators);
-  const { timing } = settings;
-  const feed = runFeed(
-    {
-      self: ctx.self,
-      dataCentre: settings.dataCentre,
-      seeds: settings.peers,
-      watchMs: timing.watchMs,
-      fallbackMs: timing.fallbackMs,
-      startMs: timing.startMs,
-      store: ctx.store,
-      view: ctx.view,
-      platform: connectPlatform(ctx.dispatcher, settings.platform.url),
-      watchPeer: async (address, held, waitMs, signal) => {
-        const timed = AbortSignal.any([signal, AbortSignal.timeout(waitMs + CONNECT_MS * 2)]);
-        return (await ctx.peers
-          .at(address)
-          .feedWatch.query({ ...held, waitMs }, { signal: timed })) as FeedUpdate | undefined;
-      },
-      clock: ctx.clock,
-      random: ctx.random,
-      log: ctx.log,
-      metrics: ctx.metrics,
-    },
-    ending.signal,
-  );
+  await listen(daemons, settings.listen.daemons);
+  await listen(operators, settings.listen.operators);
+  const feed = startFeed(ctx);
   await feed.started;
   // Callers are let in only now: a daemon that knows nothing could only refuse.
-  const callersPort =
-    entry && settings.listen.callers
-      ? await listen(entry.server, settings.listen.callers)
-      : undefined;
-  const work = (agent ?? entry)?.run(ending.signal);
+  if (entry && settings.listen.callers) await listen(entry.gateway.server, settings.listen.callers);
+  const work = rank?.run(ending.signal);
   const ports: DaemonPorts = {
-    callers: callersPort,
-    daemons: daemonsPort,
-    operators: operatorsPort,
+    callers: entry && settings.listen.callers && portOf(entry.gateway.server),
+    daemons: portOf(daemons),
+    operators: portOf(operators),
   };
   ctx.log.info('daemon.started', {
     incarnation: ctx.incarnation,
@@ -238,7 +160,8 @@
   const kill = (): void => {
     ending.abort();
     ctx.pause.stop();
-    for (const server of [entry?.server, daemons, operators]) {
+    entry?.close();
+    for (const server of [entry?.gateway.server, daemons, operators]) {
       server?.close();
       server?.closeAllConnections();
     }
@@ -250,6 +173,7 @@
     kill,
     stop: async () => {
       leaving.told = true;
+      entry?.gateway.stop();
       ctx.log.info('daemon.leaving', { running: running() });
       const cut = await drain(ctx, running);
       ctx.log.info('daemon.stopped', { cut });
--- a/src/entry/index.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export * from './entry.js';
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -74,6 +74,7 @@
       method: request.req.method as Dispatcher.HttpMethod,
       path: pathOf(callers, request),
       headers: callers.writeAttempt(request.req.headers, {
+        requestId: request.id,
         endpoint: target.endpoint,
         organisation: request.organisation?.id,
         deadlineMs: Math.max(1, Math.floor(options.leftMs)),
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -19,6 +19,8 @@
 /** What a gateway is made from. */
 export interface GatewayParts {
   readonly settings: GatewaySettings;
+  /** Retries allowed for each request, by all entries together; asked for at each request. */
+  readonly retryShare: () => number;
   readonly callers: CallerInterface;
   readonly state: PublishedState;
   readonly clock: Clock;
@@ -49,7 +51,7 @@
   const makeService = (id: ServiceId): ServiceState => {
     const engine = (): EngineInfo | undefined => state.config?.services.get(id)?.engine;
     const budget = new RetryBudget(
-      () => settings.retryShare * RETRY_SHARE_USED,
+      () => parts.retryShare() * RETRY_SHARE_USED,
       Math.max(2, settings.retryExtra / RETRY_SHARERS),
     );
     return {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -31,9 +31,6 @@
   isReady(): boolean;
 }
 
-/** Largest header that Node's parser takes; the configuration may allow less. */
-const PARSER_HEADER_BYTES = 64 * 1024;
-
 interface Admitted {
   readonly config: PublishedConfig;
   readonly route: Route;
@@ -138,7 +135,7 @@
       detail:
         end.kind === 'refused' ? end.refusal.detail : end.kind === 'cut' ? end.detail : undefined,
     });
-    if (end.kind === 'refused') refuse(res, metrics, end.refusal, callers.describe);
+    if (end.kind === 'refused') refuse(res, metrics, end.refusal);
     // A stream that cannot go on must not look whole: its connection is closed instead.
     if (end.kind === 'cut' || end.kind === 'gone') res.destroy();
   }
@@ -156,6 +153,7 @@
       events: 0,
     };
     if (isStopping()) res.setHeader('connection', 'close');
+    if (callers.requestIdHeader) res.setHeader(callers.requestIdHeader, id);
     const admitted = checkHead(head, req);
     if (admitted.err) {
       // What is left of the body must not be taken for the next request.
@@ -163,13 +161,14 @@
       return finish(undefined, id, res, { kind: 'refused', refusal: admitted.val }, note);
     }
     const { config, route, organisation } = admitted.val;
-    if (callers.answer?.(config, req, res)) return;
+    if (callers.answer?.(req, res)) return;
     const gone = new AbortController();
     res.on('close', () => {
       if (!res.writableFinished) gone.abort();
     });
     const allowedMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
-    const body = await readBody(req, config.limits.bodyBytes, allowedMs);
+    const bodyMs = Math.min(settings.bodyMs ?? allowedMs, allowedMs);
+    const body = await readBody(req, config.limits.bodyBytes, bodyMs);
     const request: GatewayRequest = {
       id,
       req,
@@ -190,17 +189,13 @@
           : { kind: 'refused', refusal: { reason, detail: body.val.message, close: true } };
       return finish(request, id, res, end, note);
     }
-    const end = await serveAdmitted(config, request, note);
+    const end = await serveAdmitted(request, note);
     finish(request, id, res, end, note);
   }
 
   /** Serves a request whose body has come, once its interface lets it. */
-  async function serveAdmitted(
-    config: PublishedConfig,
-    request: GatewayRequest,
-    note: RequestNote,
-  ): Promise<RequestEnd> {
-    const route = callers.routeByBody?.(config, request.route, request.body) ?? Ok(request.route);
+  async function serveAdmitted(request: GatewayRequest, note: RequestNote): Promise<RequestEnd> {
+    const route = callers.routeByBody?.(request) ?? Ok(request.route);
     if (route.err) return { kind: 'refused', refusal: route.val };
     const routed = { ...request, route: route.val };
     const admitted = callers.admit?.(routed);
@@ -237,7 +232,7 @@
   }
 
   const server = createServer(
-    { maxHeaderSize: PARSER_HEADER_BYTES, requestTimeout: 0 },
+    { maxHeaderSize: settings.parserHeaderBytes, requestTimeout: 0 },
     (req, res) => {
       running += 1;
       req.on('error', () => undefined);
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,3 +1,4 @@
 export * from './context.js';
 export * from './gateway.js';
+export * from './refuse.js';
 export * from './types.js';
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -1,5 +1,5 @@
 /** One gateway process: starts its parts, follows the published state, stops when told to. */
-import { createServer, type Server } from 'node:http';
+import { createServer } from 'node:http';
 import { Agent as HttpAgent } from 'undici';
 import { sleep, systemClock } from '../core/clock/index.js';
 import type { HarriergladeError } from '../core/errors/index.js';
@@ -13,12 +13,13 @@
 } from '../core/published/index.js';
 import type { Result } from '../core/result/index.js';
 import { createPeers } from '../rpc/peers.js';
+import { listen } from '../runtime/listen.js';
 import { watchSettings } from '../runtime/settings-watch.js';
 import { STOP_CUT_MS, STOP_POLL_MS, STOP_SERVING_MS } from './consts.js';
 import { createContext, type GatewayContext } from './context.js';
 import { createGateway, type Gateway } from './gateway.js';
 import { GroupSight } from './group-sight.js';
-import type { CallerInterface, GatewaySettings, ListenAddress } from './types.js';
+import type { CallerInterface, InstanceSettings } from './types.js';
 
 /** Port of the metrics address; the deploy file names it too. */
 const METRICS_PORT = 9464;
@@ -30,21 +31,14 @@
 
 /** What a process is started with. */
 export interface ProcessParts {
-  readonly settings: GatewaySettings;
-  readonly reread: () => Result<GatewaySettings, HarriergladeError>;
+  readonly settings: InstanceSettings;
+  readonly reread: () => Result<InstanceSettings, HarriergladeError>;
   readonly source: PublishedSource;
   readonly callers: CallerInterface;
   /** Path at which the platform asks whether callers may be sent here. */
   readonly readyPath: string;
 }
 
-function listen(server: Server, address: ListenAddress): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(address.port, address.host, resolve);
-  });
-}
-
 /**
  * Starts an entry.
  * @example await startProcess({ settings, reread, source, codec, readyPath: '/ready' });
@@ -70,7 +64,8 @@
   });
   const ctx: GatewayContext = createContext({
     ...shared,
-    settings,
+    settings: settings.gateway,
+    retryShare: () => settings.retryShare,
     callers: parts.callers,
     sightOf: (endpoint) => groups.of(endpoint),
     groupSize: (service) => groups.sizeOf(service),
@@ -92,7 +87,7 @@
   gateway: Gateway,
   metrics: Metrics,
 ): Promise<void> {
-  const { listen: addresses, ip } = parts.settings;
+  const { callers, ready: readyAddress, ip } = parts.settings;
   const ready = createServer((req, res) => {
     const ok = req.url === parts.readyPath && gateway.isReady();
     res.writeHead(ok ? 200 : 503, { 'content-length': 0 }).end();
@@ -102,13 +97,13 @@
     res.writeHead(found ? 200 : 404, { 'content-type': 'text/plain; version=0.0.4' });
     res.end(found ? metrics.print() : '');
   });
-  if (addresses.callers) await listen(gateway.server, addresses.callers);
-  if (addresses.ready) await listen(ready, addresses.ready);
+  if (callers) await listen(gateway.server, callers);
+  if (readyAddress) await listen(ready, readyAddress);
   await listen(figures, { host: ip, port: METRICS_PORT });
 }
 
 /** Sends callers elsewhere, lets what runs finish, and returns before the process would be killed. */
-async function stop(gateway: Gateway, settings: GatewaySettings, log: Log): Promise<void> {
+async function stop(gateway: Gateway, settings: InstanceSettings, log: Log): Promise<void> {
   const startedAtMs = systemClock.nowMs();
   const tookMs = (): number => systemClock.nowMs() - startedAtMs;
   gateway.stop();
--- a/src/gateway/refuse.ts
+++ b/src/gateway/refuse.ts
@@ -1,68 +1,42 @@
 /** Final answers of the entry's own: what they promise must be true. */
 import type { ServerResponse } from 'node:http';
+import { ERROR_KINDS, notRun, toProblem, unknown, type Reason } from '../core/errors/index.js';
 import type { Metrics } from '../core/metrics/index.js';
 
-/** Why a request ended with an answer of our own. `not-run` reasons promise that it never will. */
-export const REFUSALS = {
-  'no-config': { status: 503, notRun: true },
-  'proof-old': { status: 503, notRun: true },
-  stopping: { status: 503, notRun: true },
-  busy: { status: 503, notRun: true },
-  outage: { status: 503, notRun: true },
-  'no-endpoint': { status: 503, notRun: true },
-  'not-run': { status: 503, notRun: true },
-  'retry-budget': { status: 503, notRun: true },
-  'body-late': { status: 408, notRun: true },
-  'host-missing': { status: 400, notRun: true },
-  'id-missing': { status: 400, notRun: true },
-  'header-invalid': { status: 400, notRun: true },
-  'route-unknown': { status: 404, notRun: true },
-  'key-unknown': { status: 401, notRun: true },
-  'body-large': { status: 413, notRun: true },
-  'answer-lost': { status: 502, notRun: false },
-  'time-over': { status: 504, notRun: false },
-} as const;
-
-/** Name of a final answer of our own; a label of the counters. */
-export type RefusalReason = keyof typeof REFUSALS;
+/** Reasons after which a request may have run; every other one promises that it never will. */
+const MAY_HAVE_RUN: ReadonlySet<Reason> = new Set(['answer-lost', 'time-over']);
 
 /** A final answer of our own. */
 export interface Refusal {
-  readonly reason: RefusalReason;
-  /** What was seen, for the log. */
+  readonly reason: Reason;
+  /** What was seen, for the log and the caller. */
   readonly detail: string;
-  /** When to come back, s; undefined where coming back does not help. */
+  /** When to come back, s; undefined for what the reason says. */
   readonly retryAfterS?: number;
   /** Whether the connection is closed, so that the caller comes back to another entry. */
   readonly close?: boolean;
 }
 
-function asText(refusal: Refusal): { type: string; text: string } {
-  return { type: 'text/plain', text: `${refusal.reason}: ${refusal.detail}\n` };
-}
-
 /**
  * Writes a final answer of our own; false when the caller is no longer there to get it.
  * @example refuse(res, metrics, { reason: 'busy', detail: '8 of 8 places', retryAfterS: 1 });
  */
-export function refuse(
-  res: ServerResponse,
-  metrics: Metrics,
-  refusal: Refusal,
-  describe = asText,
-): boolean {
-  metrics.count('refusals_total', { reason: refusal.reason });
+export function refuse(res: ServerResponse, metrics: Metrics, refusal: Refusal): boolean {
+  const { reason, detail, retryAfterS, close } = refusal;
+  const outcome = MAY_HAVE_RUN.has(reason) ? 'unknown' : 'not-run';
+  metrics.count('refusals_total', { reason, outcome });
   if (res.headersSent || res.destroyed) {
     res.destroy();
     return false;
   }
-  const { status } = REFUSALS[refusal.reason];
-  const { type, text } = describe(refusal);
-  res.writeHead(status, {
-    'content-type': type,
+  const make = outcome === 'unknown' ? unknown : notRun;
+  const problem = toProblem(make(reason, detail, retryAfterS));
+  const text = JSON.stringify(problem);
+  res.writeHead(ERROR_KINDS[reason].status, {
+    'content-type': 'application/problem+json',
     'content-length': Buffer.byteLength(text),
-    ...(refusal.retryAfterS !== undefined && { 'retry-after': refusal.retryAfterS.toFixed(2) }),
-    ...(refusal.close && { connection: 'close' }),
+    ...(problem.retryAfterS !== undefined && { 'retry-after': problem.retryAfterS.toFixed(2) }),
+    ...(close && { connection: 'close' }),
   });
   res.end(text);
   return true;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -17,36 +17,38 @@
   readonly port: number;
 }
 
-/** Settings of one gateway process, whatever file they were read from. Durations in ms. */
+/** Settings of a gateway, whatever file they were read from. Durations in ms. */
 export interface GatewaySettings {
+  /** Longest time that a key may be honoured after it was taken away. */
+  readonly keyProofMs: number;
+  /** Time within which a change must be in force. */
+  readonly configApplyMs: number;
+  /** Time that a caller has to send its body; where it is missing, all the time of its request. */
+  readonly bodyMs?: number;
+  /** Largest header that is read at all, bytes. */
+  readonly parserHeaderBytes: number;
+  /** Retries allowed beyond the share of first attempts, by all entries together. */
+  readonly retryExtra: number;
+}
+
+/** Settings of one process on an instance without a disk, whatever file they were read from. */
+export interface InstanceSettings {
   readonly instance: InstanceId;
   readonly ip: string;
   readonly dataCentre: DataCentreId;
   readonly store: ListenAddress;
-  readonly listen: {
-    readonly callers: ListenAddress | undefined;
-    readonly ready: ListenAddress | undefined;
-    readonly control: ListenAddress | undefined;
-  };
+  readonly callers: ListenAddress | undefined;
+  /** Where the platform asks whether callers may be sent here. */
+  readonly ready: ListenAddress | undefined;
   /** Port on which daemons talk to each other; the same on all instances. */
   readonly internalPort: number;
-  /** Addresses of daemons to meet first, host:port. */
-  readonly seeds: readonly string[];
   /** The endpoint beside which this process runs. */
   readonly ownEndpoint: ListenAddress | undefined;
-  /** Longest time that a key may be honoured after it was taken away. */
-  readonly keyProofMs: number;
-  /** Time within which a change must be in force. */
-  readonly configApplyMs: number;
-  /** Time from the signal to stop until the process is killed. */
+  /** Time from the signal to stop until the process is killed, ms. */
   readonly stopMs: number;
-  /** Retries allowed for each request, over `retryWindowMs`, by all entries together. */
+  /** Retries allowed for each request, by all entries together. */
   readonly retryShare: number;
-  readonly retryWindowMs: number;
-  /** Retries allowed beyond that share, by all entries together. */
-  readonly retryExtra: number;
-  /** Time for which what depends on a dead endpoint stands still. */
-  readonly stallMs: number;
+  readonly gateway: GatewaySettings;
 }
 
 /** What a caller's request says in its headers. */
@@ -66,6 +68,7 @@
 
 /** What an entry adds to a request for one attempt. */
 export interface AttemptMeta {
+  readonly requestId: string;
   readonly endpoint: PublishedEndpoint;
   readonly organisation: OrganisationId | undefined;
   /** Time that is left, ms. */
@@ -91,9 +94,11 @@
 
 /**
  * What one interface towards callers and endpoints does in its own way. Only headers are needed; where a
- * function is missing, routes are found by host and prefix, and refusals are plain text.
+ * function is missing, routes are found by host and prefix, and every request is let in.
  */
 export interface CallerInterface extends HeaderCodec {
+  /** Header in which callers are told the id of their request, where it is ours. */
+  readonly requestIdHeader?: string;
   /** The route of a request by its head. */
   readonly routeOf?: (
     config: PublishedConfig,
@@ -101,19 +106,13 @@
     req: IncomingMessage,
   ) => Route | undefined;
   /** The route where the body names it; an error is the final answer. */
-  readonly routeByBody?: (
-    config: PublishedConfig,
-    route: Route,
-    body: Buffer,
-  ) => Result<Route, Refusal>;
+  readonly routeByBody?: (request: GatewayRequest) => Result<Route, Refusal>;
   /** Answers a request that needs no endpoint; false when it is none of these. */
-  readonly answer?: (config: PublishedConfig, req: IncomingMessage, res: ServerResponse) => boolean;
+  readonly answer?: (req: IncomingMessage, res: ServerResponse) => boolean;
   /** The path of a request at its endpoint. */
   readonly pathAt?: (url: string) => string;
   /** Whether a request may run now; an error refuses it. What it returns is called at the request's end. */
   readonly admit?: (request: GatewayRequest) => Result<() => void, Refusal>;
-  /** The body of a refusal. */
-  readonly describe?: (refusal: Refusal) => { readonly type: string; readonly text: string };
 }
 
 /** Reads and writes the headers of one interface; decides nothing. */
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -17,12 +17,13 @@
 } from '../core/published/index.js';
 import type { HarriergladeError } from '../core/errors/index.js';
 import type { Result } from '../core/result/index.js';
+import { listen } from '../runtime/listen.js';
 import { watchSettings } from '../runtime/settings-watch.js';
 import type { GroupDigest } from '../generated/messages.types.js';
 import { createPeers } from '../rpc/peers.js';
-import { RPC_PATH } from '../rpc/consts.js';
+import { CONNECT_MS, RPC_PATH } from '../rpc/consts.js';
 import { buildRouter } from '../rpc/router.js';
-import type { GatewaySettings } from '../gateway/types.js';
+import type { InstanceSettings } from '../gateway/types.js';
 import { Askers } from './askers.js';
 import { UNLOOKED_STAGGER_MS, unlookedMs } from './consts.js';
 import { CoordinatorTask } from './coordinator-task.js';
@@ -34,8 +35,8 @@
 
 /** What an agent is started with. */
 export interface AgentParts {
-  readonly settings: GatewaySettings;
-  readonly reread: () => Result<GatewaySettings, HarriergladeError>;
+  readonly settings: InstanceSettings;
+  readonly reread: () => Result<InstanceSettings, HarriergladeError>;
   readonly source: PublishedSource;
   readonly connect: (origin: string, log: Log, metrics: Metrics) => EngineCalls;
 }
@@ -125,11 +126,8 @@
   });
   const rpc = createHTTPHandler({ router, basePath: RPC_PATH, maxBodySize: MAX_ORDER_BYTES });
   const server = createServer({ requestTimeout: 0 }, rpc);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(settings.internalPort, settings.ip, resolve);
-  });
-  const peers = createPeers(new HttpAgent({ connect: { timeout: 1000 } }));
+  await listen(server, { host: settings.ip, port: settings.internalPort });
+  const peers = createPeers(new HttpAgent({ connect: { timeout: CONNECT_MS } }));
   const task = new CoordinatorTask({
     ...shared,
     self,
--- a/src/rpc/index.ts
+++ b/src/rpc/index.ts
@@ -1,4 +1,3 @@
-export * from './attempt.js';
 export * from './connection.js';
 export * from './consts.js';
 export * from './peers.js';
--- a/src/rpc/router.ts
+++ b/src/rpc/router.ts
@@ -2,35 +2,19 @@
 import { initTRPC, TRPCError } from '@trpc/server';
 import type { FeedUpdate } from '../core/config-feed/index.js';
 import type {
-  CancelAnswer,
-  CancelInput,
   FeedWatchInput,
   GroupAsk,
   GroupDigest,
   HelloAnswer,
-  InquiryInput,
-  InquiryReply,
-  LoadAnswer,
-  LoadInput,
   RankOrder,
   RankReply,
 } from '../generated/messages.types.js';
-import {
-  isCancelInput,
-  isFeedWatchInput,
-  isGroupAsk,
-  isInquiryInput,
-  isLoadInput,
-  isRankOrder,
-} from '../generated/messages.validator.js';
+import { isFeedWatchInput, isGroupAsk, isRankOrder } from '../generated/messages.validator.js';
 
 /** What a daemon does for others; each role answers some of it. */
 export interface DaemonCalls {
   hello?(): HelloAnswer;
   feedWatch?(input: FeedWatchInput): Promise<FeedUpdate | undefined>;
-  cancel?(input: CancelInput): Promise<CancelAnswer>;
-  inquire?(input: InquiryInput): InquiryReply;
-  load?(input: LoadInput): LoadAnswer;
   rank?(order: RankOrder): Promise<RankReply>;
   /** The group as last seen; undefined before the first look. */
   group?(ask: GroupAsk): GroupDigest | undefined;
@@ -68,15 +52,6 @@
     feedWatch: trpc.procedure
       .input(checked(isFeedWatchInput))
       .query(({ input }) => required(calls.feedWatch)(input)),
-    cancel: trpc.procedure
-      .input(checked(isCancelInput))
-      .mutation(({ input }) => required(calls.cancel)(input)),
-    inquire: trpc.procedure
-      .input(checked(isInquiryInput))
-      .mutation(({ input }) => required(calls.inquire)(input)),
-    load: trpc.procedure
-      .input(checked(isLoadInput))
-      .query(({ input }) => required(calls.load)(input)),
     group: trpc.procedure
       .input(checked(isGroupAsk))
       .query(({ input }) => required(calls.group)(input)),
--- /dev/null
+++ b/src/runtime/listen.ts
@@ -0,0 +1,13 @@
+/** Opens a server's address. */
+import type { Server } from 'node:http';
+
+/**
+ * Resolves once the server listens; rejects where the address cannot be had.
+ * @example await listen(server, { host: '10.1.0.40', port: 8227 });
+ */
+export function listen(server: Server, address: { host: string; port: number }): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(address.port, address.host, resolve);
+  });
+}
