Soak: spoilt answers, groups that form anew, and holds told from pauses of its own process

Now a hold counts tick by tick, and a late tick for four at most. Endpoints also answer for another request, without signature and cut short, and ranks die.

--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -1,4 +1,5 @@
 /** What is done to a deployment from outside: series of faults and planned work that overlap. */
+import type { EndpointFault } from '../../fakes/platform-engine/index.js';
 import type { StoreMood } from '../../fakes/store/index.js';
 import { GRACE_S, KEYS, type Deployment, type SoakInstance } from './deployment.js';
 import type { Program } from './program.js';
@@ -132,15 +133,30 @@
   await sleep(50);
 };
 
+const ENDPOINT_FAULTS: readonly EndpointFault[] = [
+  'full',
+  'error',
+  'cut',
+  'crossed',
+  'unsigned',
+  'short',
+];
+
 const endpointFails: Fault = async (parts) => {
   const { id, faults } = pick(parts.deployment.endpoints, parts.random);
   await during(parts, 'endpoint', id, async () => {
-    for (let i = 0; i < 6; i += 1) faults.push(pick(['full', 'error', 'cut'], parts.random));
+    for (let i = 0; i < 6; i += 1) faults.push(pick(ENDPOINT_FAULTS, parts.random));
     await sleep(1000);
     faults.length = 0;
   });
 };
 
+/** A rank dies and its group forms anew, with the first map and nothing armed. */
+const groupReforms: Fault = async ({ deployment, random }) => {
+  deployment.group.reform();
+  await sleep(300 * random());
+};
+
 const configChanged: Fault = async ({ deployment, random }) => {
   const { config } = deployment;
   const name = `extra-${config.version}`;
@@ -192,6 +208,7 @@
   storeAway,
   historyForgotten,
   endpointFails,
+  groupReforms,
   configChanged,
   keyTakenAway,
   endpointLeaves,
--- a/fakes/platform-engine/engine.ts
+++ b/fakes/platform-engine/engine.ts
@@ -17,8 +17,8 @@
   readonly startedAtMs: number;
 }
 
-/** Ways in which an endpoint fails a request. */
-export type EndpointFault = 'full' | 'error' | 'cut';
+/** Ways in which an endpoint fails a request; the last three concern whole answers only. */
+export type EndpointFault = 'full' | 'error' | 'cut' | 'crossed' | 'unsigned' | 'short';
 
 /** How an endpoint behaves. */
 export interface EndpointOptions {
@@ -111,8 +111,23 @@
     await sleep(options.workMs);
     if (fault === 'cut') return void req.socket.resetAndDestroy();
     if (fault === 'error') return void res.writeHead(500, headOf(requestId)).end('failed');
+    answerWhole(req, res, requestId, fault);
+  }
+
+  /** Answers a plain request, or spoils the answer in one way. */
+  function answerWhole(
+    req: IncomingMessage,
+    res: ServerResponse,
+    requestId: string,
+    fault: EndpointFault | undefined,
+  ): void {
     const text = plainAnswer(requestId);
-    res.writeHead(200, headOf(requestId, { 'content-length': String(text.length) })).end(text);
+    const head = headOf(requestId, { 'content-length': String(text.length) });
+    if (fault === 'crossed') head['x-request-id'] = `${requestId}-other`;
+    if (fault === 'unsigned') delete head['x-server-stamp'];
+    res.writeHead(200, head);
+    if (fault !== 'short') return void res.end(text);
+    res.write(text.slice(0, text.length / 2), () => req.socket.end());
   }
 
   const server: Server = createServer((req, res) => {
--- a/fakes/rank-engine/rank-group.ts
+++ b/fakes/rank-engine/rank-group.ts
@@ -40,6 +40,8 @@
 
 const ANSWER_MS = 3;
 const NO_ANSWER_MS = 250;
+/** Ticks that a late one counts for at most. */
+const MOST_TICKS = 4;
 const LATE_MS = { least: 2000, most: 12_000 };
 
 const fresh = (): Rank => ({
@@ -58,7 +60,8 @@
   step = 0;
   epoch = 1;
   private longestMs = 0;
-  private lastStepMs = 0;
+  private heldMs = 0;
+  private lastTickMs = 0;
   /** Experts by rank of each version that was prepared; the group has one layer. */
   private readonly layers = new Map<number, readonly (readonly number[])[]>();
   private ranks: Rank[];
@@ -72,9 +75,9 @@
     this.time.after(options.stepMs, () => this.tick());
   }
 
-  /** Longest time between two steps, or since the last one, ms. */
+  /** Longest time between two steps while ranks held theirs, ms; a hold that goes on counts so far. */
   get longestHoldMs(): number {
-    return Math.max(this.longestMs, this.time.nowMs() - this.lastStepMs);
+    return this.longestMs;
   }
 
   /** Forms the group anew, as after the death of a rank. */
@@ -90,10 +93,11 @@
 
   private tick(): void {
     this.time.after(this.options.stepMs, () => this.tick());
-    if (this.ranks.some((rank) => rank.held === this.step + 1)) return;
+    const sinceMs = this.time.nowMs() - this.lastTickMs;
+    this.lastTickMs = this.time.nowMs();
+    if (this.ranks.some((rank) => rank.held === this.step + 1)) return this.noteHold(sinceMs);
+    this.heldMs = 0;
     this.step += 1;
-    this.longestMs = this.longestHoldMs;
-    this.lastStepMs = this.time.nowMs();
     for (const rank of this.ranks) {
       if (rank.armed?.step !== this.step) continue;
       rank.map = rank.armed.version;
@@ -102,6 +106,12 @@
     if (new Set(this.maps()).size > 1) this.mixed.push(this.step);
   }
 
+  /** A tick that comes late by far tells that this process stood still, not the group. */
+  private noteHold(sinceMs: number): void {
+    this.heldMs += Math.min(sinceMs, MOST_TICKS * this.options.stepMs);
+    this.longestMs = Math.max(this.longestMs, this.options.stepMs + this.heldMs);
+  }
+
   /** The calls of one rank's own agent. */
   calls(index: number): EngineCalls {
     const of = (): Rank => this.ranks[index] as Rank;
