--- /dev/null
+++ b/test/gateway/group-sight.test.ts
@@ -0,0 +1,118 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setTimeout as wait } from 'node:timers/promises';
+import { systemClock } from '../../src/core/clock/index.js';
+import { asId } from '../../src/core/ids/index.js';
+import { silentLog } from '../../src/core/logging/index.js';
+import { Metrics } from '../../src/core/metrics/index.js';
+import {
+  PublishedState,
+  type EngineInfo,
+  type PublishedEndpoint,
+  type ServiceId,
+  type ServiceInfo,
+} from '../../src/core/published/index.js';
+import { GroupSight, type AskGroup } from '../../src/gateway/group-sight.js';
+import type { GroupDigest } from '../../src/generated/messages.types.js';
+import { config } from './harness.js';
+
+const ENGINE: EngineInfo = {
+  slots: 8,
+  layers: 4,
+  slotsPerRank: 8,
+  mostNew: 3,
+  copyMs: 98,
+  expertGb: 2.2,
+  stepMs: 4.55,
+  perRequestMs: 1.36,
+};
+const SMALL = asId<ServiceId>('small');
+const LARGE = asId<ServiceId>('large');
+const PORT = 7340;
+
+const service = (id: ServiceId): [ServiceId, ServiceInfo] => [
+  id,
+  { id, maxConnections: 100, engine: ENGINE },
+];
+
+function engine(id: string, of: ServiceId, host: string, dataCentre: string): PublishedEndpoint {
+  return {
+    id: asId(id),
+    service: of,
+    address: `${host}:8228`,
+    dataCentre: asId(dataCentre),
+    slots: 8,
+    isLeaving: false,
+  };
+}
+
+const ENGINES = [
+  engine('e-1', SMALL, '127.0.0.1', 'a'),
+  engine('e-2', LARGE, '127.0.0.2', 'a'),
+  engine('e-3', LARGE, '127.0.0.3', 'b'),
+];
+
+const digest = (hosts: readonly string[], load: readonly number[]): GroupDigest => ({
+  whole: true,
+  hosts: [...hosts],
+  load: [...load],
+  pace: hosts.map((_, i) => 1 + i),
+  entries: 2,
+  stepMs: 40,
+});
+
+/** Watches both groups for a moment, and tells which addresses were asked. */
+async function watch(answer: AskGroup): Promise<{ sight: GroupSight; asked: Set<string> }> {
+  const state = new PublishedState();
+  state.offerConfig(config([], { services: new Map([service(SMALL), service(LARGE)]) }), 0);
+  state.offerList(ENGINES, 0, 0);
+  const asked = new Set<string>();
+  const sight = new GroupSight({
+    state,
+    clock: systemClock,
+    random: () => 0.5,
+    log: silentLog,
+    metrics: new Metrics(),
+    dataCentre: 'a',
+    port: PORT,
+    ask: (address, withinMs) => {
+      asked.add(address);
+      return answer(address, withinMs);
+    },
+    onSeen: () => undefined,
+  });
+  const ending = new AbortController();
+  const running = sight.run(ending.signal);
+  await wait(400);
+  ending.abort();
+  await running;
+  return { sight, asked };
+}
+
+test('each group is asked for at an agent near by, and its size stands for itself', async () => {
+  const { sight, asked } = await watch((address) =>
+    Promise.resolve(
+      address.startsWith('127.0.0.1')
+        ? digest(['127.0.0.1'], [4])
+        : digest(['127.0.0.2', '127.0.0.3'], [5, 6]),
+    ),
+  );
+  assert.deepEqual([...asked].sort(), [`127.0.0.1:${PORT}`, `127.0.0.2:${PORT}`]);
+  assert.deepEqual(sight.sizeOf(SMALL), { ranks: 1, running: 4, entries: 2 });
+  assert.deepEqual(sight.sizeOf(LARGE), { ranks: 2, running: 11, entries: 2 });
+  assert.deepEqual(
+    ENGINES.map((e) => sight.of(e)?.pace),
+    [1, 1, 2],
+  );
+});
+
+test('a group that does not answer, or is not whole, is not seen', async () => {
+  const { sight } = await watch((address) =>
+    address.startsWith('127.0.0.1')
+      ? Promise.reject(new Error('no route'))
+      : Promise.resolve({ ...digest(['127.0.0.2'], [1]), whole: false }),
+  );
+  assert.equal(sight.sizeOf(SMALL), undefined);
+  assert.equal(sight.sizeOf(LARGE), undefined);
+  assert.equal(sight.of(ENGINES[0] as PublishedEndpoint), undefined);
+});
