Listen for signals before anything is loaded

Now listeners are the first thing that the programs set up; a stop so early ends with code 0. Before Node itself runs nothing can listen, so the soak waits for the kernel's record of it.

--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -58,6 +58,10 @@
   /** Asks on until `stop`. */
   async run(): Promise<void> {
     await Promise.all([this.watchReady(), this.askOn()]);
+  }
+
+  /** Ends all connections; what is not answered by now never is. */
+  close(): void {
     for (const agent of this.agents.values()) agent.destroy();
   }
 
--- a/bench/soak/program.ts
+++ b/bench/soak/program.ts
@@ -2,11 +2,16 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
+import { listensForSignals } from './signals.js';
 
 const MAIN = fileURLToPath(new URL('../../platform/main.js', import.meta.url));
 /** Memory limit of each process's heap, MB; as in deploy/system.toml. */
 const HEAP_MB = 120;
+/** Longest time that a runtime is given to reach the program's first line, ms, and how often that is looked at. */
+const LISTENS_MS = 5000;
+const LISTENS_POLL_MS = 20;
 
 /** Programs that run; none may outlive the soak, however that ends. */
 const running = new Set<ChildProcess>();
@@ -74,7 +79,8 @@
   }
 
   /** Tells it that its settings have changed. */
-  hangUp(): void {
+  async hangUp(): Promise<void> {
+    await this.untilListens();
     this.child?.kill('SIGHUP');
   }
 
@@ -87,6 +93,7 @@
 
   /** Tells it to stop, and kills it when it has not ended in time. */
   async stop(graceMs: number): Promise<void> {
+    await this.untilListens();
     this.expected = 'stop';
     this.child?.kill('SIGTERM');
     const timer = setTimeout(() => void this.kill(), graceMs);
@@ -94,6 +101,13 @@
     clearTimeout(timer);
   }
 
+  /** Waits until the program's own code has begun to run, or for a while. */
+  private async untilListens(): Promise<void> {
+    const untilMs = performance.now() + LISTENS_MS;
+    while (performance.now() < untilMs && !listensForSignals(this.child?.pid ?? 0))
+      await sleep(LISTENS_POLL_MS);
+  }
+
   private get bootPath(): string {
     return join(this.options.folder, `${this.options.name}.toml`);
   }
--- a/bench/soak/regressions.ts
+++ b/bench/soak/regressions.ts
@@ -6,4 +6,14 @@
   readonly cause: string;
 }
 
-export const REGRESSIONS: readonly Regression[] = [];
+const STOPPED_WHILE_LOADING = 'a stop before the first line ended an agent by the signal';
+
+export const REGRESSIONS: readonly Regression[] = [
+  { seed: 3, cause: 'settings that changed before the first line ended an agent' },
+  { seed: 10, cause: STOPPED_WHILE_LOADING },
+  { seed: 11, cause: STOPPED_WHILE_LOADING },
+  { seed: 31, cause: STOPPED_WHILE_LOADING },
+  { seed: 33, cause: 'the callers cut their own last streams' },
+  { seed: 48, cause: STOPPED_WHILE_LOADING },
+  { seed: 101, cause: 'a pause of the soak itself counted as a hold of the group' },
+];
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -82,6 +82,7 @@
       folder: deployment.folder,
     };
   } finally {
+    callers.close();
     await deployment.close();
   }
 }
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -75,11 +75,11 @@
   void groups.run(ending.signal);
   setInterval(() => ctx.endpoints.prune(), PRUNE_MS).unref();
   watchSettings(parts.reread, settings, log);
-  await openAddresses(parts, gateway, metrics);
-  log.info('process.started', { settings: JSON.stringify(settings) });
   process.on('SIGTERM', () => {
     void stop(gateway, settings, log).then(() => process.exit(0));
   });
+  await openAddresses(parts, gateway, metrics);
+  log.info('process.started', { settings: JSON.stringify(settings) });
 }
 
 async function openAddresses(
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -126,6 +126,10 @@
   });
   const rpc = createHTTPHandler({ router, basePath: RPC_PATH, maxBodySize: MAX_ORDER_BYTES });
   const server = createServer({ requestTimeout: 0 }, rpc);
+  process.on('SIGTERM', () => {
+    log.info('process.stopped', {});
+    process.exit(0);
+  });
   await listen(server, { host: settings.ip, port: settings.internalPort });
   const peers = createPeers(new HttpAgent({ connect: { timeout: CONNECT_MS } }));
   const task = new CoordinatorTask({
@@ -143,8 +147,4 @@
   watchSettings(parts.reread, settings, log);
   void task.run(isMine, ending.signal);
   log.info('process.started', { self, engine: `${ownEndpoint.host}:${ownEndpoint.port}` });
-  process.on('SIGTERM', () => {
-    log.info('process.stopped', {});
-    process.exit(0);
-  });
 }
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -1,13 +1,22 @@
 /** The platform's programs as processes, before stand-ins of the store and of an endpoint. */
 import assert from 'node:assert/strict';
-import { spawn, type ChildProcess } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { execFileSync, spawn, type ChildProcess } from 'node:child_process';
+import {
+  closeSync,
+  constants,
+  mkdtempSync,
+  openSync,
+  rmSync,
+  writeFileSync,
+  writeSync,
+} from 'node:fs';
 import http from 'node:http';
 import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
+import { listensForSignals } from '../../bench/soak/signals.js';
 import { okAnswer, startRawEndpoint } from '../../fakes/raw-endpoint/index.js';
 import { startStore } from '../../fakes/store/index.js';
 import { bootText } from './boot-text.js';
@@ -175,6 +184,45 @@
   }
 });
 
+/** A program that waits for its boot file: a pipe that nobody has written to. */
+function startLoading(role: string): { child: ChildProcess; boot: string; dir: string } {
+  const dir = mkdtempSync(join(tmpdir(), 'harrierglade-'));
+  const boot = join(dir, 'boot.toml');
+  execFileSync('mkfifo', [boot]);
+  const child = spawn(process.execPath, [MAIN, role], {
+    env: { ...process.env, HARRIERGLADE_BOOT: boot },
+    stdio: 'ignore',
+  });
+  return { child, boot, dir };
+}
+
+/** Writes into a pipe, whether somebody reads it by now or not. */
+function fill(pipe: string, text: string): void {
+  const fd = openSync(pipe, constants.O_RDWR | constants.O_NONBLOCK);
+  writeSync(fd, text);
+  closeSync(fd);
+}
+
+for (const role of ['entry', 'agent'])
+  test(`${role}: settings that change while it loads do not end it, and a stop ends it well`, async () => {
+    const { child, boot, dir } = startLoading(role);
+    const ended = new Promise<unknown>((resolve) =>
+      child.on('exit', (code, signal) => resolve(code ?? signal)),
+    );
+    try {
+      await until('listens for signals', () => listensForSignals(child.pid ?? 0));
+      child.kill('SIGHUP');
+      child.kill('SIGTERM');
+      await wait(100);
+      assert.equal(child.signalCode, null);
+      fill(boot, bootText({ ip: `"${OWN_IP}"` }));
+      assert.equal(await ended, 0);
+    } finally {
+      child.kill('SIGKILL');
+      rmSync(dir, { recursive: true });
+    }
+  });
+
 test('a boot file that cannot be taken ends the start with one line and exit code 2', async () => {
   const entry = startProgram('entry', { 'revoke-ms': '"soon"' });
   assert.equal(await entry.ended, 2);
