Drop what is missing after the store was away in time, by a timer

The entry's log shows the store back at 25.37 s; the endpoint had left at 25.21 s, counted as one that had lapsed meanwhile, and was dropped at 28.28 s: the grace of 2 s was looked at only when a watch was answered, and counted from when the entry noticed the return. A request went there at 27.52 s. Ruled out: a change that was lost (the removal was in the first answer). Now the grace counts from the last call that failed, before which the store was away, is 1.9 s, and a timer ends it; while the store is away again nothing is dropped.

--- a/src/core/published/follow.ts
+++ b/src/core/published/follow.ts
@@ -43,8 +43,12 @@
 };
 /** A store that did not answer for this long has been away, ms. */
 export const AWAY_MS = 1200;
-/** Time that entries which lapsed while the store was away have to be written again, ms. */
-export const RETURN_GRACE_MS = 2000;
+/**
+ * Time that entries which lapsed while the store was away have to be written again, ms, counted from the last
+ * call that failed: the store came back after that one. An endpoint that leaves just then must get nothing
+ * 2 s later, and what is sent last is on its way for a while.
+ */
+export const RETURN_GRACE_MS = 1900;
 
 /** What following needs. */
 export interface FollowParts {
@@ -60,10 +64,13 @@
 /** Logs the store once when it is lost and once when it is back. */
 class StoreLog {
   private lostAtMs: number | undefined;
+  /** When the last call that failed was made. */
+  failedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly parts: FollowParts) {}
 
-  failed(fault: ReadFault): void {
+  failed(fault: ReadFault, askedAtMs: number): void {
+    this.failedAtMs = askedAtMs;
     this.parts.metrics.count('published_read_failures_total', { kind: fault.kind });
     if (this.lostAtMs !== undefined) return;
     this.lostAtMs = this.parts.clock.nowMs();
@@ -82,7 +89,6 @@
 
 /** Takes what was read into the state, and logs what it changes. */
 class Taker {
-  private graceUntilMs = Number.NEGATIVE_INFINITY;
   /** Whether the configuration in force is the newest one that is published. */
   private isNewest = false;
 
@@ -107,13 +113,6 @@
     }
   }
 
-  /** Time that endpoints may be missing before they count as gone, ms. */
-  graceMs(awayMs: number): number {
-    const nowMs = this.parts.clock.nowMs();
-    if (awayMs >= AWAY_MS) this.graceUntilMs = nowMs + RETURN_GRACE_MS;
-    return nowMs < this.graceUntilMs ? RETURN_GRACE_MS : 0;
-  }
-
   list(change: ListChange): void {
     const { log } = this.parts;
     for (const endpoint of change.joined)
@@ -159,15 +158,29 @@
   /** Calls that failed since the last one that worked. */
   let failures = 0;
 
-  const fail = async (fault: ReadFault): Promise<void> => {
-    storeLog.failed(fault);
+  const fail = async (fault: ReadFault, askedAtMs: number): Promise<void> => {
+    storeLog.failed(fault, askedAtMs);
     const pauseMs = Math.min(LONGEST_PAUSE_MS, pace.failedPauseMs * PAUSE_GROWTH ** failures);
     failures += 1;
     await sleep(pauseMs * (0.8 + 0.4 * parts.random()), signal);
   };
-  const worked = (): number => {
+  /** Until then endpoints that are missing are kept. */
+  let graceUntilMs = Number.NEGATIVE_INFINITY;
+  const endGrace = async (): Promise<void> => {
+    await sleep(Math.ceil(Math.max(0, graceUntilMs - clock.nowMs())) + 1, signal);
+    // While the store is away again nothing can be written to it; the next call that works decides.
+    if (failures === 0 && clock.nowMs() >= graceUntilMs) taker.list(state.dropMissing());
+  };
+  /** Notes a call that worked; whether endpoints that are missing are kept. */
+  const worked = (): boolean => {
     failures = 0;
-    return storeLog.worked();
+    if (storeLog.worked() >= AWAY_MS) {
+      graceUntilMs = storeLog.failedAtMs + RETURN_GRACE_MS;
+      void endGrace();
+    }
+    const keepsMissing = clock.nowMs() < graceUntilMs;
+    if (!keepsMissing) taker.list(state.dropMissing());
+    return keepsMissing;
   };
 
   while (!signal.aborted) {
@@ -175,12 +188,12 @@
     if (revision === undefined) {
       const read = await source.readAll();
       if (read.err) {
-        await fail(read.val);
+        await fail(read.val, askedAtMs);
         continue;
       }
-      const graceMs = taker.graceMs(worked());
+      const keepsMissing = worked();
       taker.config(read.val.config, askedAtMs);
-      taker.list(state.offerList(read.val.endpoints, askedAtMs, graceMs));
+      taker.list(state.offerList(read.val.endpoints, askedAtMs, keepsMissing));
       taker.invalid(read.val.invalid);
       revision = read.val.revision;
       continue;
@@ -189,7 +202,7 @@
     const waitMs = failures > 0 ? 0 : waitFor(pace, state.proofAgeMs(askedAtMs));
     const watched = await source.watch(revision, waitMs);
     if (watched.err) {
-      await fail(watched.val);
+      await fail(watched.val, askedAtMs);
       continue;
     }
     if (watched.val.kind === 'forgotten') {
@@ -197,13 +210,13 @@
       continue;
     }
     const { config, endpoints, invalid } = watched.val;
-    const graceMs = taker.graceMs(worked());
+    const keepsMissing = worked();
     const isQuiet = config.kind === 'same' && endpoints.length === 0;
     taker.config(
       config,
       isQuiet ? askedAtMs + heldMs(waitMs, clock.nowMs() - askedAtMs) : askedAtMs,
     );
-    taker.list(state.applyChanges(endpoints, askedAtMs, graceMs));
+    taker.list(state.applyChanges(endpoints, askedAtMs, keepsMissing));
     taker.invalid(invalid);
     revision = watched.val.revision;
     if (!isQuiet) await sleep(pace.changePauseMs, signal);
--- a/src/core/published/published-state.ts
+++ b/src/core/published/published-state.ts
@@ -24,7 +24,8 @@
   private endpoints = new Map<EndpointId, PublishedEndpoint>();
   /** Endpoints that were seen leaving; one that is only missing may be listed again. */
   private readonly left = new Set<EndpointId>();
-  private readonly missingSinceMs = new Map<EndpointId, number>();
+  /** Endpoints that are no longer listed and still kept. */
+  private readonly missing = new Set<EndpointId>();
 
   /** The newest configuration; undefined before the first. */
   get config(): PublishedConfig | undefined {
@@ -69,19 +70,19 @@
   }
 
   /**
-   * Takes a whole list that was asked for at `askedAtMs`. An endpoint that is missing counts as gone
-   * after `missingGraceMs`; 0 unless the store has just come back, when entries that lapsed
-   * meanwhile have yet to be written again.
-   * @example state.offerList(endpoints, clock.nowMs(), 0).gone
+   * Takes a whole list that was asked for at `askedAtMs`. Endpoints that are missing are gone, unless
+   * the store has just come back, when entries that lapsed meanwhile have yet to be written again: then
+   * they are kept until `dropMissing`.
+   * @example state.offerList(endpoints, clock.nowMs(), false).gone
    */
   offerList(
     listed: readonly PublishedEndpoint[],
     askedAtMs: number,
-    missingGraceMs: number,
+    keepsMissing: boolean,
   ): ListChange {
     this.listedAtMs = Math.max(this.listedAtMs, askedAtMs);
     const next = new Map(listed.map((endpoint) => [endpoint.id, endpoint]));
-    const gone = this.carryOverMissing(next, askedAtMs, missingGraceMs);
+    const gone = keepsMissing ? this.keepMissing(next) : this.missingFrom(next);
     const joined = listed.filter((e) => !this.endpoints.has(e.id));
     const leaving = listed.filter((e) => e.isLeaving && !this.left.has(e.id)).map((e) => e.id);
     for (const id of leaving) this.left.add(id);
@@ -90,42 +91,49 @@
   }
 
   /**
-   * Takes changes that were asked for at `askedAtMs`, and drops endpoints whose grace is over.
-   * @example state.applyChanges([{ kind: 'removed', id }], clock.nowMs(), 0).gone // [id]
+   * Takes changes that were asked for at `askedAtMs`.
+   * @example state.applyChanges([{ kind: 'removed', id }], clock.nowMs(), false).gone // [id]
    */
   applyChanges(
     changes: readonly EndpointChange[],
     askedAtMs: number,
-    missingGraceMs: number,
+    keepsMissing: boolean,
   ): ListChange {
-    if (changes.length === 0 && this.missingSinceMs.size === 0) {
+    if (changes.length === 0) {
       this.listedAtMs = Math.max(this.listedAtMs, askedAtMs);
       return NO_CHANGE;
     }
-    const listed = new Map([...this.endpoints].filter(([id]) => !this.missingSinceMs.has(id)));
+    const listed = new Map([...this.endpoints].filter(([id]) => !this.missing.has(id)));
     for (const change of changes) {
       if (change.kind === 'written') listed.set(change.endpoint.id, change.endpoint);
       else listed.delete(change.id);
     }
-    return this.offerList([...listed.values()], askedAtMs, missingGraceMs);
+    return this.offerList([...listed.values()], askedAtMs, keepsMissing);
   }
 
-  /** Keeps missing endpoints for their grace, and returns those whose grace is over. */
-  private carryOverMissing(
-    next: Map<EndpointId, PublishedEndpoint>,
-    nowMs: number,
-    graceMs: number,
-  ): EndpointId[] {
-    const gone: EndpointId[] = [];
-    for (const id of next.keys()) this.missingSinceMs.delete(id);
+  /**
+   * Drops the endpoints that were kept though they are missing.
+   * @example state.dropMissing().gone
+   */
+  dropMissing(): ListChange {
+    const gone = [...this.missing];
+    for (const id of gone) this.endpoints.delete(id);
+    this.missing.clear();
+    return { ...NO_CHANGE, gone };
+  }
+
+  private missingFrom(next: ReadonlyMap<EndpointId, PublishedEndpoint>): EndpointId[] {
+    this.missing.clear();
+    return [...this.endpoints.keys()].filter((id) => !next.has(id));
+  }
+
+  private keepMissing(next: Map<EndpointId, PublishedEndpoint>): EndpointId[] {
+    for (const id of next.keys()) this.missing.delete(id);
     for (const [id, endpoint] of this.endpoints) {
       if (next.has(id)) continue;
-      const since = this.missingSinceMs.get(id) ?? nowMs;
-      this.missingSinceMs.set(id, since);
-      if (nowMs - since >= graceMs) gone.push(id);
-      else next.set(id, endpoint);
+      this.missing.add(id);
+      next.set(id, endpoint);
     }
-    for (const id of gone) this.missingSinceMs.delete(id);
-    return gone;
+    return [];
   }
 }
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -36,7 +36,7 @@
     if (!doc) return;
     const nowMs = ctx.clock.nowMs();
     state.offerConfig(publishedConfig(doc, limitsOf(ctx)), nowMs);
-    state.offerList(publishedEndpoints(ctx.view(), doc.body), nowMs, 0);
+    state.offerList(publishedEndpoints(ctx.view(), doc.body), nowMs, false);
   });
 }
 
--- a/test/core/published/published-state.test.ts
+++ b/test/core/published/published-state.test.ts
@@ -8,6 +8,7 @@
 import {
   findRoute,
   followPublished,
+  RETURN_GRACE_MS,
   pickService,
   PublishedState,
   type ConfigNews,
@@ -54,11 +55,11 @@
   const state = new PublishedState();
   const a = endpoint('a', 'x:1');
   const b = endpoint('b', 'x:2');
-  state.offerList([a, b], 0, 0);
-  const change = state.offerList([{ ...a, isLeaving: true }], 10, 0);
+  state.offerList([a, b], 0, false);
+  const change = state.offerList([{ ...a, isLeaving: true }], 10, false);
   assert.deepEqual([change.leaving, change.gone], [['a'], ['b']]);
   assert.equal(state.takesWork(a.id), false);
-  state.offerList([a, b], 20, 0);
+  state.offerList([a, b], 20, false);
   assert.equal(state.takesWork(a.id), false);
   assert.equal(state.takesWork(b.id), true);
 });
@@ -67,12 +68,15 @@
   const state = new PublishedState();
   const a = endpoint('a', 'x:1');
   const b = endpoint('b', 'x:2');
-  state.offerList([a, b], 0, 0);
-  assert.deepEqual(state.offerList([a], 1000, 2000).gone, []);
+  state.offerList([a, b], 0, false);
+  assert.deepEqual(state.offerList([a], 1000, true).gone, []);
   assert.deepEqual(ids(state), ['a', 'b']);
-  assert.deepEqual(state.offerList([a], 2900, 2000).gone, []);
-  state.applyChanges([], 3100, 2000);
+  assert.deepEqual(state.offerList([a], 2900, true).gone, []);
+  state.applyChanges([], 2950, true);
+  assert.deepEqual(ids(state), ['a', 'b']);
+  assert.deepEqual(state.dropMissing().gone, ['b']);
   assert.deepEqual(ids(state), ['a']);
+  assert.deepEqual(state.dropMissing().gone, []);
 });
 
 test('the longest prefix of the host wins, and shares follow their weights', () => {
@@ -106,21 +110,21 @@
   const state = new PublishedState();
   const a = endpoint('a', 'x:1');
   const b = endpoint('b', 'x:2');
-  state.offerList([a], 0, 0);
+  state.offerList([a], 0, false);
   const change = state.applyChanges(
     [
       { kind: 'written', endpoint: b },
       { kind: 'written', endpoint: { ...a, isLeaving: true } },
     ],
     10,
-    0,
+    false,
   );
   assert.deepEqual(
     [change.joined.map((e) => e.id), change.leaving, change.gone],
     [['b'], ['a'], []],
   );
   assert.equal(state.takesWork(a.id), false);
-  const removed = state.applyChanges([{ kind: 'removed', id: a.id }], 20, 0);
+  const removed = state.applyChanges([{ kind: 'removed', id: a.id }], 20, false);
   assert.deepEqual(removed.gone, ['a']);
   assert.deepEqual(ids(state), ['b']);
 });
@@ -128,11 +132,11 @@
 test('an entry that lapsed and is written again within its grace was never gone', () => {
   const state = new PublishedState();
   const a = endpoint('a', 'x:1');
-  state.offerList([a], 0, 0);
-  assert.deepEqual(state.applyChanges([{ kind: 'removed', id: a.id }], 1000, 2000).gone, []);
+  state.offerList([a], 0, false);
+  assert.deepEqual(state.applyChanges([{ kind: 'removed', id: a.id }], 1000, true).gone, []);
   assert.equal(state.takesWork(a.id), true);
-  assert.deepEqual(state.applyChanges([{ kind: 'written', endpoint: a }], 2500, 2000).gone, []);
-  assert.deepEqual(state.applyChanges([], 9000, 0).gone, []);
+  assert.deepEqual(state.applyChanges([{ kind: 'written', endpoint: a }], 2500, true).gone, []);
+  assert.deepEqual(state.dropMissing().gone, []);
   assert.deepEqual(ids(state), ['a']);
 });
 
@@ -286,3 +290,21 @@
     assert.ok(oldest < 1.5 * waitMs, `${oldest}`);
   }, waitMs);
 });
+
+test('what is missing after the store was away is gone in time, however long the next wait is', async () => {
+  const told = (change: EndpointChange): Result<Watched, ReadFault> =>
+    Ok({ kind: 'changes', config: SAME, endpoints: [change], revision: 7, invalid: [] });
+  const { id } = endpoint('a', 'x:1');
+  await following(async ({ source, state }) => {
+    // Pauses between failures grow: twelve take 1.3 s.
+    source.queued.push(told(ENDPOINT_CHANGE), ...Array.from({ length: 12 }, () => LOST));
+    source.queued.push(told({ kind: 'removed', id }));
+    while (source.queued.length > 0) await wait(5);
+    const backAtMs = systemClock.nowMs();
+    await wait(20);
+    assert.equal(state.takesWork(id), true, 'it may be written again');
+    while (state.takesWork(id) && systemClock.nowMs() - backAtMs < 3000) await wait(5);
+    const keptMs = systemClock.nowMs() - backAtMs;
+    assert.ok(keptMs < RETURN_GRACE_MS, `${keptMs} ms`);
+  }, 4000);
+});
