--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,7 +1,7 @@
 /** A short seeded soak, and the seeds that ever failed. */
 import assert from 'node:assert/strict';
 import { rmSync } from 'node:fs';
-import { test } from 'node:test';
+import { describe, test } from 'node:test';
 import { REGRESSIONS } from '../../bench/soak/regressions.js';
 import { soak } from '../../bench/soak/run.js';
 
@@ -15,6 +15,8 @@
   rmSync(folder, { recursive: true });
 }
 
-test('real programs keep the promises under overlapping faults', () => isClean(1));
-
-for (const { seed, cause } of REGRESSIONS) test(`seed ${seed}: ${cause}`, () => isClean(seed));
+// A file has two minutes, and a seed takes 18 s, most of which it waits.
+describe('soak', { concurrency: 5 }, () => {
+  test('real programs keep the promises under overlapping faults', () => isClean(1));
+  for (const { seed, cause } of REGRESSIONS) test(`seed ${seed}: ${cause}`, () => isClean(seed));
+});
