--- a/bench/harness/processes.ts
+++ b/bench/harness/processes.ts
@@ -1,6 +1,7 @@
 /** Starts the repository's own programs as separate processes, and ends only those. */
 import { spawn, type ChildProcessWithoutNullStreams } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
+import { endWithUs } from './children.js';
 
 const ROOT = fileURLToPath(new URL('../../', import.meta.url));
 const KEPT_LINES = 400;
@@ -40,6 +41,7 @@
   ready: (line: string) => T | undefined,
 ): Promise<{ process: Spawned; value: T }> {
   const child = spawn(process.execPath, [`${ROOT}${script}`, ...args], { stdio: 'pipe' });
+  endWithUs(child);
   const exited = new Promise<number | null>((resolve) =>
     child.once('exit', (code) => resolve(code)),
   );
--- a/bench/soak/program.ts
+++ b/bench/soak/program.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
+import { endWithUs } from '../harness/children.js';
 import { listensForSignals } from './signals.js';
 
 const MAIN = fileURLToPath(new URL('../../platform/main.js', import.meta.url));
@@ -13,12 +14,6 @@
 const LISTENS_MS = 5000;
 const LISTENS_POLL_MS = 20;
 
-/** Programs that run; none may outlive the soak, however that ends. */
-const running = new Set<ChildProcess>();
-process.once('exit', () => {
-  for (const child of running) child.kill('SIGKILL');
-});
-
 /** What a program is started with. */
 export interface ProgramOptions {
   readonly name: string;
@@ -59,12 +54,11 @@
     });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
-    running.add(child);
+    endWithUs(child);
     this.child = child;
     this.expected = undefined;
     this.ended = new Promise((resolve) => {
       child.once('exit', (code, signal) => {
-        running.delete(child);
         this.noteEnd(code, signal);
         resolve();
       });
--- a/bench/soak/proxy.ts
+++ b/bench/soak/proxy.ts
@@ -26,6 +26,17 @@
 
 const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 
+/**
+ * Resets a connection. One whose end is under way is closed: Node fails to reset it (EINVAL) and keeps it for
+ * ever, and this process with it.
+ * @example resetConnection(socket);
+ */
+export function resetConnection(socket: Socket): void {
+  const isEnding = socket.writableEnded && !socket.writableFinished;
+  if (isEnding) socket.destroy();
+  else socket.resetAndDestroy();
+}
+
 /** One proxy. */
 export class LoopbackProxy {
   private state = WHOLE;
@@ -59,7 +70,7 @@
 
   /** Resets every connection that is open. */
   reset(): void {
-    for (const socket of this.sockets) socket.resetAndDestroy();
+    for (const socket of this.sockets) resetConnection(socket);
   }
 
   /** Ends the proxy and its connections. */
@@ -87,7 +98,7 @@
     from.on('data', (piece) => after(() => void (to.destroyed || to.write(piece))));
     from.on('end', () => after(() => to.end()));
     // A reset is told as one; what was held up before it is lost.
-    from.on('error', () => to.resetAndDestroy());
+    from.on('error', () => resetConnection(to));
     from.on('close', (hadError) => {
       if (!hadError) after(() => to.end());
     });
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -11,7 +11,6 @@
   writeSync,
 } from 'node:fs';
 import http from 'node:http';
-import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
@@ -40,17 +39,16 @@
   tenants: [{ name: 'org-1', 'api-keys': ['k-1'] }],
 };
 
-/** A loopback address of this run's own: the port of the metrics is fixed. */
+/**
+ * A loopback address of this run's own: another test file must neither take a port that is asked for here nor
+ * be reached where nothing is meant to answer.
+ */
 const OWN_IP = `127.${1 + (process.pid % 200)}.0.1`;
-
-/** A port that is free now. */
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
+const FRONT_PORT = 8227;
+const READY_PORT = 8220;
+const METRICS_PORT = 9464;
+/** Ports where nothing listens. */
+const AWAY = { app: 8228, store: 8223 };
 
 interface Program {
   readonly child: ChildProcess;
@@ -59,11 +57,15 @@
   readonly ended: Promise<number | null>;
 }
 
-function startProgram(role: string, boot: Record<string, string>): Program {
+function startProgram(
+  role: string,
+  boot: Record<string, string>,
+  nodeArgs: readonly string[] = [],
+): Program {
   const dir = mkdtempSync(join(tmpdir(), 'harrierglade-'));
   const path = join(dir, 'boot.toml');
   writeFileSync(path, bootText({ ip: `"${OWN_IP}"`, ...boot }));
-  const child = spawn(process.execPath, [MAIN, role], {
+  const child = spawn(process.execPath, [...nodeArgs, MAIN, role], {
     env: { ...process.env, HARRIERGLADE_BOOT: path },
   });
   let output = '';
@@ -91,14 +93,9 @@
   readonly body: string;
 }
 
-function ask(
-  port: number,
-  path: string,
-  headers: Record<string, string> = {},
-  host = '127.0.0.1',
-): Promise<Answer> {
+function ask(port: number, path: string, headers: Record<string, string> = {}): Promise<Answer> {
   return new Promise((resolve) => {
-    const req = http.get({ host, port, path, headers, agent: false }, (res) => {
+    const req = http.get({ host: OWN_IP, port, path, headers, agent: false }, (res) => {
       let body = '';
       res.on('data', (piece) => (body += String(piece)));
       res.on('end', () => resolve({ status: res.statusCode ?? 0, body }));
@@ -127,22 +124,18 @@
     slots: 4,
     state: 'ready',
   });
-  const [front, ready] = [await freePort(), await freePort()];
   const fields = {
-    front: `"127.0.0.1:${front}"`,
-    ready: `"127.0.0.1:${ready}"`,
+    front: `"${OWN_IP}:${FRONT_PORT}"`,
+    ready: `"${OWN_IP}:${READY_PORT}"`,
     address: `"127.0.0.1:${store.port}"`,
   };
   const entry = startProgram('entry', fields);
   const isReady = async (): Promise<boolean> =>
-    (await ask(ready, '/harrierglade/readiness')).status === 200;
+    (await ask(READY_PORT, '/harrierglade/readiness')).status === 200;
   try {
     await until('ready', isReady);
-    assert.equal((await ask(front, '/x/1', asking('q-1'))).body, 'fine');
-    assert.match(
-      (await ask(9464, '/metrics', {}, OWN_IP)).body,
-      /harrierglade_requests_total\{.*\} 1/,
-    );
+    assert.equal((await ask(FRONT_PORT, '/x/1', asking('q-1'))).body, 'fine');
+    assert.match((await ask(METRICS_PORT, '/metrics')).body, /harrierglade_requests_total\{.*\} 1/);
 
     entry.child.kill('SIGHUP');
     await until('a line on the settings', () => entry.output().includes('event=settings.reread'));
@@ -151,7 +144,7 @@
     await until('a line on settings kept', () => entry.output().includes('event=settings.kept'));
     assert.ok(await isReady());
 
-    const running = ask(front, '/x/2', asking('q-2'));
+    const running = ask(FRONT_PORT, '/x/2', asking('q-2'));
     await until('the request at the endpoint', () => raw.requests.length === 2);
     entry.child.kill('SIGTERM');
     await until('no longer ready', async () => !(await isReady()));
@@ -166,12 +159,33 @@
   }
 });
 
-test('an agent keeps running through SIGHUP while its engine and the store are away', async () => {
-  const agent = startProgram('agent', {
-    app: `"127.0.0.1:${await freePort()}"`,
-    address: `"127.0.0.1:${await freePort()}"`,
-    'internal-port-range': `[${await freePort()}, 65000]`,
+/** Engine and store of an instance that reaches neither. */
+const ALL_AWAY = {
+  front: `"${OWN_IP}:${FRONT_PORT}"`,
+  ready: `"${OWN_IP}:${READY_PORT}"`,
+  app: `"${OWN_IP}:${AWAY.app}"`,
+  address: `"${OWN_IP}:${AWAY.store}"`,
+};
+
+/** Prints a line when nothing listens for SIGTERM any more, loaded before the program. */
+const SAY_WHEN_DEAF = `data:text/javascript,process.on('removeListener', (event) => {
+  if (event === 'SIGTERM' && process.listenerCount(event) === 0) console.log('deaf');
+})`;
+
+for (const role of ['entry', 'agent'])
+  test(`${role}: there is no moment at which it does not listen for a stop`, async () => {
+    const program = startProgram(role, ALL_AWAY, ['--import', SAY_WHEN_DEAF]);
+    try {
+      await until('started', () => program.output().includes('event=process.started'));
+      assert.doesNotMatch(program.output(), /^deaf$/m);
+    } finally {
+      program.child.kill('SIGKILL');
+      await program.ended;
+    }
   });
+
+test('an agent keeps running through SIGHUP while its engine and the store are away', async () => {
+  const agent = startProgram('agent', ALL_AWAY);
   try {
     await until('started', () => agent.output().includes('event=process.started'));
     agent.child.kill('SIGHUP');
--- a/test/soak/proxy.test.ts
+++ b/test/soak/proxy.test.ts
@@ -3,7 +3,7 @@
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
-import { LoopbackProxy, WHOLE } from '../../bench/soak/proxy.js';
+import { LoopbackProxy, resetConnection, WHOLE } from '../../bench/soak/proxy.js';
 
 const HOST = '127.0.0.1';
 
@@ -85,3 +85,23 @@
     assert.deepEqual(errors, ['ECONNRESET', 'ECONNRESET']);
   });
 });
+
+test('a reset of a connection that is about to end, or to begin, closes it', async () => {
+  const server = createServer((socket) => socket.resume().on('error', () => undefined));
+  server.listen(0, HOST);
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  try {
+    const ending = connect(port, HOST);
+    await once(ending, 'connect');
+    ending.end();
+    const beginning = connect(port, HOST);
+    for (const socket of [ending, beginning]) {
+      const closed = once(socket, 'close', { signal: AbortSignal.timeout(2000) });
+      resetConnection(socket);
+      await closed;
+    }
+  } finally {
+    server.close();
+  }
+});
--- a/test/system/limits.test.ts
+++ b/test/system/limits.test.ts
@@ -58,7 +58,7 @@
 });
 
 test('a body that comes too slowly is refused and runs nothing', async () => {
-  const ran = (await cluster.serviceExecutions()).length;
+  const ran = await cluster.serviceExecutions();
   const socket = connect(entry().ports.callers, '127.0.0.1');
   let answer = '';
   socket.on('data', (text) => (answer += String(text)));
@@ -69,5 +69,5 @@
   assert.match(answer, /^HTTP\/1.1 408 /);
   assert.match(answer, /"reason":"body-late"/);
   assert.match(answer, /"outcome":"not-run"/);
-  assert.equal((await cluster.serviceExecutions()).length, ran);
+  assert.deepEqual(await cluster.serviceExecutions(), ran);
 });
