Read a chat's body once, and no header that nobody uses

The body was parsed for its route and once more for the organisation's share; what it tells now goes with the request. Tokens that callers announce on the platform were decoded and never read.

--- a/src/caller-api/headers.ts
+++ b/src/caller-api/headers.ts
@@ -42,7 +42,6 @@
     // Only hashes of keys are published.
     key: key === undefined ? undefined : keyHash(key),
     resumeAfter: undefined,
-    tokens: undefined,
     ...(invalid !== undefined && { invalid }),
   };
 }
--- a/src/caller-api/interface.ts
+++ b/src/caller-api/interface.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { PublishedConfig, Route } from '../core/published/index.js';
 import { Err, Ok, type Result } from '../core/result/index.js';
-import type { CallerInterface, GatewayRequest, Refusal } from '../gateway/index.js';
+import type { CallerInterface, GatewayRequest, Refusal, RequestContent } from '../gateway/index.js';
 import type { ConfigurationBody } from '../generated/configuration.types.js';
 import { parseChat } from './chat.js';
 import { CALLER_HEADER, CHAT_PATH, MODELS_PATH, SERVICES_PREFIX } from './consts.js';
@@ -63,18 +63,19 @@
     return service && routeTo(id, isOnce(service, req, rest) ? 'once' : 'repeatable', timeoutMs);
   }
 
-  function routeByBody(request: GatewayRequest): Result<Route, Refusal> {
-    if (request.route.id !== CHAT_PATH) return Ok(request.route);
+  function readContent(request: GatewayRequest): Result<RequestContent, Refusal> {
+    if (request.route.id !== CHAT_PATH) return Ok({ route: request.route });
     if (request.req.headers[CALLER_HEADER.repeatable] === 'no') {
       const detail = `Header ${CALLER_HEADER.repeatable}: no is for calls to services; answers of models are repeatable.`;
       return Err({ reason: 'header-invalid', detail });
     }
     const chat = parseChat(request.body);
     if (chat.err) return chat;
-    const { model, isStream } = chat.val;
+    const { model, isStream, tokens } = chat.val;
     if (!parts.body()?.models.some((m) => m.id === model))
       return Err({ reason: 'model-unknown', detail: model.slice(0, 80) });
-    return Ok(routeTo(model, isStream ? 'stream' : 'repeatable', timeoutMs));
+    const route = routeTo(model, isStream ? 'stream' : 'repeatable', timeoutMs);
+    return Ok({ route, tokens });
   }
 
   function answer(req: IncomingMessage, res: ServerResponse): boolean {
@@ -92,7 +93,7 @@
     readAnswer,
     requestIdHeader: CALLER_HEADER.requestId,
     routeOf,
-    routeByBody,
+    readContent,
     answer,
     pathAt: (url) => (url.startsWith(SERVICES_PREFIX) ? splitServicePath(url).rest : url),
     admit: (request) => parts.limits.admit(request),
--- a/src/caller-api/organisation-limits.ts
+++ b/src/caller-api/organisation-limits.ts
@@ -5,7 +5,6 @@
 import { Err, Ok, type Result } from '../core/result/index.js';
 import type { GatewayRequest, Refusal } from '../gateway/index.js';
 import type { ConfigurationBody } from '../generated/configuration.types.js';
-import { parseChat } from './chat.js';
 import { CALLER_HEADER, ENDPOINT_SLOTS, PRIORITY, TOKEN_MS } from './consts.js';
 
 /** What the limits need. */
@@ -75,17 +74,16 @@
     body: ConfigurationBody,
   ): AdmissionRequest {
     const model = body.models.find((m) => m.id === target);
-    const chat = model && parseChat(request.body);
-    const tokens = chat?.ok ? chat.val.tokens : 1;
     const endpoints = model ?? body.services.find((s) => s.id === target);
     // An entry's part of the places; what is open beyond them waits for its turn.
     const places = ((endpoints?.endpoints.length ?? 1) * ENDPOINT_SLOTS) / this.parts.liveEntries();
     const waiting = Math.max(0, (this.open.get(target) ?? 0) - places) / places;
-    const runMs = chat?.ok ? tokens * TOKEN_MS : 0;
+    const runMs = (request.tokens ?? 0) * TOKEN_MS;
     return {
       organisation,
       target,
-      tokens,
+      // A call to a plain service counts as one.
+      tokens: request.tokens ?? 1,
       predictedMs: runMs * (1 + waiting),
       waitMs: runMs * waiting,
       deadlineMs: request.untilMs - this.parts.clock.nowMs(),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -187,9 +187,9 @@
 
   /** Serves a request whose body has come, once its interface lets it. */
   async function serveAdmitted(request: GatewayRequest, note: RequestNote): Promise<RequestEnd> {
-    const route = callers.routeByBody?.(request) ?? Ok(request.route);
-    if (route.err) return { kind: 'refused', refusal: route.val };
-    const routed = { ...request, route: route.val };
+    const content = callers.readContent?.(request) ?? Ok({ route: request.route });
+    if (content.err) return { kind: 'refused', refusal: content.val };
+    const routed = { ...request, ...content.val };
     const admitted = callers.admit?.(routed);
     if (admitted?.err) return { kind: 'refused', refusal: admitted.val };
     try {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -60,8 +60,6 @@
   readonly key: string | undefined;
   /** Id of the last event that the caller already has. */
   readonly resumeAfter: number | undefined;
-  /** Tokens of the prompt and, at most, of the answer. */
-  readonly tokens: { readonly prompt: number; readonly answer: number } | undefined;
   /** What is wrong with a header, and the remedy. */
   readonly invalid?: string;
 }
@@ -105,8 +103,8 @@
     head: CallerHead,
     req: IncomingMessage,
   ) => Route | undefined;
-  /** The route where the body names it; an error is the final answer. */
-  readonly routeByBody?: (request: GatewayRequest) => Result<Route, Refusal>;
+  /** What the body tells; an error is the final answer. */
+  readonly readContent?: (request: GatewayRequest) => Result<RequestContent, Refusal>;
   /** Answers a request that needs no endpoint; false when it is none of these. */
   readonly answer?: (req: IncomingMessage, res: ServerResponse) => boolean;
   /** The path of a request at its endpoint. */
@@ -125,13 +123,19 @@
   readonly readAnswer: (status: number, headers: IncomingHttpHeaders) => AnswerHead;
 }
 
+/** What the body of a request tells, where its interface reads it. */
+export interface RequestContent {
+  readonly route: Route;
+  /** Estimated tokens of prompt and answer together. */
+  readonly tokens?: number;
+}
+
 /** One caller's request whose body has come. */
-export interface GatewayRequest {
+export interface GatewayRequest extends RequestContent {
   readonly id: string;
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly head: CallerHead;
-  readonly route: Route;
   readonly organisation: Organisation | undefined;
   readonly body: Buffer;
   /** Monotonic time at which it arrived, ms. */
--- a/test/caller-api/caller-api.test.ts
+++ b/test/caller-api/caller-api.test.ts
@@ -107,10 +107,10 @@
 test('the body of a chat names the model, and whether its answer is a stream', () => {
   const asked = req('POST', '/v1/chat/completions');
   const body = { model: 'passenger-summary', messages: MESSAGES };
-  const stream = api.routeByBody?.(request(asked, chat({ ...body, stream: true })));
-  assert.equal(stream?.unwrap().kind, 'stream');
-  assert.equal(api.routeByBody?.(request(asked, chat(body)))?.unwrap().kind, 'repeatable');
-  const other = api.routeByBody?.(request(asked, chat({ ...body, model: 'gpt-0' })));
+  const stream = api.readContent?.(request(asked, chat({ ...body, stream: true })));
+  assert.equal(stream?.unwrap().route.kind, 'stream');
+  assert.equal(api.readContent?.(request(asked, chat(body)))?.unwrap().route.kind, 'repeatable');
+  const other = api.readContent?.(request(asked, chat({ ...body, model: 'gpt-0' })));
   assert.ok(other?.err);
   assert.equal(other.val.reason, 'model-unknown');
 });
@@ -185,8 +185,8 @@
     req('POST', '/v1/chat/completions'),
     chat({ model: 'passenger-summary', messages: MESSAGES, max_tokens: 4000 }),
   );
-  const route = api.routeByBody?.(asked).unwrap() ?? asked.route;
-  const late = limitsOf().admit({ ...asked, route, untilMs: systemClock.nowMs() + 50 });
+  const content = api.readContent?.(asked).unwrap();
+  const late = limitsOf().admit({ ...asked, ...content, untilMs: systemClock.nowMs() + 50 });
   assert.ok(late.err);
   assert.equal(late.val.reason, 'deadline-unreachable');
 });
