Agents: one host of an address, one order of agents by rank, the own group in a file of its own

The host of an address was cut out in four places, agents were put in order of rank in two, and the gate before an engine was made in two. The list of a group's agents looked for its own service once for each endpoint of the list, that is 63 times a look in a group of 63.

--- a/src/core/published/index.ts
+++ b/src/core/published/index.ts
@@ -1,3 +1,4 @@
+export * from './address.js';
 export * from './published-state.js';
 export * from './routes.js';
 export * from './types.js';
--- a/src/gateway/group-sight.ts
+++ b/src/gateway/group-sight.ts
@@ -4,7 +4,12 @@
 import type { EndpointId } from '../core/ids/index.js';
 import type { Log } from '../core/logging/index.js';
 import type { Metrics } from '../core/metrics/index.js';
-import type { PublishedEndpoint, PublishedState, ServiceId } from '../core/published/index.js';
+import {
+  hostOf,
+  type PublishedEndpoint,
+  type PublishedState,
+  type ServiceId,
+} from '../core/published/index.js';
 import type { GroupDigest } from '../generated/messages.types.js';
 
 /** Pause between two questions, ms: a digest is made each 0.1 to 0.5 s. */
@@ -57,8 +62,6 @@
   readonly onSeen: (service: ServiceId) => void;
 }
 
-const hostOf = (endpoint: PublishedEndpoint): string => endpoint.address.split(':', 1)[0] ?? '';
-
 /** The groups behind one entry. */
 export class GroupSight {
   private readonly sights = new Map<ServiceId, Sight>();
@@ -104,11 +107,12 @@
     const agent = choices[Math.floor(parts.random() * choices.length)];
     if (!agent) return;
     try {
-      const digest = await parts.ask(`${hostOf(agent)}:${parts.port}`, ASK_MS);
+      const digest = await parts.ask(`${hostOf(agent.address)}:${parts.port}`, ASK_MS);
       if (digest?.whole) this.take(service, digest, engines);
     } catch (err) {
       parts.metrics.count('group_asks_failed_total');
-      if (!this.lost) parts.log.info('group.lost', { agent: hostOf(agent), err: errorText(err) });
+      if (!this.lost)
+        parts.log.info('group.lost', { agent: hostOf(agent.address), err: errorText(err) });
       this.lost = true;
     }
   }
@@ -120,7 +124,7 @@
   ): void {
     const engines = new Map<EndpointId, EngineSight>();
     for (const engine of listed) {
-      const rank = digest.hosts.indexOf(hostOf(engine));
+      const rank = digest.hosts.indexOf(hostOf(engine.address));
       if (rank >= 0) engines.set(engine.id, { pace: digest.pace[rank] ?? 1 });
     }
     const size: GroupSize = {
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -10,9 +10,8 @@
 import {
   AGENT_PACE,
   followPublished,
+  hostOf,
   PublishedState,
-  type EngineInfo,
-  type PublishedEndpoint,
   type PublishedSource,
 } from '../core/published/index.js';
 import type { HarriergladeError } from '../core/errors/index.js';
@@ -28,6 +27,7 @@
 import { UNLOOKED_STAGGER_MS, unlookedMs } from './consts.js';
 import { CoordinatorTask } from './coordinator-task.js';
 import type { EngineCalls } from './engine-calls.js';
+import { OwnGroup } from './own-group.js';
 import { createSwitchEngine } from './switch-engine.js';
 
 /** Largest order, bytes: a map of 8 layers, 63 ranks and 5 experts takes 12 KB. */
@@ -58,27 +58,17 @@
   const follow = { ...shared, state, source: parts.source, pace: AGENT_PACE };
   void followPublished(follow, ending.signal);
 
-  const own = (): PublishedEndpoint | undefined =>
-    [...state.list.values()].find((e) => e.address === `${ownEndpoint.host}:${ownEndpoint.port}`);
-  const engine = (): EngineInfo | undefined => {
-    const service = own()?.service;
-    return service && state.config?.services.get(service)?.engine;
-  };
+  const group = new OwnGroup(state, ownEndpoint, settings.internalPort);
+  const agents = (): string[] => group.agents();
   const self = `${settings.ip}:${settings.internalPort}`;
-  /** An agent runs beside each engine of the service, at the engine's own host. */
-  const agents = (): string[] =>
-    [...state.list.values()]
-      .filter((endpoint) => endpoint.service === own()?.service)
-      .map((endpoint) => `${endpoint.address.split(':', 1)[0]}:${settings.internalPort}`)
-      .sort();
-
-  const calls = parts.connect(`http://${ownEndpoint.host}:${ownEndpoint.port}`, log, metrics);
-  const layers = (): number => engine()?.layers ?? 0;
-  const gate = new RankGate(
-    newIncarnation(clock.wallMs()),
-    createSwitchEngine({ calls, clock, layers, pause: sleep, isOwn: true }),
-    () => 0,
-  );
+  const layers = (): number => group.engine()?.layers ?? 0;
+  /** A gate before the engine at a host; ports are the same on all instances. */
+  const gateAt = (host: string, isOwn: boolean): RankGate => {
+    const calls = parts.connect(`http://${host}:${ownEndpoint.port}`, log, metrics);
+    const engine = createSwitchEngine({ calls, clock, layers, pause: sleep, isOwn });
+    return new RankGate(newIncarnation(clock.wallMs()), engine, () => 0);
+  };
+  const gate = gateAt(ownEndpoint.host, true);
   let digest: GroupDigest | undefined;
   const askers = new Askers();
   let lookedAtMs = clock.nowMs();
@@ -105,14 +95,7 @@
   const standInFor = (address: string): RankGate => {
     const known = standIns.get(address);
     if (known) return known;
-    const host = address.split(':', 1)[0] ?? '';
-    // Ports are the same on all instances.
-    const remote = parts.connect(`http://${host}:${ownEndpoint.port}`, log, metrics);
-    const made = new RankGate(
-      newIncarnation(clock.wallMs()),
-      createSwitchEngine({ calls: remote, clock, layers, pause: sleep, isOwn: false }),
-      () => 0,
-    );
+    const made = gateAt(hostOf(address), false);
     standIns.set(address, made);
     return made;
   };
@@ -136,7 +119,7 @@
     ...shared,
     self,
     agents,
-    engine,
+    engine: () => group.engine(),
     pause: sleep,
     standIn: (address, order) => standInFor(address).serve(order),
     call: (address, order, withinMs) =>
--- a/src/group/coordinator-task.ts
+++ b/src/group/coordinator-task.ts
@@ -13,7 +13,7 @@
 import type { Metrics } from '../core/metrics/index.js';
 import type { GroupDigest } from '../generated/messages.types.js';
 import { DemandEstimate, planRound, type Placement } from '../core/placement/index.js';
-import type { EngineInfo } from '../core/published/index.js';
+import { hostOf, type EngineInfo } from '../core/published/index.js';
 import {
   answerTimes,
   BUSY_LOOK_PAUSE_MS,
@@ -30,7 +30,14 @@
 import { gainPerCopy, newPerRound } from './round-policy.js';
 import { SwitchMargin } from './switch-margin.js';
 import { GroupLooks, type LookParts } from './group-looks.js';
-import { countsOf, KnownMaps, orderReplies, runningOf, type GroupReplies } from './group-view.js';
+import {
+  addressesOf,
+  countsOf,
+  KnownMaps,
+  orderReplies,
+  runningOf,
+  type GroupReplies,
+} from './group-view.js';
 
 /** What a coordinator needs. */
 export interface CoordinatorParts extends LookParts {
@@ -268,19 +275,6 @@
   return order.kind === 'confirm' || order.kind === 'abort' ? times.decisionMs : times.orderMs;
 }
 
-/** Addresses of the agents in order of rank. */
-function addressesOf(
-  ordered: GroupReplies,
-  replies: readonly (RankReply | undefined)[],
-  addresses: readonly string[],
-): string[] {
-  return ordered.map((reply) => addresses[replies.indexOf(reply)] as string);
-}
-
-function hostOf(address: string): string {
-  return address.split(':', 1)[0] as string;
-}
-
 /** A map of this round: its version is the round's epoch, so no other round can have made it. */
 function mapOf(view: GroupView, placement: Placement): ExpertMap {
   return {
--- a/src/group/group-looks.ts
+++ b/src/group/group-looks.ts
@@ -7,7 +7,7 @@
 import type { RankOrder, RankReply } from '../core/groups/index.js';
 import type { GroupDigest } from '../generated/messages.types.js';
 import { answerTimes, SAMPLE_RANKS, WHOLE_LOOK_MS } from './consts.js';
-import { mapIdOf, orderReplies, type GroupReplies } from './group-view.js';
+import { addressesOf, mapIdOf, orderReplies, type GroupReplies } from './group-view.js';
 
 /** Sends one order to the agent at an address; rejects when it cannot be reached in time. */
 export type CallAgent = (address: string, order: RankOrder, withinMs: number) => Promise<RankReply>;
@@ -124,11 +124,10 @@
       this.last = undefined;
       return { kind: 'unseen', addresses, replies };
     }
-    const byRank = ordered.map((reply) => addresses[replies.indexOf(reply)] as string);
     this.last = {
       kind: 'seen',
       replies: ordered,
-      addresses: byRank,
+      addresses: addressesOf(ordered, replies, addresses),
       fresh: ordered,
       isWhole: true,
     };
--- a/src/group/group-view.ts
+++ b/src/group/group-view.ts
@@ -25,6 +25,18 @@
   return new Set(ordered.map((reply) => reply.groupEpoch)).size === 1 ? ordered : undefined;
 }
 
+/**
+ * Addresses of the agents that gave ordered replies, in order of rank; `replies` are in that of `addresses`.
+ * @example addressesOf(ordered, replies, addresses)[0] // the agent of rank 0
+ */
+export function addressesOf(
+  ordered: GroupReplies,
+  replies: readonly (RankReply | undefined)[],
+  addresses: readonly string[],
+): string[] {
+  return ordered.map((reply) => addresses[replies.indexOf(reply)] as string);
+}
+
 /**
  * The id of the map that all ranks use; undefined while they are seen in different ones.
  * @example mapIdOf(replies) // '4096'
