--- a/bench/harness/measure.ts
+++ b/bench/harness/measure.ts
@@ -3,15 +3,8 @@
 import { request } from 'undici';
 import type { Member } from './cluster.js';
 
-const TICKS_PER_SECOND = 100;
 const PAGE_BYTES = 4096;
 
-/** Processor time of a process so far, ms. */
-export function cpuMs(pid: number): number {
-  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? [];
-  return ((Number(fields[11]) + Number(fields[12])) * 1000) / TICKS_PER_SECOND;
-}
-
 /** Resident memory of a process, MB. */
 export function residentMb(pid: number): number {
   const fields = readFileSync(`/proc/${pid}/statm`, 'utf8').split(' ');
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -1,5 +1,6 @@
 /** Callers: they go to entries that say they are ready, keep their connections, and sometimes leave. */
 import http from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { entryAddress, KEYS, type Deployment, type SoakInstance } from './deployment.js';
 import type { Ask, AskKind } from './record.js';
 
@@ -75,7 +76,7 @@
     const untilMs = performance.now() + withinMs;
     while (performance.now() < untilMs) {
       if ((await Promise.all(this.deployment.entries.map(isReady))).every(Boolean)) return true;
-      await new Promise((resolve) => setTimeout(resolve, 50));
+      await sleep(50);
     }
     return false;
   }
@@ -87,7 +88,7 @@
       const ready = entries.filter((_, i) => answers[i]);
       // With no entry ready the platform uses all of them.
       this.ready = ready.length > 0 ? ready : [...entries];
-      await new Promise((resolve) => setTimeout(resolve, READY_PAUSE_MS));
+      await sleep(READY_PAUSE_MS);
     }
   }
 
@@ -95,7 +96,7 @@
     while (!this.isStopped) {
       if (this.ready.length > 0) this.ask(pick(this.ready, this.random));
       const pauseMs = PAUSE_MS * (0.5 + this.random());
-      await new Promise((resolve) => setTimeout(resolve, pauseMs));
+      await sleep(pauseMs);
     }
   }
 
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -1,12 +1,11 @@
 /** What is done to a deployment from outside: series of faults and planned work that overlap. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { EndpointFault } from '../../fakes/platform-engine/index.js';
 import type { StoreMood } from '../../fakes/store/index.js';
 import { GRACE_S, KEYS, type Deployment, type SoakInstance } from './deployment.js';
 import type { Program } from './program.js';
 import { WHOLE, type LinkState, type LoopbackProxy } from './proxy.js';
 
-const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
-
 /** What a fault needs. */
 interface FaultParts {
   readonly deployment: Deployment;
--- a/bench/soak/proxy.ts
+++ b/bench/soak/proxy.ts
@@ -1,5 +1,6 @@
 /** A loopback proxy that harms the connections that go through it: delays, resets, cuts one way, silences. */
 import { connect, createServer, type Server, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 /** Where a connection goes to or comes from. */
 export interface Address {
@@ -24,8 +25,6 @@
 /** How often a piece that is held up looks whether the link is whole again, ms. */
 const HELD_POLL_MS = 20;
 
-const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
-
 /**
  * Resets a connection. One whose end is under way is closed: Node fails to reset it (EINVAL) and keeps it for
  * ever, and this process with it.
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -1,4 +1,5 @@
 /** One soak run: starts a deployment, lets callers ask while it is disturbed, and checks what was seen. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { seededRandom } from '../../src/core/clock/index.js';
 import { Callers } from './callers.js';
 import { violationsOf } from './check.js';
@@ -22,8 +23,6 @@
 /** Time for what was sent last to be answered, ms. */
 const LAST_ANSWERS_MS = 3500;
 
-const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
-
 /** What came of a run. */
 export interface SoakResult {
   readonly seed: number;
--- a/fakes/platform-engine/engine.ts
+++ b/fakes/platform-engine/engine.ts
@@ -3,6 +3,7 @@
  * advance with the steps of its group. It notes every request that it began to run.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { EngineCalls } from '../../src/group/engine-calls.js';
 import { closeServer } from '../http/index.js';
 import { serveRankCalls } from './rank-calls.js';
@@ -52,8 +53,6 @@
 /** The data of one event of a request's stream. */
 export const eventData = (requestId: string, id: number): string => `${requestId} ${id}`;
 
-const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
-
 async function readText(req: IncomingMessage): Promise<string> {
   let text = '';
   for await (const piece of req as AsyncIterable<Buffer>) text += piece.toString('latin1');
--- a/src/core/placement/round-plan.ts
+++ b/src/core/placement/round-plan.ts
@@ -3,7 +3,7 @@
  * while demand is still what it was. Demand that shifts every few seconds makes late maps worthless.
  */
 import { LayerPlanner } from './moves.js';
-import { loadSums, rankLoads } from './skew.js';
+import { loadSums } from './skew.js';
 import type { LayerMap, Move, Placement, Popularity } from './types.js';
 
 /** What a round is bound by. */
@@ -30,23 +30,6 @@
   readonly skewAfter: number;
 }
 
-/**
- * Largest rank loads over the mean, over all layers, when ranks are as slow as told.
- * @example skewOf([[[0], [1]]], [[3, 1]], [1, 1]) // 1.5
- */
-export function skewOf(
-  current: Placement,
-  popularity: Popularity,
-  pace: readonly number[],
-): number {
-  const { mean } = loadSums(current, popularity);
-  if (mean <= 0) return 1;
-  const most = current.map((map, l) =>
-    Math.max(...rankLoads(map, popularity[l] ?? []).map((load, rank) => load * (pace[rank] ?? 1))),
-  );
-  return most.reduce((sum, load) => sum + load, 0) / mean;
-}
-
 /** The layer whose next move gains most for each copy. */
 function bestLayer(moves: readonly (Move | undefined)[]): number | undefined {
   let best: number | undefined;
--- a/test/core/placement/round-plan.test.ts
+++ b/test/core/placement/round-plan.test.ts
@@ -3,9 +3,11 @@
 import fc from 'fast-check';
 import {
   fetchedExperts,
+  loadSums,
   planRound,
-  skewOf,
+  rankLoads,
   type Placement,
+  type Popularity,
 } from '../../../src/core/placement/index.js';
 
 const RANKS = 4;
@@ -26,6 +28,19 @@
 const some = fc.integer({ min: 1, max: 3 });
 const paces = fc.array(fc.constantFrom(1, 1, 1, 5), { minLength: RANKS, maxLength: RANKS });
 
+/**
+ * Largest rank loads over the mean, over all layers, when ranks are as slow as told.
+ * @example skewOf([[[0], [1]]], [[3, 1]], [1, 1]) // 1.5
+ */
+function skewOf(current: Placement, popularity: Popularity, pace: readonly number[]): number {
+  const { mean } = loadSums(current, popularity);
+  if (mean <= 0) return 1;
+  const most = current.map((map, l) =>
+    Math.max(...rankLoads(map, popularity[l] ?? []).map((load, rank) => load * (pace[rank] ?? 1))),
+  );
+  return most.reduce((sum, load) => sum + load, 0) / mean;
+}
+
 test('a round keeps every expert, keeps to slots and copies a rank, and never makes skew worse', () => {
   fc.assert(
     fc.property(popularity, paces, some, some, (counts, pace, mostNew, mostNewInLayer) => {
