--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,34 +1,19 @@
 /** What the parts of one gateway share. */
-import type { Clock } from '../core/clock/index.js';
-import type { Log } from '../core/logging/index.js';
-import type { Metrics } from '../core/metrics/index.js';
-import type {
-  EngineInfo,
-  PublishedEndpoint,
-  PublishedState,
-  ServiceId,
-} from '../core/published/index.js';
+import type { EngineInfo, ServiceId } from '../core/published/index.js';
 import { RetryBudget } from '../core/retry/index.js';
 import { KEY_PROOF_MARGIN_MS, RETRY_SHARERS, RETRY_SHARE_USED } from './consts.js';
-import { Endpoints } from './endpoints.js';
-import type { EngineSight, GroupSize } from './group-sight.js';
+import { Endpoints, type EndpointParts } from './endpoints.js';
+import type { GroupSize } from './group-sight.js';
 import type { ServiceState } from './serve-request.js';
 import { Turns } from './turns.js';
 import type { CallerInterface, GatewaySettings } from './types.js';
 
 /** What a gateway is made from. */
-export interface GatewayParts {
+export interface GatewayParts extends EndpointParts {
   readonly settings: GatewaySettings;
   /** Retries allowed for each request, by all entries together; asked for at each request. */
   readonly retryShare: () => number;
   readonly callers: CallerInterface;
-  readonly state: PublishedState;
-  readonly clock: Clock;
-  readonly random: () => number;
-  readonly log: Log;
-  readonly metrics: Metrics;
-  /** What is known of a model engine beyond this entry's own requests. */
-  readonly sightOf: (endpoint: PublishedEndpoint) => EngineSight | undefined;
   /** What is known of a group as a whole; undefined when nothing was heard of it lately. */
   readonly groupSize: (service: ServiceId) => GroupSize | undefined;
 }
