A life's first fence proves that its epoch is new; ranks stand by what engines show

Ruled out: a group formed anew (its epoch refuses old orders), a late order (fences). Change: the first fence of a life is preceded by one just below it, which an engine refuses if any earlier life took that epoch; a rank's promise covers what its engine shows (map, armed, prepared); a fenced rank refuses up to twice the epoch, so that the next round is above it in a few steps.

--- a/fakes/rank-engine/rank-group.ts
+++ b/fakes/rank-engine/rank-group.ts
@@ -29,8 +29,18 @@
   readonly checksFences: boolean;
 }
 
+/** A map as one rank holds it: its version says nothing of its contents. */
+interface HeldMap {
+  readonly version: number;
+  /** Experts by rank; the group has one layer. */
+  readonly experts: readonly (readonly number[])[];
+}
+
 interface Rank {
-  map: number;
+  map: HeldMap;
+  /** What is prepared, or is being copied. */
+  next: HeldMap | undefined;
+  /** Version whose experts have been copied. */
   prepared: number | undefined;
   highest: number;
   armed: { version: number; step: number } | undefined;
@@ -45,7 +55,8 @@
 const LATE_MS = { least: 2000, most: 12_000 };
 
 const fresh = (): Rank => ({
-  map: 0,
+  map: { version: 0, experts: [] },
+  next: undefined,
   prepared: undefined,
   highest: 0,
   armed: undefined,
@@ -55,15 +66,13 @@
 
 /** A group of ranks. */
 export class RankGroup {
-  /** Steps that began with different maps. */
+  /** Steps that began with maps that differ by version or by contents. */
   readonly mixed: number[] = [];
   step = 0;
   epoch = 1;
   private longestMs = 0;
   private heldMs = 0;
   private lastTickMs = 0;
-  /** Experts by rank of each version that was prepared; the group has one layer. */
-  private readonly layers = new Map<number, readonly (readonly number[])[]>();
   private ranks: Rank[];
 
   constructor(
@@ -88,7 +97,7 @@
 
   /** Versions in use, by rank. */
   maps(): number[] {
-    return this.ranks.map((rank) => rank.map);
+    return this.ranks.map((rank) => rank.map.version);
   }
 
   private tick(): void {
@@ -100,10 +109,11 @@
     this.step += 1;
     for (const rank of this.ranks) {
       if (rank.armed?.step !== this.step) continue;
-      rank.map = rank.armed.version;
+      if (rank.next) rank.map = rank.next;
       rank.armed = undefined;
     }
-    if (new Set(this.maps()).size > 1) this.mixed.push(this.step);
+    if (new Set(this.ranks.map((rank) => JSON.stringify(rank.map))).size > 1)
+      this.mixed.push(this.step);
   }
 
   /** A tick that comes late by far tells that this process stood still, not the group. */
@@ -128,7 +138,7 @@
           running: 1,
           queued: 0,
           step: this.step,
-          mapVersion: rank.map,
+          mapVersion: rank.map.version,
           preparedVersion: rank.prepared,
           armed: rank.armed && { ...rank.armed },
           heldStep: rank.held,
@@ -157,7 +167,7 @@
   /** Experts that a rank holds; each of the first map's stands once. */
   private heldBy(index: number): number[] {
     const { map } = this.ranks[index] as Rank;
-    return [...(this.layers.get(map)?.[index] ?? [index])];
+    return [...(map.experts[index] ?? [index])];
   }
 
   private carryOut(
@@ -185,7 +195,7 @@
           return rank.armed.version === command.version && rank.armed.step === command.step;
         return command.version === rank.prepared && command.step > this.step;
       case 'disarm':
-        return command.version !== rank.map;
+        return command.version !== rank.map.version;
       case 'hold':
         return command.step > this.step;
       case 'go':
@@ -197,7 +207,7 @@
     if (command.kind === 'prepare') {
       if (command.version === rank.highest) return;
       rank.highest = command.version;
-      this.layers.set(command.version, command.layers[0] ?? []);
+      rank.next = { version: command.version, experts: command.layers[0] ?? [] };
       rank.prepared = undefined;
       const { epoch } = this;
       this.time.after(this.options.copyMs, () => {
--- a/scripts/model.mjs
+++ b/scripts/model.mjs
@@ -18,6 +18,7 @@
     spec: 'engine-orders',
     broken: ['NO_FENCE', 'OWN_VERSION', 'NO_HOLD', 'EARLY_GO', 'LATE_ABORT'],
   },
+  { spec: 'engine-restart', broken: ['NO_CLAIM'] },
 ];
 
 function run(command, args, cwd) {
--- a/spec/engine-orders.pml
+++ b/spec/engine-orders.pml
@@ -12,106 +12,12 @@
  * round's own version), NO_HOLD (ranks arm without holding the step), EARLY_GO (a rank lets go as soon as
  * it has armed itself), LATE_ABORT (an abort lets go before the arm is dead).
  */
-#define RANKS 2
-#define STEPS 4
-#define DISARM 1
-#define PREPARE 2
-#define HOLD 3
-#define ARM 4
-#define GO 5
-#define UNUSED 9
-
-byte map[RANKS];
-byte prepared[RANKS];
-byte armed[RANKS];      /* version, 0 for none */
-byte armedStep[RANKS];
-byte held[RANKS];       /* step, 0 for none */
-byte fence[RANKS];
-byte step = 0;
-
-/* kind, version or step's version, step, fence: orders that will be carried out some time */
-chan late[RANKS] = [2] of { byte, byte, byte, byte };
-
-inline carry(r, kind, version, at, f) {
-  taken = false;
-  if
-#ifndef NO_FENCE
-  :: f < fence[r] -> skip
-#endif
-  :: else ->
-     if
-     :: kind == DISARM && version != map[r] ->
-        if
-        :: armed[r] == version && version != UNUSED -> armed[r] = 0; armedStep[r] = 0
-        :: else
-        fi;
-        taken = true
-     :: kind == PREPARE && armed[r] == 0 && version > prepared[r] -> prepared[r] = version; taken = true
-     :: kind == PREPARE && version == prepared[r] -> taken = true
-     :: kind == HOLD && at > step -> held[r] = at; taken = true
-     :: kind == ARM && armed[r] == version && armedStep[r] == at -> taken = true
-     :: kind == ARM && armed[r] == 0 && prepared[r] == version && at > step ->
-        armed[r] = version; armedStep[r] = at; taken = true
-     :: kind == GO ->
-        if
-        :: held[r] == at -> held[r] = 0
-        :: else
-        fi;
-        taken = true
-     :: else
-     fi;
-     if
-     :: taken && f > fence[r] -> fence[r] = f
-     :: else
-     fi
-  fi
-}
-
-/* Gives an order once: it is carried out now, or it gets no answer and is carried out later. */
-inline give(r, kind, version, at, f) {
-  atomic {
-    taken = false;
-    if
-    :: carry(r, kind, version, at, f)
-    :: late[r] ! kind, version, at, f
-    fi
-  }
-}
-
-/* Carries out what was left unanswered. */
-proctype Late(byte r) {
-  byte kind, version, at, f;
-  bool taken;
-  end:
-  do
-  :: atomic { late[r] ? kind, version, at, f -> carry(r, kind, version, at, f); kind = 0; version = 0; at = 0; f = 0; taken = false }
-  od
-}
-
-/* The group begins its next step unless a rank holds it. */
-proctype Group() {
-  byte r;
-  end:
-  do
-  :: atomic {
-       step < STEPS && held[0] != step + 1 && held[1] != step + 1 ->
-       step++;
-       for (r : 0 .. RANKS - 1) {
-         if
-         :: armed[r] != 0 && armedStep[r] == step -> map[r] = armed[r]; armed[r] = 0; armedStep[r] = 0
-         :: else
-         fi
-       }
-       r = 0;
-       assert(map[0] == map[1])
-     }
-  od
-}
+#include "engine.pml"
 
 inline raise(r, f, version) {
   do
   :: fence[r] >= f -> break
-  :: else -> give(r, DISARM, version, 0, f)
+  :: else -> give(r, DISARM, version, 0, f, 0)
   od
 }
 
@@ -121,14 +27,14 @@
   do
   :: held[r] == at -> break
   :: held[r] != at && step >= at -> failed = true; break
-  :: else -> give(r, HOLD, 0, at, 2 * round)
+  :: else -> give(r, HOLD, 0, at, 2 * round, 0)
   od;
 #endif
   do
   :: failed -> break
   :: !failed && armed[r] == round && armedStep[r] == at -> break
   :: !failed && armed[r] == 0 && step >= at -> failed = true; break
-  :: else -> give(r, ARM, round, at, 2 * round)
+  :: else -> give(r, ARM, round, at, 2 * round, 0)
   od;
 #ifdef EARLY_GO
   release(r)
@@ -138,7 +44,7 @@
 inline release(r) {
   do
   :: held[r] == 0 -> break
-  :: else -> give(r, GO, 0, held[r], 2 * round + 1)
+  :: else -> give(r, GO, 0, held[r], 2 * round + 1, 0)
   od
 }
 
@@ -148,7 +54,7 @@
 #endif
   do
   :: taken && armed[r] == 0 -> break
-  :: else -> give(r, DISARM, round, 0, 2 * round + 1)
+  :: else -> give(r, DISARM, round, 0, 2 * round + 1, 0)
   od;
   taken = false;
   release(r)
@@ -168,11 +74,11 @@
 #endif
      do
      :: prepared[0] == round -> break
-     :: else -> give(0, PREPARE, round, 0, 2 * round)
+     :: else -> give(0, PREPARE, round, 0, 2 * round, 0)
      od;
      do
      :: prepared[1] == round -> break
-     :: else -> give(1, PREPARE, round, 0, 2 * round)
+     :: else -> give(1, PREPARE, round, 0, 2 * round, 0)
      od;
      at = step + 1 + (round == 1 -> 0 : 1);
      failed = false; taken = false;
--- a/src/agent/rank.ts
+++ b/src/agent/rank.ts
@@ -40,10 +40,10 @@
       },
     order: async (order) => {
       // An engine that checks no fences keeps none either.
-      if (order.kind === 'fence' && !checksFences) return true;
+      if (order.kind === 'fence' && !checksFences) return 'done';
       const { status } = await endpoint.order('/orders', order);
       if (status === NOT_FOUND) throw new Error('the endpoint takes no orders');
-      return status === 200;
+      return status === 200 ? 'done' : 'refused';
     },
   };
 }
--- a/src/core/groups/rank-gate.ts
+++ b/src/core/groups/rank-gate.ts
@@ -14,6 +14,8 @@
   readonly map: ExpertMap;
   readonly armed: RankReply['armed'];
   readonly lastConfirmed: number;
+  /** Epoch that made the map whose experts the engine holds ready, in use or not. */
+  readonly preparedEpoch?: number;
   /** Place in the group, as the engine tells it. */
   readonly rank?: number;
   /** Ranks of the group, as the engine tells it. */
@@ -39,16 +41,25 @@
   readonly knownMapIds: readonly string[];
 }
 
+/**
+ * Growth of what a rank refuses when its engine's fence is higher, which the engine does not tell: the next
+ * rounds find an epoch above it in a few steps, with nothing remembered of the lives before.
+ */
+const FENCED_GROWTH = 2;
+
 const STATE_ONLY: ReadWants = { counts: false, placed: false, knownMapIds: [] };
 
 /** The engine behind a rank. */
 export interface RankEngine {
   /** Reads the truth, and what is wanted with it. */
   read(wants: ReadWants): Promise<EngineState & { readonly counts?: number[][] }>;
-  /** Gives an order with its epoch as fence; false when the engine refuses it. */
-  order(order: EngineOrder): Promise<boolean>;
+  /** Gives an order with its epoch as fence. */
+  order(order: EngineOrder): Promise<OrderEnd>;
 }
 
+/** How an engine took an order; `fenced` when it has seen a fence that is higher, or as high in an earlier life. */
+export type OrderEnd = 'done' | 'refused' | 'fenced';
+
 /** One order to the engine. */
 export type EngineOrder =
   | { readonly kind: 'fence'; readonly epoch: number }
@@ -87,6 +98,17 @@
     return served;
   }
 
+  /**
+   * Reads the engine, which outlives its agents: what it shows was made under a promise of some life of
+   * this agent, and stands for it.
+   */
+  private async read(wants: ReadWants): ReturnType<RankEngine['read']> {
+    const state = await this.engine.read(wants);
+    const shown = [state.lastConfirmed, state.armed?.epoch ?? 0, state.preparedEpoch ?? 0];
+    this.promised = Math.max(this.promised, ...shown);
+    return state;
+  }
+
   private async serveNow(order: RankOrder): Promise<RankReply> {
     if (order.kind === 'promise') return this.promise(order);
     if (order.incarnation !== this.incarnation)
@@ -98,7 +120,7 @@
   }
 
   private async look(order: RankOrder): Promise<RankReply> {
-    const state = await this.engine.read({
+    const state = await this.read({
       counts: order.wantsCounts ?? false,
       placed: true,
       knownMapIds: order.knownMapIds ?? [],
@@ -112,11 +134,12 @@
   private async promise(order: RankOrder): Promise<RankReply> {
     if (order.epoch <= this.promised)
       return this.reply(false, `epoch ${this.promised} is promised`);
-    if (!(await this.engine.order({ kind: 'fence', epoch: order.epoch })))
-      return this.reply(false, 'the engine holds a higher fence');
+    const end = await this.engine.order({ kind: 'fence', epoch: order.epoch });
+    if (end === 'fenced') this.promised = order.epoch * FENCED_GROWTH;
+    if (end !== 'done') return this.reply(false, `the engine's fence: ${end}`);
     this.promised = order.epoch;
     this.prepared = undefined;
-    const state = await this.engine.read({ ...STATE_ONLY, counts: order.wantsCounts ?? false });
+    const state = await this.read({ ...STATE_ONLY, counts: order.wantsCounts ?? false });
     const held = state.map.layers.map((layer) => layer[this.rank()] ?? []);
     const counts = state.counts?.map((layer, l) =>
       (held[l] ?? []).map((expert) => layer[expert] ?? 0),
@@ -128,7 +151,8 @@
   }
 
   private async act(order: RankOrder): Promise<boolean> {
-    const { engine } = this;
+    const give = async (own: EngineOrder): Promise<boolean> =>
+      (await this.engine.order(own)) === 'done';
     const { epoch } = order;
     // The promise stands in this incarnation: the reply's state is the answer.
     if (order.kind === 'recheck') return true;
@@ -136,23 +160,23 @@
       const map = order.map && unpackMap(order.map);
       if (!map) return false;
       this.prepared = map;
-      return engine.order({ kind: 'load', epoch, map });
+      return give({ kind: 'load', epoch, map });
     }
     if (order.kind === 'arm') {
       const { prepared } = this;
       if (!prepared || prepared.id !== order.mapId || order.step === undefined) return false;
       // An engine that checks no fences is protected by looking first: nobody else gives it orders.
-      const state = await engine.read(STATE_ONLY);
+      const state = await this.read(STATE_ONLY);
       if (state.armed || order.step <= state.step) return false;
-      return engine.order({ kind: 'arm', epoch, map: prepared, step: order.step });
+      return give({ kind: 'arm', epoch, map: prepared, step: order.step });
     }
     if (order.kind === 'promise' || order.kind === 'look' || order.target === undefined)
       return false;
-    return engine.order({ kind: order.kind, epoch, target: order.target });
+    return give({ kind: order.kind, epoch, target: order.target });
   }
 
   private async reply(done: boolean, detail: string | undefined): Promise<RankReply> {
-    const state = await this.engine.read(STATE_ONLY);
+    const state = await this.read(STATE_ONLY);
     return { ...this.describe(state, done), ...(detail ? { detail } : {}) };
   }
 
--- a/src/group/switch-engine.ts
+++ b/src/group/switch-engine.ts
@@ -7,7 +7,13 @@
  * step therefore begins only when every rank has been told what was decided.
  */
 import type { Clock } from '../core/clock/index.js';
-import type { EngineOrder, EngineState, RankEngine, ReadWants } from '../core/groups/index.js';
+import type {
+  EngineOrder,
+  EngineState,
+  OrderEnd,
+  RankEngine,
+  ReadWants,
+} from '../core/groups/index.js';
 import type { CommandAnswer, EngineCalls, EngineCommand, EngineReport } from './engine-calls.js';
 
 /** Time for an order and its proof, ms; a copy of one expert takes 0.1 s, three in each layer 0.5 s. */
@@ -60,40 +66,56 @@
 export function createSwitchEngine(parts: SwitchEngineParts): RankEngine {
   const { calls, clock } = parts;
   let groupEpoch = 0;
+  /** Whether an epoch has been fenced that no earlier life of this agent took. */
+  let hasClaimed = false;
 
-  /** Gives an order until its proof shows in the report; false when it cannot be had in time. */
+  /** Gives an order until its proof shows in the report; `refused` when it cannot be had in time. */
   async function prove(
     command: EngineCommand,
     fence: number,
     withinMs: number,
     isProved: (report: EngineReport, answer: CommandAnswer | undefined) => boolean,
-  ): Promise<boolean> {
+  ): Promise<OrderEnd> {
     const untilMs = clock.nowMs() + withinMs;
     let answer: CommandAnswer | undefined;
     while (clock.nowMs() < untilMs) {
       if (answer !== 'taken') answer = await calls.command(command, fence, groupEpoch);
       const report = await calls.report();
-      if (!report.isOpen || report.groupEpoch !== groupEpoch) return false;
-      if (isProved(report, answer)) return true;
-      if (answer === 'refused' || answer === 'fenced') return false;
+      if (!report.isOpen || report.groupEpoch !== groupEpoch) return 'refused';
+      if (isProved(report, answer)) return 'done';
+      if (answer === 'refused' || answer === 'fenced') return answer;
       await parts.pause(LOOK_MS);
     }
-    return false;
+    return 'refused';
   }
 
   /** Raises the engine's fence: disarming a version that no round makes is taken and changes nothing. */
-  async function fence(epoch: number): Promise<boolean> {
+  function raiseFence(to: number): Promise<OrderEnd> {
+    const command: EngineCommand = { kind: 'disarm', version: UNUSED_VERSION };
+    return prove(command, to, ORDER_MS, (_, answer) => answer === 'taken');
+  }
+
+  /**
+   * Fences a round. The first one of a life also proves that no earlier life took its epoch, or a higher
+   * one: the engine may still hold ready what that life prepared, under the version of this round.
+   */
+  async function fence(epoch: number): Promise<OrderEnd> {
     const report = await calls.report();
-    if (!report.isOpen) return false;
+    if (!report.isOpen) return 'refused';
     groupEpoch = report.groupEpoch;
-    const command: EngineCommand = { kind: 'disarm', version: UNUSED_VERSION };
-    return prove(command, roundFence(epoch), ORDER_MS, (_, answer) => answer === 'taken');
+    if (!hasClaimed) {
+      const claimed = await raiseFence(roundFence(epoch) - 1);
+      if (claimed !== 'done') return claimed;
+    }
+    const raised = await raiseFence(roundFence(epoch));
+    hasClaimed ||= raised === 'done';
+    return raised;
   }
 
-  async function arm(epoch: number, version: number, step: number): Promise<boolean> {
+  async function arm(epoch: number, version: number, step: number): Promise<OrderEnd> {
     const fence = roundFence(epoch);
     const held = await prove({ kind: 'hold', step }, fence, ORDER_MS, (r) => r.heldStep === step);
-    if (!held) return false;
+    if (held !== 'done') return held;
     return prove(
       { kind: 'arm', version, step },
       fence,
@@ -103,21 +125,21 @@
   }
 
   /** Lets the group go on at this rank. */
-  async function go(epoch: number, step: number): Promise<boolean> {
+  async function go(epoch: number, step: number): Promise<OrderEnd> {
     const command: EngineCommand = { kind: 'go', step };
     return prove(command, decisionFence(epoch), ORDER_MS, (r) => r.heldStep !== step);
   }
 
-  async function confirm(epoch: number, target: number): Promise<boolean> {
+  async function confirm(epoch: number, target: number): Promise<OrderEnd> {
     const report = await calls.report();
-    if (report.groupEpoch !== groupEpoch) return false;
-    if (report.armed?.version !== target) return report.mapVersion >= target;
-    return report.heldStep === undefined || go(epoch, report.heldStep);
+    if (report.groupEpoch !== groupEpoch) return 'refused';
+    if (report.armed?.version !== target) return report.mapVersion >= target ? 'done' : 'refused';
+    return report.heldStep === undefined ? 'done' : go(epoch, report.heldStep);
   }
 
-  async function abort(epoch: number, target: number): Promise<boolean> {
+  async function abort(epoch: number, target: number): Promise<OrderEnd> {
     const first = await calls.report();
-    if (first.groupEpoch !== groupEpoch) return false;
+    if (first.groupEpoch !== groupEpoch) return 'refused';
     const version = first.armed?.version ?? target;
     // Once this is taken, an arm of this round that is still on its way meets a higher fence.
     const disarmed = await prove(
@@ -126,12 +148,12 @@
       ORDER_MS,
       (r, answer) => answer === 'taken' && r.armed === undefined,
     );
-    if (!disarmed) return false;
+    if (disarmed !== 'done') return disarmed;
     const report = await calls.report();
-    return report.heldStep === undefined || go(epoch, report.heldStep);
+    return report.heldStep === undefined ? 'done' : go(epoch, report.heldStep);
   }
 
-  async function order(order: EngineOrder): Promise<boolean> {
+  async function order(order: EngineOrder): Promise<OrderEnd> {
     switch (order.kind) {
       case 'fence':
         return fence(order.epoch);
@@ -163,6 +185,7 @@
       map: { id: mapId, layers: [] },
       armed: open,
       lastConfirmed: Math.max(report.mapVersion, open?.confirmed ? open.epoch : 0),
+      preparedEpoch: report.preparedVersion ?? 0,
       rank: report.rank,
       ...(report.ranks !== undefined && { ranks: report.ranks }),
       pace: report.pace,
--- a/test/core/groups/switch.test.ts
+++ b/test/core/groups/switch.test.ts
@@ -12,6 +12,7 @@
   runSwitch,
   type EngineOrder,
   type EngineState,
+  type OrderEnd,
   type ExpertMap,
   type RankOrder,
   type RankEngine,
@@ -49,10 +50,10 @@
     });
   }
 
-  order(order: EngineOrder): Promise<boolean> {
-    if (this.checksFences && order.epoch < this.fence) return Promise.resolve(false);
+  order(order: EngineOrder): Promise<OrderEnd> {
+    if (this.checksFences && order.epoch < this.fence) return Promise.resolve('fenced');
     if (this.checksFences) this.fence = order.epoch;
-    return Promise.resolve(this.apply(order));
+    return Promise.resolve(this.apply(order) ? 'done' : 'refused');
   }
 
   mustHold(): boolean {
--- a/test/group/switch-engine.test.ts
+++ b/test/group/switch-engine.test.ts
@@ -13,6 +13,9 @@
   ['late orders', { ...CALM, lateShare: 0.4 }],
   ['lost calls', { ...CALM, lostShare: 0.1 }],
   ['restarts of agents', { ...CALM, restarts: true }],
+  // Engines outlive their agents: a version that one still holds must not be taken for another map.
+  ['kills of all agents at once', { ...CALM, killsAll: true }],
+  ['kills of all agents and late orders', { ...CALM, killsAll: true, lateShare: 0.2 }],
 ];
 
 for (const [what, trouble] of TROUBLES)
--- a/test/group/switch-play.ts
+++ b/test/group/switch-play.ts
@@ -19,6 +19,8 @@
   readonly lostShare: number;
   readonly restarts: boolean;
   readonly reforms: boolean;
+  /** Whether all agents are killed at once now and then, so that nobody remembers any promise. */
+  readonly killsAll: boolean;
   readonly coordinators: number;
 }
 
@@ -27,6 +29,7 @@
   lostShare: 0,
   restarts: false,
   reforms: false,
+  killsAll: false,
   coordinators: 1,
 };
 const TROUBLE_MS = 30_000;
@@ -72,32 +75,46 @@
   const gates = Array.from({ length: RANKS }, (_, rank) => makeGate(rank));
   const lost = (): boolean => inTrouble() && random() < trouble.lostShare;
   const call = async (rank: number, order: RankOrder): Promise<RankReply> => {
+    const life = kills;
     await time.sleep(1 + random() * 4);
     if (lost()) throw new Error('lost on the way');
+    // What a killed coordinator sent and nobody has read dies with its connections.
+    if (life !== kills) throw new Error('the process was killed');
     const reply = await (gates[rank] as RankGate).serve(order);
     if (lost()) throw new Error('lost on the way back');
     return reply;
   };
   let switched = 0;
+  let kills = 0;
   const coordinate = async (own: number): Promise<void> => {
     let highest = 0;
+    const life = kills;
     for (;;) {
       await time.sleep(50 + random() * 200);
+      if (life !== kills) return;
       const end = await runSwitch(
         { group: 'g', ranks: RANKS, call, known: undefined, wantsCounts: false, marginSteps: 3 },
         nextEpoch(highest, own),
-        (view) => ({ id: String(view.epoch), layers: [[[0], [1], [2]]] }),
+        (view) => ({ id: String(view.epoch), layers: [[[0], [1], [2, life]]] }),
       );
       highest = Math.max(nextEpoch(highest, own), end.kind === 'blocked' ? end.highest : 0);
       if (end.kind === 'switched') switched += 1;
     }
   };
-  for (let own = 0; own < trouble.coordinators; own += 1) void coordinate(own);
+  const startAll = (): void => {
+    for (let own = 0; own < trouble.coordinators; own += 1) void coordinate(own);
+  };
+  startAll();
   const upset = (): void => {
     if (!inTrouble()) return;
     const rank = Math.floor(random() * RANKS);
     if (trouble.restarts) gates[rank] = makeGate(rank);
     if (trouble.reforms && random() < 0.3) group.reform();
+    if (trouble.killsAll) {
+      kills += 1;
+      gates.forEach((_, each) => (gates[each] = makeGate(each)));
+      startAll();
+    }
     time.after(500 + random() * 4000, upset);
   };
   time.after(1000, upset);
--- a/test/group/switch-races.test.ts
+++ b/test/group/switch-races.test.ts
@@ -7,8 +7,16 @@
   ['a group formed anew', { ...CALM, reforms: true, lateShare: 0.2 }],
   [
     'all of it',
-    { lateShare: 0.3, lostShare: 0.05, restarts: true, reforms: true, coordinators: 2 },
+    {
+      ...CALM,
+      lateShare: 0.3,
+      lostShare: 0.05,
+      restarts: true,
+      reforms: true,
+      coordinators: 2,
+    },
   ],
+  ['kills of all agents, with two coordinators', { ...CALM, killsAll: true, coordinators: 2 }],
 ];
 
 for (const [what, trouble] of TROUBLES)
