--- /dev/null
+++ b/src/cli/account/tables.ts
@@ -0,0 +1,99 @@
+/** Tables of where worth went: by span of time, and by reason. */
+import { ENDS, type End, type RequestEndLine } from './ends.js';
+
+/** What one span of time held. */
+export interface Span {
+  /** Start of the span, s after the first request. */
+  readonly fromS: number;
+  readonly counts: ReadonlyMap<End, number>;
+  /** Longest step-time skew that a coordinator saw, and streams and limit that entries told; NaN without any. */
+  readonly skew: number;
+  readonly running: number;
+  readonly limit: number;
+}
+
+/** A figure of the group that some line told. */
+export interface GroupFigure {
+  readonly atMs: number;
+  readonly skew?: number;
+  readonly running?: number;
+  readonly limit?: number;
+}
+
+const MS_PER_S = 1000;
+
+function most(values: readonly (number | undefined)[]): number {
+  const told = values.filter((value) => value !== undefined);
+  return told.length > 0 ? Math.max(...told) : Number.NaN;
+}
+
+/**
+ * Ends and figures by span, in order of time.
+ * @example spansOf(ends, figures, 2)[0]?.counts.get('in time')
+ */
+export function spansOf(
+  ends: readonly RequestEndLine[],
+  figures: readonly GroupFigure[],
+  spanS: number,
+): Span[] {
+  const times = ends.map((end) => end.cameAtMs);
+  const startMs = times.reduce((least, ms) => Math.min(least, ms), Infinity);
+  const endMs = times.reduce((last, ms) => Math.max(last, ms), -Infinity);
+  const spanMs = spanS * MS_PER_S;
+  const spans: Span[] = [];
+  for (let fromMs = startMs; fromMs <= endMs; fromMs += spanMs) {
+    const isIn = (atMs: number): boolean => atMs >= fromMs && atMs < fromMs + spanMs;
+    const counts = new Map<End, number>();
+    for (const end of ends)
+      if (isIn(end.cameAtMs)) counts.set(end.end, (counts.get(end.end) ?? 0) + 1);
+    const told = figures.filter((figure) => isIn(figure.atMs));
+    spans.push({
+      fromS: (fromMs - startMs) / MS_PER_S,
+      counts,
+      skew: most(told.map((figure) => figure.skew)),
+      running: most(told.map((figure) => figure.running)),
+      limit: most(told.map((figure) => figure.limit)),
+    });
+  }
+  return spans;
+}
+
+function cell(value: number, digits = 0): string {
+  return Number.isNaN(value) ? '-' : value.toFixed(digits);
+}
+
+function table(rows: readonly (readonly string[])[]): string {
+  const widths = (rows[0] ?? []).map((_, i) =>
+    Math.max(...rows.map((row) => (row[i] ?? '').length)),
+  );
+  return rows
+    .map((row) => row.map((text, i) => text.padStart(widths[i] ?? 0)).join('  '))
+    .join('\n');
+}
+
+/** One line a span, for a person. */
+export function printSpans(spans: readonly Span[]): string {
+  const head = ['from s', ...ENDS, 'skew', 'streams', 'limit'];
+  const rows = spans.map((span) => [
+    span.fromS.toFixed(0),
+    ...ENDS.map((end) => String(span.counts.get(end) ?? 0)),
+    cell(span.skew, 2),
+    cell(span.running),
+    cell(span.limit),
+  ]);
+  return table([head, ...rows]);
+}
+
+/** One line for each end and reason, most frequent first. */
+export function printReasons(ends: readonly RequestEndLine[]): string {
+  const counts = new Map<string, number>();
+  for (const { end, reason } of ends) {
+    const name = reason === '' || end === reason ? end : `${end} (${reason})`;
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  const rows = [...counts].sort((a, b) => b[1] - a[1]);
+  return table([
+    ['share', 'requests', 'end'],
+    ...rows.map(([name, count]) => [(count / ends.length).toFixed(3), String(count), name]),
+  ]);
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -76,6 +76,17 @@
     (await import('./explain/index.js')).explain(address, id, options),
   );
 
+program
+  .command('account <logs...>')
+  .description(
+    'where the worth went: how requests ended, by time and by reason, from logs of entries and agents',
+  )
+  .option('--span <seconds>', 'length of one line of the table', '2')
+  .option('--json', 'print the table as JSON')
+  .action(async (files: string[], options: { span: string; json?: boolean }) =>
+    (await import('./account/index.js')).account(files, options),
+  );
+
 program.exitOverride((err) => process.exit(err.exitCode === 0 ? EXIT.ok : EXIT.usage));
 program.parseAsync().catch((err: unknown) => {
   const known = err instanceof CommandError;
--- a/src/core/limits/index.ts
+++ b/src/core/limits/index.ts
@@ -1,3 +1,4 @@
 export * from './stream-limit.js';
 export * from './turn-queue.js';
+export * from './turn-terms.js';
 export * from './outage.js';
--- a/src/core/limits/stream-limit.ts
+++ b/src/core/limits/stream-limit.ts
@@ -1,9 +1,9 @@
 /**
  * How many streams a group of engines bears at once. All its ranks advance in lock-step, so every stream
- * pauses alike, and one step that takes too long makes every running stream late. Steps are slowest just
- * after demand has shifted, before a new expert map is in use. The limit is therefore such that even the
- * slowest steps of late would keep the pauses allowed; each entry finds it from its own streams, with no
- * shared counter (figures in docs/EXPERIMENTS.md).
+ * pauses alike, and one step that takes too long makes every running stream late. The limit is such that the
+ * slow steps of late would keep the pauses allowed, but for the slowest third: those come just after demand has
+ * shifted, and to keep them, more callers would be refused than are late by them. Each entry finds it from its
+ * own streams, with no shared counter (figures in docs/DECISIONS.md).
  */
 
 /** How long a token step takes, as the endpoints publish it. */
@@ -34,11 +34,14 @@
   readonly spanMs: number;
   /** Spans that count. */
   readonly spans: number;
-  /** Slowest spans that are left out: a group that was held for a moment says nothing about its load. */
+  /** Slowest spans that are left out: steps after a shift of demand, and a group that was held for a moment. */
   readonly leftOut: number;
 }
 
-/** Demand shifts each four seconds or so: five seconds hold a shift, which is slow for two or three spans. */
+/**
+ * Demand shifts each four seconds or so: five seconds hold a shift or two, each slow for three or four spans.
+ * With one span left out a mean worth of 0.459 and 0.490 on five days with trouble, with seven 0.495.
+ */
 export const STREAM_LIMIT: StreamLimitOptions = {
   startPerRank: 3,
   usualPerRank: 4.5,
@@ -46,7 +49,7 @@
   targetShare: 0.93,
   spanMs: 250,
   spans: 20,
-  leftOut: 1,
+  leftOut: 7,
 };
 
 /** Spans that are needed before the limit rests on them. */
--- a/src/core/limits/turn-queue.ts
+++ b/src/core/limits/turn-queue.ts
@@ -1,13 +1,13 @@
 /** Turns for a limited number of places; who cannot have one in time is refused at once. */
 
 /**
- * Requests that may wait, as a share of the places: no more than come free in a tenth of a second, or
- * most would wait for nothing.
+ * Requests that may wait before one is turned away at once, as a share of the places: no more than come free
+ * in a tenth of a second, or most would wait for nothing. Those behind it do not count.
  */
-const WAITING_SHARE = 0.25;
+const AHEAD_SHARE = 0.25;
 
 interface Waiting {
-  readonly priority: number;
+  readonly order: number;
   readonly give: (got: boolean) => void;
 }
 
@@ -31,38 +31,39 @@
 
   /**
    * Takes a place, waiting for `waitMs` at most; false when there is none in time or the signal aborts.
-   * A place that was taken must be given back with `release`. `waitingShare` tells how many may wait
-   * before this one is turned away, as a share of the places.
-   * @example if (!(await turns.take(0, 110, gone))) return refuse();
+   * A place that was taken must be given back with `release`. Lower orders go first.
+   * @example if (!(await turns.take(0, 60, gone))) return refuse();
    */
-  take(
-    priority: number,
-    waitMs: number,
-    gone: AbortSignal,
-    waitingShare = WAITING_SHARE,
-  ): Promise<boolean> {
-    if (this.taken < this.allowed() && this.waiting.length === 0) {
+  take(order: number, waitMs: number, gone: AbortSignal): Promise<boolean> {
+    // More may be allowed than when those who wait asked.
+    this.giveFree();
+    const behind = this.waiting.findIndex((other) => other.order > order);
+    const ahead = behind < 0 ? this.waiting.length : behind;
+    if (this.taken < this.allowed()) {
       this.taken += 1;
       return Promise.resolve(true);
     }
-    if (this.waiting.length >= Math.max(1, Math.ceil(this.allowed() * waitingShare)))
+    if (ahead >= Math.max(1, Math.ceil(this.allowed() * AHEAD_SHARE)))
       return Promise.resolve(false);
+    return this.waitAt(ahead, order, waitMs, gone);
+  }
+
+  private waitAt(at: number, order: number, waitMs: number, gone: AbortSignal): Promise<boolean> {
     return new Promise((resolve) => {
       const leave = (): void => entry.give(false);
       const timer = setTimeout(leave, waitMs);
       const entry: Waiting = {
-        priority,
+        order,
         give: (got) => {
           clearTimeout(timer);
           gone.removeEventListener('abort', leave);
-          const at = this.waiting.indexOf(entry);
-          if (at >= 0) this.waiting.splice(at, 1);
+          const index = this.waiting.indexOf(entry);
+          if (index >= 0) this.waiting.splice(index, 1);
           resolve(got);
         },
       };
       gone.addEventListener('abort', leave, { once: true });
-      const behind = this.waiting.findIndex((other) => other.priority > priority);
-      this.waiting.splice(behind < 0 ? this.waiting.length : behind, 0, entry);
+      this.waiting.splice(at, 0, entry);
     });
   }
 
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -6,6 +6,7 @@
   publishedConfig,
   publishedEndpoints,
 } from '../caller-api/index.js';
+import { asId } from '../core/ids/index.js';
 import { PublishedState, type CallerLimits } from '../core/published/index.js';
 import { createContext, createGateway, type Gateway } from '../gateway/index.js';
 import type { DaemonContext } from '../runtime/index.js';
@@ -80,6 +81,7 @@
     random: ctx.random,
     log: decisions.watch(ctx.log),
     metrics,
+    dataCentre: asId(settings.dataCentre),
     sightOf: () => undefined,
     groupSize: () => undefined,
   });
--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -31,24 +31,11 @@
  */
 export const KEY_PROOF_MARGIN_MS = 1500;
 
-/** Part of the target for which a request may wait for its turn: held longer, a refusal costs. */
-export const QUEUE_TARGET_SHARE = 0.22;
-
 /**
  * Time for which a caller that came back outlasts an outage, ms: a second refusal ends its request.
  * Callers of streams leave after 2 s without an event, and the first one takes 0.2 to 0.4 s.
  */
 export const RETURNING_OUTAGE_MS = 1500;
-/**
- * Part of the target for which a caller that came back may wait for a place. With 1.5 s, refusals fell by
- * half, but the places were full of streams that were late before they began (docs/EXPERIMENTS.md).
- */
-export const RETURNING_TARGET_SHARE = 0.6;
-/** Callers that came back who may wait, as a share of the places. */
-export const RETURNING_WAITING_SHARE = 0.5;
-/** Priority of callers that came back, before all others. */
-export const RETURNING_PRIORITY = -1;
-
 /** Retry-After of a refusal for want of room, s, lower and upper end: spreads those who return. */
 export const BUSY_RETRY_S = { least: 1.0, most: 2.5 } as const;
 /**
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -4,7 +4,12 @@
 import type { EndpointId } from '../core/ids/index.js';
 import type { Log } from '../core/logging/index.js';
 import type { Metrics } from '../core/metrics/index.js';
-import type { PublishedEndpoint, PublishedState, ServiceId } from '../core/published/index.js';
+import type {
+  DataCentreId,
+  PublishedEndpoint,
+  PublishedState,
+  ServiceId,
+} from '../core/published/index.js';
 import { EndpointHealth } from '../core/routing/index.js';
 import { endpointConnector } from './connect.js';
 import type { EngineSight } from './group-sight.js';
@@ -22,6 +27,12 @@
 const SLOW_PACE = 1.3;
 const SLOW_PENALTY = 100;
 
+/**
+ * Requests that a rank in another data centre counts for more: the ranks of a group take as long wherever a
+ * request enters it, so bytes stay near until near ranks have this many more of this entry's than far ones.
+ */
+const FAR_RUNS = 3;
+
 function isSlowPace(sight: EngineSight | undefined): boolean {
   return sight !== undefined && sight.pace > SLOW_PACE;
 }
@@ -51,6 +62,8 @@
   readonly random: () => number;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** Data centre of this entry. */
+  readonly dataCentre: DataCentreId;
   /** What is known of a model engine beyond this entry's own requests. */
   readonly sightOf: (endpoint: PublishedEndpoint) => EngineSight | undefined;
 }
@@ -99,8 +112,9 @@
 
   private score(known: EndpointState, nowMs: number): number {
     const sight = this.parts.sightOf(known.endpoint);
-    const load = (known.running + 1) / known.endpoint.slots;
-    // Ranks of a group answer in lock-step: only their own pace tells them apart.
+    // Ranks of a group answer in lock-step: only their own pace, and the way to them, tells them apart.
+    const wayRuns = sight && this.isFar(known.endpoint) ? FAR_RUNS : 0;
+    const load = (known.running + 1 + wayRuns) / known.endpoint.slots;
     const slowness = sight ? slownessOf(sight) : 1 + known.answerMs / 1000;
     const score = load * slowness * (1 + FAILURE_PENALTY * known.failureShare ** 2);
     // Among equals the one that was used longest ago goes first.
@@ -108,6 +122,10 @@
     return score + turn + (known.health.isEjected(nowMs) ? 1e6 : 0);
   }
 
+  private isFar(endpoint: PublishedEndpoint): boolean {
+    return endpoint.dataCentre !== this.parts.dataCentre;
+  }
+
   /** Whether an endpoint is known to hold its group up. */
   isSlow(known: EndpointState): boolean {
     return isSlowPace(this.parts.sightOf(known.endpoint));
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -122,7 +122,10 @@
       config: state.config?.version,
       proofMs: Math.round(state.proofAgeMs(clock.nowMs())),
       tries: note.tries.join(',') || undefined,
+      returning: note.isReturning || undefined,
       queuedMs: Math.round(note.queuedMs) || undefined,
+      targetMs: req?.route.targetMs,
+      gapMs: req?.route.gapMs,
       firstMs: note.firstMs === undefined ? undefined : Math.round(note.firstMs),
       longestPauseMs:
         note.longestPauseMs === undefined ? undefined : Math.round(note.longestPauseMs),
@@ -145,6 +148,7 @@
       service: '',
       tries: [],
       queuedMs: 0,
+      isReturning: false,
       firstMs: undefined,
       longestPauseMs: undefined,
       events: 0,
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -26,6 +26,8 @@
 const METRICS_PATH = '/metrics';
 /** Time to open a connection to another daemon, ms. */
 const PEER_CONNECT_MS = 500;
+/** How often the places of this entry are logged, ms. */
+const TURNS_LOG_MS = 1000;
 /** How often endpoints that are gone are dropped, ms. */
 const PRUNE_MS = 2000;
 
@@ -48,12 +50,12 @@
   const log = createLog('info', { instance: settings.instance });
   const metrics = new Metrics();
   const state = new PublishedState();
-  const shared = { state, clock: systemClock, random: Math.random, log, metrics };
+  const { dataCentre } = settings;
+  const shared = { state, clock: systemClock, random: Math.random, log, metrics, dataCentre };
   const ending = new AbortController();
   const peers = createPeers(new HttpAgent({ connect: { timeout: PEER_CONNECT_MS } }));
   const groups = new GroupSight({
     ...shared,
-    dataCentre: settings.dataCentre,
     port: settings.internalPort,
     ask: (address, withinMs) =>
       peers
@@ -74,6 +76,7 @@
   void followPublished({ ...shared, source: parts.source, pace: ENTRY_PACE }, ending.signal);
   void groups.run(ending.signal);
   setInterval(() => ctx.endpoints.prune(), PRUNE_MS).unref();
+  setInterval(() => logTurns(ctx), TURNS_LOG_MS).unref();
   watchSettings(parts.reread, settings, log);
   process.on('SIGTERM', () => {
     void stop(gateway, settings, log).then(() => process.exit(0));
@@ -82,6 +85,14 @@
   log.info('process.started', { settings: JSON.stringify(settings) });
 }
 
+/** Says what each group was seen to run and how much of it this entry gives, for whoever asks later why it refused. */
+function logTurns(ctx: GatewayContext): void {
+  for (const service of ctx.state.config?.services.values() ?? []) {
+    const figures = ctx.serviceOf(service.id).turns?.figures();
+    if (figures) ctx.log.info('group.seen', { service: service.id, ...figures });
+  }
+}
+
 async function openAddresses(
   parts: ProcessParts,
   gateway: Gateway,
--- a/src/gateway/serve-request.ts
+++ b/src/gateway/serve-request.ts
@@ -1,6 +1,7 @@
 /** Serves one request: its turn, its attempts, its one final answer. */
 import type { EndpointId } from '../core/ids/index.js';
 import { pickService, type ServiceId } from '../core/published/index.js';
+import { turnTerms } from '../core/limits/index.js';
 import type { RetryBudget } from '../core/retry/index.js';
 import { sendAttempt, type Answer } from './attempt.js';
 import {
@@ -10,11 +11,7 @@
   FINAL_ANSWER_MS,
   LEAST_ATTEMPT_MS,
   OUTAGE_RETRY_S,
-  QUEUE_TARGET_SHARE,
   RETURNING_OUTAGE_MS,
-  RETURNING_PRIORITY,
-  RETURNING_TARGET_SHARE,
-  RETURNING_WAITING_SHARE,
   SILENCE_FACTOR,
   STREAM_SILENCE_MS,
 } from './consts.js';
@@ -40,6 +37,8 @@
   /** Endpoints tried, in order, with what came of each. */
   tries: string[];
   queuedMs: number;
+  /** Whether its caller has been refused before. */
+  isReturning: boolean;
   firstMs: number | undefined;
   longestPauseMs: number | undefined;
   events: number;
@@ -307,7 +306,7 @@
 
 /**
  * Takes one of this entry's places at a group; its end when there is none in time. Who was refused before
- * goes first and waits longer, also for the end of an outage: another refusal would be its last answer.
+ * waits also for the end of an outage: another refusal would be its last answer.
  */
 async function takeTurn(work: Work, turns: Turns): Promise<RequestEnd | undefined> {
   const { ctx, request, note } = work;
@@ -315,6 +314,7 @@
   if (route.gapMs !== undefined) turns.allowPauses(route.gapMs);
   const askedAtMs = ctx.clock.nowMs();
   const isReturning = turns.isReturning(route.id, request.head.deadlineMs ?? DEFAULT_DEADLINE_MS);
+  note.isReturning = isReturning;
   const isOut = isReturning
     ? !(await turns.outlast(Math.min(RETURNING_OUTAGE_MS, leftMs(work)), gone))
     : turns.outage.refuses(askedAtMs);
@@ -323,11 +323,13 @@
   if (isOut)
     return refused('outage', 'no endpoint of the service serves', retryS(ctx, OUTAGE_RETRY_S));
   const priority = request.organisation?.priority ?? route.priority;
-  const share = isReturning ? RETURNING_TARGET_SHARE : QUEUE_TARGET_SHARE;
-  const waitMs = Math.min(route.targetMs * share, leftMs(work));
-  const got = isReturning
-    ? await turns.queue.take(RETURNING_PRIORITY, waitMs, gone, RETURNING_WAITING_SHARE)
-    : await turns.queue.take(priority, waitMs, gone);
+  const terms = turnTerms({
+    isReturning,
+    priority,
+    targetMs: route.targetMs,
+    leftMs: leftMs(work),
+  });
+  const got = await turns.queue.take(terms.order, terms.waitMs, gone);
   note.queuedMs = ctx.clock.nowMs() - askedAtMs;
   if (got) return undefined;
   if (gone.aborted) return { kind: 'gone' };
--- a/src/gateway/turns.ts
+++ b/src/gateway/turns.ts
@@ -1,6 +1,7 @@
 /** Turns at a group of engines in lock-step: how many streams this entry may run there, and who waits. */
 import { sleep, type Clock } from '../core/clock/index.js';
 import { Outage, placesOf, StreamLimit, TurnQueue, type StepModel } from '../core/limits/index.js';
+import type { LogFields } from '../core/logging/index.js';
 import type { EngineInfo, RouteId } from '../core/published/index.js';
 import type { GroupSize } from './group-sight.js';
 
@@ -52,6 +53,21 @@
     });
   }
 
+  /** Streams and limit of the group, and this entry's part, for the log; undefined while it is unseen. */
+  figures(): LogFields | undefined {
+    const size = this.parts.size();
+    const model = this.model(size);
+    if (!size || !model) return undefined;
+    return {
+      running: size.running,
+      limit: Math.round(this.limit.streams(this.allowedPauseMs, model)),
+      entries: size.entries,
+      own: this.queue.running,
+      places: this.places,
+      queued: this.queue.queued,
+    };
+  }
+
   /** What decided the places, for the log. */
   describe(): string {
     const size = this.parts.size();
--- a/src/group/consts.ts
+++ b/src/group/consts.ts
@@ -87,5 +87,7 @@
 export const LEAST_TOKENS = 2000;
 /** How often the same fault of a round is logged at most, ms. */
 export const LOG_PAUSE_MS = 2000;
+/** How often the skew is logged at most, ms. */
+export const SKEW_LOG_PAUSE_MS = 500;
 /** A group with work that begins no step for so long stands still, ms: its slowest steps take 0.2 s. */
 export const STANDS_MS = 400;
--- a/src/group/coordinator-task.ts
+++ b/src/group/coordinator-task.ts
@@ -24,6 +24,7 @@
   PREPARE_ORDER_MS,
   SAMPLE_RANKS,
   SILENT_MS,
+  SKEW_LOG_PAUSE_MS,
   STANDS_MS,
 } from './consts.js';
 import { Digester } from './digest.js';
@@ -66,6 +67,7 @@
   private steppedAtMs = 0;
   private highestEpoch = 0;
   private loggedAtMs = Number.NEGATIVE_INFINITY;
+  private skewLoggedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly parts: CoordinatorParts) {
     this.looks = new GroupLooks(parts);
@@ -209,6 +211,7 @@
       pace,
     });
     this.parts.metrics.observe('group_skew_permille', plan.skewBefore * 1000);
+    this.noteSkew(plan.skewBefore);
     if (plan.copies === 0 || plan.skewBefore < plan.skewAfter * LEAST_SKEW_GAIN) return;
     const startedAtMs = this.parts.clock.nowMs();
     const end = await this.switchMaps(byRank, (view) => {
@@ -259,6 +262,15 @@
     return end;
   }
 
+  /** Logs the skew that is lived with, now and then. */
+  private noteSkew(skew: number): void {
+    const nowMs = this.parts.clock.nowMs();
+    if (nowMs - this.skewLoggedAtMs < SKEW_LOG_PAUSE_MS) return;
+    this.skewLoggedAtMs = nowMs;
+    const stepMs = this.digest?.stepMs;
+    this.parts.log.info('group.seen', { skew: Number(skew.toFixed(2)), stepMs });
+  }
+
   /** Logs why no round can be made, now and then. */
   private note(why: string, detail: string): void {
     const nowMs = this.parts.clock.nowMs();
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -140,6 +140,7 @@
     random: seededRandom(1),
     log: recordingLog(lines),
     metrics,
+    dataCentre: asId('a'),
     sightOf: () => undefined,
     groupSize: () => undefined,
   });
