--- a/src/cli/account/log-lines.ts
+++ b/src/cli/account/log-lines.ts
@@ -3,7 +3,7 @@
 /** The pairs of one line. */
 export type LogPairs = Readonly<Record<string, string>>;
 
-const PAIR = /([A-Za-z][A-Za-z0-9_.]*)=("(?:[^"\\]|\\.)*"|[^\s"]*)/g;
+const PAIR = /([A-Za-z][A-Za-z0-9_.]*)=("(?:[^"\\]|\\.)*"?|[^\s"]*)/g;
 
 function valueOf(text: string): string {
   if (!text.startsWith('"')) return text;
--- /dev/null
+++ b/test/cli/account.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { readEnd } from '../../src/cli/account/ends.js';
+import { parseLine } from '../../src/cli/account/log-lines.js';
+import { printReasons, printSpans, spansOf } from '../../src/cli/account/tables.js';
+import { formatLine } from '../../src/core/logging/index.js';
+
+const AT = '2026-01-01T00:00:10.000Z';
+
+/** The end that a line with some pairs tells. */
+function endOf(pairs: Record<string, string | number | boolean>): string | undefined {
+  const line = formatLine({ time: AT, event: 'request.end', tookMs: 500, ...pairs });
+  const parsed = parseLine(`12.3 front-1 ${line}`);
+  return parsed && readEnd(parsed)?.end;
+}
+
+test('what a daemon writes is read back, whatever stands in its values', () => {
+  fc.assert(
+    fc.property(fc.string(), fc.string(), (detail, request) => {
+      const parsed = parseLine(formatLine({ event: 'request.end', detail, request }));
+      assert.deepEqual({ ...parsed }, { event: 'request.end', detail, request });
+    }),
+  );
+  assert.equal(parseLine('no pairs here'), undefined);
+  assert.equal(parseLine('event=request.end detail="cut of')?.['detail'], 'cut of');
+});
+
+test('a line tells how its request ended for the caller', () => {
+  const stream = {
+    outcome: 'answered',
+    firstMs: 200,
+    longestPauseMs: 100,
+    targetMs: 500,
+    gapMs: 120,
+  };
+  assert.equal(endOf(stream), 'in time');
+  assert.equal(endOf({ ...stream, firstMs: 501 }), 'late: first event');
+  assert.equal(endOf({ ...stream, longestPauseMs: 121 }), 'late: pause');
+  assert.equal(endOf({ ...stream, returning: true }), 'late: came back');
+  assert.equal(endOf({ outcome: 'answered', targetMs: 400 }), 'late: first event');
+  assert.equal(endOf({ outcome: 'busy' }), 'refused');
+  assert.equal(endOf({ outcome: 'busy', returning: true }), 'refused again');
+  assert.equal(endOf({ outcome: 'time-over' }), 'failed');
+  assert.equal(endOf({ outcome: 'cut' }), 'cut');
+  assert.equal(endOf({ outcome: 'gone' }), 'caller left');
+  assert.equal(readEnd({ event: 'group.switch' }), undefined);
+});
+
+test('ends are counted by the time at which their requests came, with what was seen of the group', () => {
+  const end = (cameAtMs: number, what: 'in time' | 'refused') => ({
+    cameAtMs,
+    end: what,
+    reason: what === 'refused' ? 'busy' : 'answered',
+  });
+  const ends = [end(1000, 'in time'), end(2900, 'refused'), end(3100, 'in time')];
+  const figures = [
+    { atMs: 1500, skew: 1.2 },
+    { atMs: 1600, skew: 3.1, running: 40 },
+  ];
+  const spans = spansOf(ends, figures, 2);
+  assert.deepEqual(
+    spans.map((span) => [span.fromS, span.counts.get('in time'), span.counts.get('refused')]),
+    [
+      [0, 1, 1],
+      [2, 1, undefined],
+    ],
+  );
+  assert.equal(spans[0]?.skew, 3.1);
+  assert.equal(spans[0]?.running, 40);
+  assert.match(printSpans(spans), /3\.10/);
+  assert.match(printReasons(ends), /0\.333\s+1\s+refused \(busy\)/);
+});
