--- /dev/null
+++ b/test/gateway/endpoints.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { systemClock } from '../../src/core/clock/index.js';
+import { asId } from '../../src/core/ids/index.js';
+import { silentLog } from '../../src/core/logging/index.js';
+import { Metrics } from '../../src/core/metrics/index.js';
+import {
+  PublishedState,
+  type DataCentreId,
+  type PublishedEndpoint,
+} from '../../src/core/published/index.js';
+import { Endpoints } from '../../src/gateway/endpoints.js';
+import { endpoint, SERVICE } from './harness.js';
+
+/** Endpoints of an entry in data centre `a`; those of a group are seen, plain ones are not. */
+function endpointsOf(listed: readonly PublishedEndpoint[], isGroup: boolean): Endpoints {
+  const state = new PublishedState();
+  state.offerList(listed, false);
+  return new Endpoints({
+    state,
+    clock: systemClock,
+    random: () => 0.5,
+    log: silentLog,
+    metrics: new Metrics(),
+    dataCentre: asId('a'),
+    sightOf: () => (isGroup ? { pace: 1 } : undefined),
+  });
+}
+
+const near = endpoint('near', '127.0.0.1:1');
+const far = { ...endpoint('far', '127.0.0.1:2'), dataCentre: asId<DataCentreId>('b') };
+
+/** Names of the endpoints that so many requests are sent to, one after the other, all of which go on running. */
+function sendAll(endpoints: Endpoints, count: number): string[] {
+  return Array.from({ length: count }, () => {
+    const chosen = endpoints.choose(asId(SERVICE), new Set());
+    assert.ok(chosen);
+    endpoints.noteSent(chosen);
+    return chosen.endpoint.id;
+  });
+}
+
+test('a group is entered near, and far only when near ranks have three more of our requests', () => {
+  const sent = sendAll(endpointsOf([far, near], true), 8);
+  assert.deepEqual(sent.slice(0, 3), ['near', 'near', 'near']);
+  assert.equal(sent.filter((id) => id === 'near').length, 5, sent.join(' '));
+});
+
+test('plain endpoints take turns wherever they are', () => {
+  const sent = sendAll(endpointsOf([far, near], false), 6);
+  assert.equal(sent.filter((id) => id === 'near').length, 3, sent.join(' '));
+});
