Several groups behind one service: each is seen, limited and led for itself

Change: engines tell the name of their group; an agent learns members from replies and digests, asks others only while members are missing, and coordinates by its rank; an entry keeps turns, limit and outage for each group, chooses the one that serves, has room and is near, and goes on in another after a fault. A digest that nobody renews is not passed on; a group that is seen whole ends an outage.

--- a/fakes/rank-engine/rank-group.ts
+++ b/fakes/rank-engine/rank-group.ts
@@ -130,6 +130,7 @@
         await this.time.sleep(ANSWER_MS);
         const rank = of();
         const report: EngineReport = {
+          group: 'g',
           groupEpoch: this.epoch,
           rank: index,
           ranks: this.options.ranks,
--- a/src/core/groups/rank-gate.ts
+++ b/src/core/groups/rank-gate.ts
@@ -16,6 +16,8 @@
   readonly lastConfirmed: number;
   /** Epoch that made the map whose experts the engine holds ready, in use or not. */
   readonly preparedEpoch?: number;
+  /** Name of the group, as the engine tells it. */
+  readonly group?: string;
   /** Place in the group, as the engine tells it. */
   readonly rank?: number;
   /** Ranks of the group, as the engine tells it. */
@@ -188,6 +190,7 @@
       step: state.step,
       mapId: state.map.id,
       lastConfirmed: state.lastConfirmed,
+      ...(state.group === undefined ? {} : { group: state.group }),
       ...(state.rank === undefined ? {} : { rank: state.rank }),
       ...(state.ranks === undefined ? {} : { ranks: state.ranks }),
       ...(state.groupEpoch === undefined ? {} : { groupEpoch: state.groupEpoch }),
--- a/src/core/ids/ids.ts
+++ b/src/core/ids/ids.ts
@@ -7,6 +7,8 @@
 
 export type InstanceId = Id<'instance'>;
 export type EndpointId = Id<'endpoint'>;
+/** A group of ranks in lock-step; a service may have several. */
+export type GroupId = Id<'group'>;
 export type OrganisationId = Id<'organisation'>;
 /** One start of one daemon: a restarted process has another. */
 export type Incarnation = Id<'incarnation'>;
--- a/src/core/limits/outage.ts
+++ b/src/core/limits/outage.ts
@@ -35,14 +35,24 @@
     this.failures += 1;
   }
 
+  /** Whether there is an outage. */
+  isOut(nowMs: number): boolean {
+    const { failures, leastMs } = this.options;
+    return this.failures >= failures && nowMs - this.sinceMs >= leastMs;
+  }
+
+  /** Time since the first failure of those in a row, ms; 0 without an outage. */
+  lastedMs(nowMs: number): number {
+    return this.isOut(nowMs) ? nowMs - this.sinceMs : 0;
+  }
+
   /**
    * Whether a request is to be refused now; a probe is let through now and then.
    * @example if (outage.refuses(clock.nowMs())) return refuse();
    */
   refuses(nowMs: number): boolean {
-    const { failures, leastMs, probeMs } = this.options;
-    if (this.failures < failures || nowMs - this.sinceMs < leastMs) return false;
-    if (nowMs - this.probedAtMs < probeMs) return true;
+    if (!this.isOut(nowMs)) return false;
+    if (nowMs - this.probedAtMs < this.options.probeMs) return true;
     this.probedAtMs = nowMs;
     return false;
   }
--- a/src/core/limits/turn-queue.ts
+++ b/src/core/limits/turn-queue.ts
@@ -48,6 +48,16 @@
     return this.waitAt(ahead, order, waitMs, gone);
   }
 
+  /**
+   * Takes a place if one is free, or whatever is free when `must`; false when there is none.
+   * @example if (turns.takeNow(false)) goOn();
+   */
+  takeNow(must: boolean): boolean {
+    if (!must && this.taken >= this.allowed()) return false;
+    this.taken += 1;
+    return true;
+  }
+
   private waitAt(at: number, order: number, waitMs: number, gone: AbortSignal): Promise<boolean> {
     return new Promise((resolve) => {
       const leave = (): void => entry.give(false);
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -84,6 +84,7 @@
     dataCentre: asId(settings.dataCentre),
     sightOf: () => undefined,
     groupSize: () => undefined,
+    groupOf: () => undefined,
   });
   follow(ctx, state);
   const pruning = setInterval(() => gatewayCtx.endpoints.prune(), PRUNE_MS);
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,11 +1,17 @@
 /** What the parts of one gateway share. */
-import type { EngineInfo, ServiceId } from '../core/published/index.js';
+import type {
+  EngineInfo,
+  PublishedEndpoint,
+  PublishedState,
+  ServiceId,
+} from '../core/published/index.js';
 import { RetryBudget } from '../core/retry/index.js';
 import { KEY_PROOF_MARGIN_MS, RETRY_SHARERS, RETRY_SHARE_USED } from './consts.js';
 import { Endpoints, type EndpointParts } from './endpoints.js';
+import type { GroupId } from '../core/ids/index.js';
 import type { GroupSize } from './group-sight.js';
+import { ServiceGroups } from './service-groups.js';
 import type { ServiceState } from './serve-request.js';
-import { Turns } from './turns.js';
 import type { CallerInterface, GatewaySettings } from './types.js';
 
 /** What a gateway is made from. */
@@ -15,7 +21,9 @@
   readonly retryShare: () => number;
   readonly callers: CallerInterface;
   /** What is known of a group as a whole; undefined when nothing was heard of it lately. */
-  readonly groupSize: (service: ServiceId) => GroupSize | undefined;
+  readonly groupSize: (group: GroupId) => GroupSize | undefined;
+  /** The group of a model engine; undefined while it is not known. */
+  readonly groupOf: (endpoint: PublishedEndpoint) => GroupId | undefined;
 }
 
 /** Shared by all requests of one gateway. */
@@ -26,6 +34,12 @@
   readonly keysProved: () => boolean;
 }
 
+/** Endpoints of a service that take work. */
+function* workingEndpoints(state: PublishedState, service: ServiceId): Iterable<PublishedEndpoint> {
+  for (const endpoint of state.list.values())
+    if (endpoint.service === service && state.takesWork(endpoint.id)) yield endpoint;
+}
+
 /**
  * Puts the shared parts together.
  * @example const ctx = createContext(parts);
@@ -42,7 +56,16 @@
     return {
       id,
       budget,
-      turns: engine() && new Turns({ clock, engine, size: () => parts.groupSize(id) }),
+      groups:
+        engine() &&
+        new ServiceGroups({
+          clock,
+          dataCentre: parts.dataCentre,
+          engine,
+          endpoints: () => workingEndpoints(state, id),
+          groupOf: parts.groupOf,
+          sizeOf: parts.groupSize,
+        }),
     };
   };
   return {
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -91,15 +91,19 @@
 
   /**
    * The best endpoint of a service for one more request; undefined when none takes work.
-   * Ejected ones are used only when no other is left.
+   * Ejected ones are used only when no other is left; `mayTake` tells which ones come into question.
    */
-  choose(service: ServiceId, tried: ReadonlySet<EndpointId>): EndpointState | undefined {
+  choose(
+    service: ServiceId,
+    tried: ReadonlySet<EndpointId>,
+    mayTake: (endpoint: PublishedEndpoint) => boolean = () => true,
+  ): EndpointState | undefined {
     const nowMs = this.parts.clock.nowMs();
     let best: EndpointState | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
     for (const endpoint of this.parts.state.list.values()) {
       if (endpoint.service !== service || tried.has(endpoint.id)) continue;
-      if (!this.parts.state.takesWork(endpoint.id)) continue;
+      if (!this.parts.state.takesWork(endpoint.id) || !mayTake(endpoint)) continue;
       const known = this.stateOf(endpoint);
       const score = this.score(known, nowMs);
       if (score < bestScore) {
--- a/src/gateway/group-sight.ts
+++ b/src/gateway/group-sight.ts
@@ -1,11 +1,12 @@
 /** What an entry knows of the groups behind it: asked from the agents beside the engines. */
 import { sleep, type Clock } from '../core/clock/index.js';
 import { errorText } from '../core/errors/index.js';
-import type { EndpointId } from '../core/ids/index.js';
+import { asId, type EndpointId, type GroupId } from '../core/ids/index.js';
 import type { Log } from '../core/logging/index.js';
 import type { Metrics } from '../core/metrics/index.js';
 import {
   hostOf,
+  type DataCentreId,
   type PublishedEndpoint,
   type PublishedState,
   type ServiceId,
@@ -14,6 +15,8 @@
 
 /** Pause between two questions, ms: a digest is made each 0.1 to 0.5 s. */
 const ASK_PAUSE_MS = 150;
+/** Rounds of questions from one to the next in which a group of another data centre is asked: it is sent to rarely. */
+const FAR_ROUNDS = 3;
 /** Time for an answer, ms. */
 const ASK_MS = 300;
 /** Age above which what was seen is not acted on any more, ms. */
@@ -37,15 +40,19 @@
   readonly entries: number;
 }
 
-/** What was seen of one service's group. */
+/** What was seen of one group. */
 interface Sight {
   readonly seenAtMs: number;
   readonly engines: ReadonlyMap<EndpointId, EngineSight>;
   readonly size: GroupSize;
 }
 
-/** Asks the agent at an address for its group. */
-export type AskGroup = (address: string, withinMs: number) => Promise<GroupDigest | undefined>;
+/** Asks the agent at an address for its group; `sends` tells whether this entry sends there. */
+export type AskGroup = (
+  address: string,
+  sends: boolean,
+  withinMs: number,
+) => Promise<GroupDigest | undefined>;
 
 /** What watching groups needs. */
 export interface GroupSightParts {
@@ -54,33 +61,44 @@
   readonly random: () => number;
   readonly log: Log;
   readonly metrics: Metrics;
-  readonly dataCentre: string;
+  readonly dataCentre: DataCentreId;
   /** Port of the agents. */
   readonly port: number;
   readonly ask: AskGroup;
+  /** Whether this entry has requests at a group. */
+  readonly isUsed: (service: ServiceId, group: GroupId) => boolean;
   /** Called when a service's group was seen anew. */
-  readonly onSeen: (service: ServiceId) => void;
+  readonly onSeen: (service: ServiceId, group: GroupId) => void;
 }
 
-/** The groups behind one entry. */
+/** The groups behind one entry. A service may have several. */
 export class GroupSight {
-  private readonly sights = new Map<ServiceId, Sight>();
+  private readonly sights = new Map<GroupId, Sight>();
+  /** Group of each engine that was ever told; it outlasts what was seen of the group. */
+  private readonly groups = new Map<EndpointId, GroupId>();
+  private round = 0;
   private lost = false;
 
   constructor(private readonly parts: GroupSightParts) {}
 
   /** What was seen of an engine; undefined when that is too old to count on. */
   of(endpoint: PublishedEndpoint): EngineSight | undefined {
-    return this.fresh(endpoint.service)?.engines.get(endpoint.id);
+    const group = this.groups.get(endpoint.id);
+    return group === undefined ? undefined : this.fresh(group)?.engines.get(endpoint.id);
   }
 
-  /** What was seen of a service's group; undefined when that is too old to count on. */
-  sizeOf(service: ServiceId): GroupSize | undefined {
-    return this.fresh(service)?.size;
+  /** The group of an engine; undefined while nobody has told it. */
+  groupOf(endpoint: PublishedEndpoint): GroupId | undefined {
+    return this.groups.get(endpoint.id);
   }
 
-  private fresh(service: ServiceId): Sight | undefined {
-    const sight = this.sights.get(service);
+  /** What was seen of a group; undefined when that is too old to count on. */
+  sizeOf(group: GroupId): GroupSize | undefined {
+    return this.fresh(group)?.size;
+  }
+
+  private fresh(group: GroupId): Sight | undefined {
+    const sight = this.sights.get(group);
     if (!sight || this.parts.clock.nowMs() - sight.seenAtMs > STALE_MS) return undefined;
     return sight;
   }
@@ -89,7 +107,9 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await sleep(ASK_PAUSE_MS * (0.8 + 0.4 * this.parts.random()), signal);
-      for (const service of this.engineServices()) await this.ask(service);
+      this.round += 1;
+      this.forgetUnlisted();
+      await Promise.all(this.engineServices().map((service) => this.askService(service)));
     }
   }
 
@@ -99,16 +119,38 @@
     return [...services.values()].filter((s) => s.engine !== undefined).map((s) => s.id);
   }
 
-  private async ask(service: ServiceId): Promise<void> {
+  private forgetUnlisted(): void {
+    for (const id of this.groups.keys()) if (!this.parts.state.list.has(id)) this.groups.delete(id);
+  }
+
+  /** Asks about each group that is known, and about one engine whose group is not. */
+  private async askService(service: ServiceId): Promise<void> {
+    const engines = [...this.parts.state.list.values()].filter((e) => e.service === service);
+    const byGroup = new Map<GroupId | undefined, PublishedEndpoint[]>();
+    for (const engine of engines) {
+      const group = this.groups.get(engine.id);
+      byGroup.set(group, [...(byGroup.get(group) ?? []), engine]);
+    }
+    await Promise.all([...byGroup].map((of) => this.askGroup(service, engines, ...of)));
+  }
+
+  private async askGroup(
+    service: ServiceId,
+    listed: readonly PublishedEndpoint[],
+    group: GroupId | undefined,
+    members: readonly PublishedEndpoint[],
+  ): Promise<void> {
     const { parts } = this;
-    const engines = [...parts.state.list.values()].filter((e) => e.service === service);
-    const near = engines.filter((e) => e.dataCentre === parts.dataCentre);
-    const choices = near.length > 0 ? near : engines;
+    const near = members.filter((e) => e.dataCentre === parts.dataCentre);
+    const isUsed = group === undefined || near.length > 0 || parts.isUsed(service, group);
+    if (!isUsed && this.round % FAR_ROUNDS !== 0) return;
+    const choices = near.length > 0 ? near : members;
     const agent = choices[Math.floor(parts.random() * choices.length)];
     if (!agent) return;
     try {
-      const digest = await parts.ask(`${hostOf(agent.address)}:${parts.port}`, ASK_MS);
-      if (digest?.whole) this.take(service, digest, engines);
+      const address = `${hostOf(agent.address)}:${parts.port}`;
+      const digest = await parts.ask(address, isUsed, ASK_MS);
+      if (digest?.whole) this.take(service, digest, listed);
     } catch (err) {
       parts.metrics.count('group_asks_failed_total');
       if (!this.lost)
@@ -122,19 +164,22 @@
     digest: GroupDigest,
     listed: readonly PublishedEndpoint[],
   ): void {
+    const group = asId<GroupId>(digest.group);
     const engines = new Map<EndpointId, EngineSight>();
     for (const engine of listed) {
       const rank = digest.hosts.indexOf(hostOf(engine.address));
-      if (rank >= 0) engines.set(engine.id, { pace: digest.pace[rank] ?? 1 });
+      if (rank < 0) continue;
+      engines.set(engine.id, { pace: digest.pace[rank] ?? 1 });
+      this.groups.set(engine.id, group);
     }
     const size: GroupSize = {
       ranks: digest.hosts.length,
       running: digest.load.reduce((sum, load) => sum + load, 0),
       entries: digest.entries,
     };
-    this.sights.set(service, { seenAtMs: this.parts.clock.nowMs(), engines, size });
-    if (this.lost) this.parts.log.info('group.regained', { engines: engines.size });
+    this.sights.set(group, { seenAtMs: this.parts.clock.nowMs(), engines, size });
+    if (this.lost) this.parts.log.info('group.regained', { group, engines: engines.size });
     this.lost = false;
-    this.parts.onSeen(service);
+    this.parts.onSeen(service, group);
   }
 }
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -57,12 +57,12 @@
   const groups = new GroupSight({
     ...shared,
     port: settings.internalPort,
-    ask: (address, withinMs) =>
+    ask: (address, sends, withinMs) =>
       peers
         .at(address)
-        .group.query({ from: settings.instance }, { signal: AbortSignal.timeout(withinMs) }),
-    // More may be allowed than when those who wait asked.
-    onSeen: (service) => ctx.serviceOf(service).turns?.queue.giveFree(),
+        .group.query({ from: settings.instance, sends }, { signal: AbortSignal.timeout(withinMs) }),
+    isUsed: (service, group) => (ctx.serviceOf(service).groups?.at(group).queue.running ?? 0) > 0,
+    onSeen: (service, group) => ctx.serviceOf(service).groups?.at(group).noteSeen(),
   });
   const ctx: GatewayContext = createContext({
     ...shared,
@@ -70,7 +70,8 @@
     retryShare: () => settings.retryShare,
     callers: parts.callers,
     sightOf: (endpoint) => groups.of(endpoint),
-    groupSize: (service) => groups.sizeOf(service),
+    groupSize: (group) => groups.sizeOf(group),
+    groupOf: (endpoint) => groups.groupOf(endpoint),
   });
   const gateway = createGateway(ctx);
   void followPublished({ ...shared, source: parts.source, pace: ENTRY_PACE }, ending.signal);
@@ -88,8 +89,10 @@
 /** Says what each group was seen to run and how much of it this entry gives, for whoever asks later why it refused. */
 function logTurns(ctx: GatewayContext): void {
   for (const service of ctx.state.config?.services.values() ?? []) {
-    const figures = ctx.serviceOf(service.id).turns?.figures();
-    if (figures) ctx.log.info('group.seen', { service: service.id, ...figures });
+    for (const { id, turns } of ctx.serviceOf(service.id).groups?.all() ?? []) {
+      const figures = turns.figures();
+      if (figures) ctx.log.info('group.seen', { service: service.id, group: id, ...figures });
+    }
   }
 }
 
--- a/src/gateway/serve-request.ts
+++ b/src/gateway/serve-request.ts
@@ -20,15 +20,15 @@
 import type { Refusal } from './refuse.js';
 import { relayStream, type StreamEnd, type StreamProgress } from './relay-stream.js';
 import { readWhole } from './relay-whole.js';
-import type { Turns } from './turns.js';
+import type { GroupTurns, ServiceGroups } from './service-groups.js';
 import type { AttemptFault, GatewayRequest } from './types.js';
 
 /** What is kept of one service at this entry. */
 export interface ServiceState {
   readonly id: ServiceId;
   readonly budget: RetryBudget;
-  /** Turns and their limit; undefined for services whose endpoints do not run in lock-step. */
-  readonly turns: Turns | undefined;
+  /** Groups with their turns and limits; undefined for services whose endpoints do not run in lock-step. */
+  readonly groups: ServiceGroups | undefined;
 }
 
 /** What became of one request, for its log line. */
@@ -63,6 +63,8 @@
   /** Whether any attempt may have run. */
   mayHaveRun: boolean;
   lastFault: AttemptFault | undefined;
+  /** The group where this request holds a place. */
+  place: GroupTurns | undefined;
 }
 
 function leftMs(work: Work): number {
@@ -100,7 +102,7 @@
   }
   const reason = work.tried.size === 0 ? 'no-endpoint' : 'not-run';
   // What no endpoint of a group took will hardly be taken by one a moment later.
-  const retryAfterS = retryS(work.ctx, work.service.turns ? OUTAGE_RETRY_S : BUSY_RETRY_S);
+  const retryAfterS = retryS(work.ctx, work.service.groups ? OUTAGE_RETRY_S : BUSY_RETRY_S);
   return { kind: 'refused', refusal: { reason, detail, retryAfterS } };
 }
 
@@ -110,7 +112,7 @@
   work.note.tries.push(`${target.endpoint.id}:${fault.kind}`);
   // What was given up by the caller or by us says nothing of the endpoint.
   if (work.request.gone.aborted || fault.kind === 'slow') return;
-  work.service.turns?.outage.noteBad(work.ctx.clock.nowMs());
+  work.place?.turns.outage.noteBad(work.ctx.clock.nowMs());
   work.ctx.endpoints.noteBad(target, fault.detail);
   work.ctx.metrics.count('attempt_faults_total', { service: work.service.id, kind: fault.kind });
   work.ctx.log.info('attempt.fault', {
@@ -185,9 +187,9 @@
         const nowMs = ctx.clock.nowMs();
         work.note.firstMs ??= nowMs - request.arrivedAtMs;
         ctx.endpoints.noteGood(target, nowMs - sentAtMs);
-        service.turns?.outage.noteGood();
+        work.place?.turns.outage.noteGood();
       },
-      onPause: (pauseMs) => service.turns?.notePause(pauseMs),
+      onPause: (pauseMs) => work.place?.turns.notePause(pauseMs),
     },
     answer,
   );
@@ -231,11 +233,35 @@
   }
 }
 
+/** The best endpoint for the next attempt, in the group where the request has its place. */
+function chooseEndpoint(work: Work): EndpointState | undefined {
+  const { ctx, place, service, tried } = work;
+  if (!place) return ctx.endpoints.choose(service.id, tried);
+  return ctx.endpoints.choose(
+    service.id,
+    tried,
+    (endpoint) => service.groups?.isIn(endpoint, place.id) ?? true,
+  );
+}
+
+/**
+ * After a fault goes on in another group, where one serves: ranks of one group fail together. A caller that
+ * has part of its stream would lose it, and goes on whether there is room or not.
+ */
+function changeGroup(work: Work): void {
+  const { ctx, place, service, tried } = work;
+  const next = place && service.groups?.choose(tried, place.id);
+  if (!place || !next || next.turns.outage.isOut(ctx.clock.nowMs())) return;
+  if (!next.turns.queue.takeNow(work.progress.events > 0)) return;
+  place.turns.queue.release();
+  work.place = next;
+}
+
 async function runAttempts(work: Work): Promise<RequestEnd> {
   const { ctx, request, service } = work;
   service.budget.deposit();
   for (;;) {
-    const target = ctx.endpoints.choose(service.id, work.tried);
+    const target = chooseEndpoint(work);
     if (!target) return giveUp(work);
     if (!request.route.isPublic && !ctx.keysProved()) {
       // The wait for a turn or an earlier attempt may have outlasted the proof.
@@ -252,6 +278,7 @@
     if (!mayTryAgain(work)) return giveUp(work);
     if (!hasBudget(work)) return giveUp(work);
     service.budget.withdraw();
+    changeGroup(work);
     ctx.metrics.count('retries_total', {
       service: service.id,
       reason: work.lastFault?.kind ?? 'none',
@@ -290,15 +317,15 @@
     progress: { lastId: request.head.resumeAfter, events: 0, lastAtMs: 0, longestPauseMs: 0 },
     mayHaveRun: false,
     lastFault: undefined,
+    place: undefined,
   };
-  const { turns } = service;
-  if (!turns) return runAttempts(work);
-  const refusal = await takeTurn(work, turns);
+  if (!service.groups) return runAttempts(work);
+  const refusal = await takeTurn(work, service.groups);
   if (refusal) return refusal;
   try {
     return await runAttempts(work);
   } finally {
-    turns.queue.release();
+    work.place?.turns.queue.release();
     note.events = work.progress.events;
     note.longestPauseMs = work.progress.longestPauseMs;
   }
@@ -308,12 +335,16 @@
  * Takes one of this entry's places at a group; its end when there is none in time. Who was refused before
  * waits also for the end of an outage: another refusal would be its last answer.
  */
-async function takeTurn(work: Work, turns: Turns): Promise<RequestEnd | undefined> {
+async function takeTurn(work: Work, groups: ServiceGroups): Promise<RequestEnd | undefined> {
   const { ctx, request, note } = work;
+  const chosen = groups.choose(work.tried);
+  if (!chosen) return giveUp(work);
+  const { turns } = chosen;
   const { route, gone } = request;
   if (route.gapMs !== undefined) turns.allowPauses(route.gapMs);
   const askedAtMs = ctx.clock.nowMs();
-  const isReturning = turns.isReturning(route.id, request.head.deadlineMs ?? DEFAULT_DEADLINE_MS);
+  const waitsMs = request.head.deadlineMs ?? DEFAULT_DEADLINE_MS;
+  const isReturning = groups.callers.isReturning(route.id, waitsMs);
   note.isReturning = isReturning;
   const isOut = isReturning
     ? !(await turns.outlast(Math.min(RETURNING_OUTAGE_MS, leftMs(work)), gone))
@@ -331,7 +362,10 @@
   });
   const got = await turns.queue.take(terms.order, terms.waitMs, gone);
   note.queuedMs = ctx.clock.nowMs() - askedAtMs;
-  if (got) return undefined;
+  if (got) {
+    work.place = chosen;
+    return undefined;
+  }
   if (gone.aborted) return { kind: 'gone' };
   return refused('busy', turns.describe(), retryS(ctx, BUSY_RETRY_S));
 }
--- a/src/gateway/turns.ts
+++ b/src/gateway/turns.ts
@@ -2,7 +2,7 @@
 import { sleep, type Clock } from '../core/clock/index.js';
 import { Outage, placesOf, StreamLimit, TurnQueue, type StepModel } from '../core/limits/index.js';
 import type { LogFields } from '../core/logging/index.js';
-import type { EngineInfo, RouteId } from '../core/published/index.js';
+import type { EngineInfo } from '../core/published/index.js';
 import type { GroupSize } from './group-sight.js';
 
 /** Places of an entry that has not heard of the group for a while. */
@@ -11,10 +11,10 @@
 const USUAL_PAUSE_MS = 120;
 
 /**
- * Part of the longest wait seen on a route below which a caller is one that came back: who was refused
- * has waited a second or more of the eight that it waits at first.
+ * Time after its first failure from which a group that is seen whole ends an outage, ms: what is seen is up to
+ * 0.6 s old, and may tell of the time before.
  */
-const RETURNING_SHARE = 0.9;
+const SEEN_ENDS_AFTER_MS = 1000;
 /** How often a request that outlasts an outage looks whether it is over, ms. */
 const OUTAGE_POLL_MS = 40;
 
@@ -33,8 +33,6 @@
   readonly outage = new Outage();
   private readonly limit = new StreamLimit();
   private allowedPauseMs = USUAL_PAUSE_MS;
-  /** Longest time that a caller of each route said it would wait, ms. */
-  private readonly longestWaitMs = new Map<RouteId, number>();
 
   constructor(private readonly parts: TurnsParts) {
     this.queue = new TurnQueue(() => this.places);
@@ -79,16 +77,6 @@
     return `${this.queue.running} of ${this.places} places taken, ${this.queue.queued} wait, ${group}`;
   }
 
-  /**
-   * Whether a caller has been refused before: it says that it waits much less than others of its route.
-   * @example turns.isReturning(route.id, 5600) // true where others wait 8 s
-   */
-  isReturning(route: RouteId, waitsMs: number): boolean {
-    const longest = Math.max(this.longestWaitMs.get(route) ?? 0, waitsMs);
-    this.longestWaitMs.set(route, longest);
-    return waitsMs < longest * RETURNING_SHARE;
-  }
-
   /**
    * Waits for the end of an outage, or for this request's turn to try whether it is over; false when
    * neither comes within `withinMs`, or the caller leaves.
@@ -102,6 +90,13 @@
     return true;
   }
 
+  /** Notes that the group was seen whole: an outage that has lasted for a while is over. */
+  noteSeen(): void {
+    if (this.outage.lastedMs(this.parts.clock.nowMs()) > SEEN_ENDS_AFTER_MS) this.outage.noteGood();
+    // More may be allowed than when those who wait asked.
+    this.queue.giveFree();
+  }
+
   /** Takes the pause that a route allows between events, ms. */
   allowPauses(ms: number): void {
     this.allowedPauseMs = ms;
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -14,7 +14,7 @@
   PublishedState,
   type PublishedSource,
 } from '../core/published/index.js';
-import type { HarriergladeError } from '../core/errors/index.js';
+import { errorText, type HarriergladeError } from '../core/errors/index.js';
 import type { Result } from '../core/result/index.js';
 import { listen } from '../runtime/listen.js';
 import { watchSettings } from '../runtime/settings-watch.js';
@@ -24,7 +24,7 @@
 import { buildRouter } from '../rpc/router.js';
 import type { InstanceSettings } from '../gateway/types.js';
 import { Askers } from './askers.js';
-import { UNLOOKED_STAGGER_MS, unlookedMs } from './consts.js';
+import { DIGEST_STALE_MS, OWN_PAUSE_MS, UNLOOKED_STAGGER_MS, unlookedMs } from './consts.js';
 import { CoordinatorTask } from './coordinator-task.js';
 import type { EngineCalls } from './engine-calls.js';
 import { OwnGroup } from './own-group.js';
@@ -70,6 +70,7 @@
   };
   const gate = gateAt(ownEndpoint.host, true);
   let digest: GroupDigest | undefined;
+  let digestAtMs = clock.nowMs();
   const askers = new Askers();
   let lookedAtMs = clock.nowMs();
   /** Whether another agent looks after the group; of two, the one with the lower address goes on. */
@@ -77,19 +78,42 @@
     if (from < self || !isMine()) lookedAtMs = clock.nowMs();
   };
   const isMine = (): boolean => {
-    const all = agents();
-    const before = Math.max(0, all.indexOf(self));
-    return clock.nowMs() - lookedAtMs > unlookedMs(all.length) + before * UNLOOKED_STAGGER_MS;
+    if (group.rank === undefined) return false;
+    const waitMs = unlookedMs(agents().length) + group.rank * UNLOOKED_STAGGER_MS;
+    return clock.nowMs() - lookedAtMs > waitMs;
+  };
+  /** Whether an order comes from the own group, as far as either side knows. */
+  const isOwnGroup = (order: RankOrder): boolean =>
+    order.group === '' || group.group === undefined || order.group === group.group;
+  const takeDigest = (newest: GroupDigest | undefined): void => {
+    if (!newest) return;
+    digest = newest;
+    digestAtMs = clock.nowMs();
+    group.noteDigest(newest);
   };
   const serveRank = async (order: RankOrder): ReturnType<RankGate['serve']> => {
-    if (order.kind === 'look') {
-      digest = order.digest ?? digest;
+    if (order.kind === 'look' && isOwnGroup(order)) {
+      takeDigest(order.digest);
       if (order.from !== undefined && order.from !== self) noteLook(order.from);
     }
     const reply = await gate.serve(order);
+    group.noteOwn(reply);
     return order.kind === 'look' ? { ...reply, askers: askers.recent(clock.nowMs()) } : reply;
   };
 
+  /** Asks the own engine until it has told its group and rank: nobody else may ask before. */
+  const learnOwn = async (): Promise<void> => {
+    while (group.rank === undefined) {
+      try {
+        await serveRank({ group: '', kind: 'look', epoch: 0 });
+      } catch (err) {
+        metrics.count('own_engine_failures_total');
+        log.debug('engine.unseen', { err: errorText(err) });
+      }
+      await sleep(OWN_PAUSE_MS);
+    }
+  };
+
   const standIns = new Map<string, RankGate>();
   /** A gate of our own before another agent's engine. */
   const standInFor = (address: string): RankGate => {
@@ -103,8 +127,9 @@
   const router = buildRouter({
     rank: serveRank,
     group: (ask) => {
-      askers.note(ask.from, clock.nowMs());
-      return digest;
+      if (ask.sends) askers.note(ask.from, clock.nowMs());
+      // A digest that nobody renews tells of a group as it was.
+      return clock.nowMs() - digestAtMs > DIGEST_STALE_MS ? undefined : digest;
     },
   });
   const rpc = createHTTPHandler({ router, basePath: RPC_PATH, maxBodySize: MAX_ORDER_BYTES });
@@ -118,7 +143,9 @@
   const task = new CoordinatorTask({
     ...shared,
     self,
+    group: () => group.group,
     agents,
+    noteReply: (address, reply) => group.noteReply(address, reply),
     engine: () => group.engine(),
     pause: sleep,
     standIn: (address, order) => standInFor(address).serve(order),
@@ -129,5 +156,6 @@
   });
   watchSettings(parts.reread, settings, log);
   void task.run(isMine, ending.signal);
+  void learnOwn();
   log.info('process.started', { self, engine: `${ownEndpoint.host}:${ownEndpoint.port}` });
 }
--- a/src/group/consts.ts
+++ b/src/group/consts.ts
@@ -59,7 +59,11 @@
   return ranks > SAMPLE_RANKS ? UNLOOKED_LARGE_MS : UNLOOKED_MS;
 }
 
-/** Further wait for each agent before this one in order of address, ms: one begins, not all. */
+/** Age above which an agent does not pass a digest on, ms: the coordinator renews it each 0.1 to 0.6 s. */
+export const DIGEST_STALE_MS = 1500;
+/** Pause between two questions to the own engine while it has not told its group, ms. */
+export const OWN_PAUSE_MS = 200;
+/** Further wait for each rank before the own one, ms: one agent begins, not all. */
 export const UNLOOKED_STAGGER_MS = 120;
 /**
  * Time that a round's copies may take, ms: a shift of demand that comes meanwhile waits for their end, and
--- a/src/group/coordinator-task.ts
+++ b/src/group/coordinator-task.ts
@@ -156,8 +156,10 @@
     const all = await Promise.all(
       addresses.map(async (address, i) => {
         if (replies[i]?.rank !== undefined) return replies[i];
+        const reply = await this.parts.standIn(address, look).catch(() => undefined);
+        if (!this.looks.isOwn(reply)) return undefined;
         silent.add(address);
-        return this.parts.standIn(address, look).catch(() => undefined);
+        return reply;
       }),
     );
     const ordered = orderReplies(all, addresses.length);
--- a/src/group/digest.ts
+++ b/src/group/digest.ts
@@ -8,6 +8,7 @@
 
 /** Makes a digest of each round. */
 export class Digester {
+  private group = '';
   private step: number | undefined;
   private atMs = 0;
   private stepMs = 0;
@@ -21,10 +22,20 @@
   take(replies: GroupReplies | undefined, hosts: readonly string[]): GroupDigest {
     if (!replies) {
       this.step = undefined;
-      return { whole: false, hosts: [], pace: [], load: [], stepMs: 0, entries: 0 };
+      return {
+        group: this.group,
+        whole: false,
+        hosts: [],
+        pace: [],
+        load: [],
+        stepMs: 0,
+        entries: 0,
+      };
     }
     this.takeStep(Math.max(...replies.map((reply) => reply.step)));
+    this.group = replies[0]?.group ?? '';
     return {
+      group: this.group,
       whole: true,
       hosts: [...hosts],
       pace: replies.map((reply) => Number((reply.pace ?? 1).toFixed(2))),
--- a/src/group/engine-calls.ts
+++ b/src/group/engine-calls.ts
@@ -2,6 +2,8 @@
 
 /** A rank's state as its engine tells it, fresh. */
 export interface EngineReport {
+  /** Name of the group; a service may have several. */
+  readonly group: string;
   /** How often the group was formed; each time it starts with its first map and nothing armed. */
   readonly groupEpoch: number;
   readonly rank: number;
--- a/src/group/group-looks.ts
+++ b/src/group/group-looks.ts
@@ -15,8 +15,12 @@
 /** What looking needs. */
 export interface LookParts {
   readonly self: string;
-  /** Addresses of the agents of the group, this one's included. */
+  /** Name of the own group; undefined until its engine has told it. */
+  readonly group: () => string | undefined;
+  /** Addresses of the agents of the group, this one's included, and of those whose group is not known yet. */
   readonly agents: () => readonly string[];
+  /** Called with each reply: it tells to which group its rank belongs. */
+  readonly noteReply: (address: string, reply: RankReply) => void;
   readonly call: CallAgent;
   readonly clock: Clock;
 }
@@ -75,7 +79,7 @@
     const addresses = parts.agents();
     const sample = sampleOf(addresses, SAMPLE_RANKS);
     const order: RankOrder = {
-      group: '',
+      group: parts.group() ?? '',
       kind: 'look',
       epoch: 0,
       from: parts.self,
@@ -108,17 +112,32 @@
   ): Promise<(RankReply | undefined)[]> {
     const { lookMs } = answerTimes(addresses.length);
     return Promise.all(
-      addresses.map((address) =>
-        this.parts.call(address, orderFor(address), lookMs).catch(() => undefined),
-      ),
+      addresses.map(async (address) => {
+        try {
+          const reply = await this.parts.call(address, orderFor(address), lookMs);
+          this.parts.noteReply(address, reply);
+          return reply;
+        } catch {
+          // Counted and logged by whoever needs the group to be whole.
+          return undefined;
+        }
+      }),
     );
   }
 
+  /** Whether a rank belongs to the own group, or may: a service may have several. */
+  isOwn(reply: RankReply | undefined): boolean {
+    const group = this.parts.group();
+    return reply?.group === undefined || group === undefined || reply.group === group;
+  }
+
   private takeWhole(
-    addresses: readonly string[],
-    replies: readonly (RankReply | undefined)[],
+    asked: readonly string[],
+    answers: readonly (RankReply | undefined)[],
   ): Sighting {
     this.wholeAtMs = this.parts.clock.nowMs();
+    const addresses = asked.filter((_, i) => this.isOwn(answers[i]));
+    const replies = answers.filter((reply) => this.isOwn(reply));
     const ordered = orderReplies(replies, addresses.length);
     if (!ordered) {
       this.last = undefined;
--- a/src/group/own-group.ts
+++ b/src/group/own-group.ts
@@ -1,4 +1,9 @@
-/** What the published list tells an agent of its own group. */
+/**
+ * What an agent knows of its own group. The published list names the engines of a service, and a service may have
+ * several groups: which engines make up one of them is told by the engines only.
+ */
+import type { RankReply } from '../core/groups/index.js';
+import type { EndpointId } from '../core/ids/index.js';
 import {
   hostOf,
   type EngineInfo,
@@ -6,10 +11,16 @@
   type PublishedState,
 } from '../core/published/index.js';
 import type { ListenAddress } from '../gateway/types.js';
+import type { GroupDigest } from '../generated/messages.types.js';
 
-/** The group of the engine beside this agent, as it is published now. */
+/** The group of the engine beside this agent. */
 export class OwnGroup {
   private readonly ownAddress: string;
+  private name: string | undefined;
+  private ownRank: number | undefined;
+  private ranks: number | undefined;
+  /** Groups of the service's engines, as far as they were told. */
+  private readonly groupOf = new Map<EndpointId, string>();
 
   /** @param agentPort port of the agents; the same on all instances */
   constructor(
@@ -20,19 +31,71 @@
     this.ownAddress = `${ownEndpoint.host}:${ownEndpoint.port}`;
   }
 
+  /** Name of the group; undefined until its own engine has told it. */
+  get group(): string | undefined {
+    return this.name;
+  }
+
+  /** Rank of the own engine; undefined until it has told it. */
+  get rank(): number | undefined {
+    return this.ownRank;
+  }
+
   /** What the group's engines are; undefined while this one is not listed. */
   engine(): EngineInfo | undefined {
     const service = this.own()?.service;
     return service && this.state.config?.services.get(service)?.engine;
   }
 
-  /** Addresses of its agents, in order: one runs beside each engine, at the engine's own host. */
+  /**
+   * Addresses of its agents, in order: one runs beside each engine, at the engine's own host. While not all
+   * members are known, those whose group is unknown are among them.
+   */
   agents(): string[] {
+    const listed = this.listed();
+    const members = listed.filter((e) => this.groupOf.get(e.id) === this.name);
+    const isComplete = this.name !== undefined && members.length === this.ranks;
+    const asked = isComplete ? members : listed.filter((e) => this.mayBelong(e));
+    return asked.map((endpoint) => this.agentOf(endpoint)).sort();
+  }
+
+  /** Notes what the own engine tells. */
+  noteOwn(reply: RankReply): void {
+    this.name = reply.group ?? this.name;
+    this.ownRank = reply.rank ?? this.ownRank;
+    this.ranks = reply.ranks ?? this.ranks;
+  }
+
+  /** Notes to which group the engine beside an agent belongs. */
+  noteReply(address: string, reply: RankReply): void {
+    const { group } = reply;
+    const endpoint = this.listed().find((e) => this.agentOf(e) === address);
+    if (endpoint && group !== undefined) this.groupOf.set(endpoint.id, group);
+  }
+
+  /** Notes the members that the group's coordinator saw. */
+  noteDigest(digest: GroupDigest): void {
+    if (!digest.whole) return;
+    const hosts = new Set(digest.hosts);
+    const listed = this.listed();
+    for (const endpoint of listed)
+      if (hosts.has(hostOf(endpoint.address))) this.groupOf.set(endpoint.id, digest.group);
+    const ids = new Set(listed.map((endpoint) => endpoint.id));
+    for (const id of this.groupOf.keys()) if (!ids.has(id)) this.groupOf.delete(id);
+  }
+
+  private mayBelong(endpoint: PublishedEndpoint): boolean {
+    const group = this.groupOf.get(endpoint.id);
+    return group === undefined || this.name === undefined || group === this.name;
+  }
+
+  private listed(): PublishedEndpoint[] {
     const service = this.own()?.service;
-    return [...this.state.list.values()]
-      .filter((endpoint) => endpoint.service === service)
-      .map((endpoint) => `${hostOf(endpoint.address)}:${this.agentPort}`)
-      .sort();
+    return [...this.state.list.values()].filter((endpoint) => endpoint.service === service);
+  }
+
+  private agentOf(endpoint: PublishedEndpoint): string {
+    return `${hostOf(endpoint.address)}:${this.agentPort}`;
   }
 
   private own(): PublishedEndpoint | undefined {
--- a/src/group/switch-engine.ts
+++ b/src/group/switch-engine.ts
@@ -186,6 +186,7 @@
       armed: open,
       lastConfirmed: Math.max(report.mapVersion, open?.confirmed ? open.epoch : 0),
       preparedEpoch: report.preparedVersion ?? 0,
+      group: report.group,
       rank: report.rank,
       ...(report.ranks !== undefined && { ranks: report.ranks }),
       pace: report.pace,
--- a/test/gateway/group-sight.test.ts
+++ b/test/gateway/group-sight.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
 import { systemClock } from '../../src/core/clock/index.js';
-import { asId } from '../../src/core/ids/index.js';
+import { asId, type GroupId } from '../../src/core/ids/index.js';
 import { silentLog } from '../../src/core/logging/index.js';
 import { Metrics } from '../../src/core/metrics/index.js';
 import {
@@ -43,6 +43,7 @@
 ];
 
 const digest = (hosts: readonly string[], load: readonly number[]): GroupDigest => ({
+  group: hosts.join(),
   whole: true,
   hosts: [...hosts],
   load: [...load],
@@ -63,12 +64,13 @@
     random: () => 0.5,
     log: silentLog,
     metrics: new Metrics(),
-    dataCentre: 'a',
+    dataCentre: asId('a'),
     port: PORT,
-    ask: (address, withinMs) => {
+    ask: (address, sends, withinMs) => {
       asked.add(address);
-      return answer(address, withinMs);
+      return answer(address, sends, withinMs);
     },
+    isUsed: () => false,
     onSeen: () => undefined,
   });
   const ending = new AbortController();
@@ -88,8 +90,10 @@
     ),
   );
   assert.deepEqual([...asked].sort(), [`127.0.0.1:${PORT}`, `127.0.0.2:${PORT}`]);
-  assert.deepEqual(sight.sizeOf(SMALL), { ranks: 1, running: 4, entries: 2 });
-  assert.deepEqual(sight.sizeOf(LARGE), { ranks: 2, running: 11, entries: 2 });
+  const sizes = ENGINES.map((e) => sight.sizeOf(sight.groupOf(e) as GroupId));
+  assert.deepEqual(sizes[0], { ranks: 1, running: 4, entries: 2 });
+  assert.deepEqual(sizes[1], { ranks: 2, running: 11, entries: 2 });
+  assert.deepEqual(sizes[2], sizes[1]);
   assert.deepEqual(
     ENGINES.map((e) => sight.of(e)?.pace),
     [1, 1, 2],
@@ -102,7 +106,21 @@
       ? Promise.reject(new Error('no route'))
       : Promise.resolve({ ...digest(['127.0.0.2'], [1]), whole: false }),
   );
-  assert.equal(sight.sizeOf(SMALL), undefined);
-  assert.equal(sight.sizeOf(LARGE), undefined);
+  assert.deepEqual(
+    ENGINES.map((e) => sight.groupOf(e)),
+    [undefined, undefined, undefined],
+  );
   assert.equal(sight.of(ENGINES[0] as PublishedEndpoint), undefined);
 });
+
+test('each of several groups behind one service is seen for itself', async () => {
+  const { sight, asked } = await watch((address) => {
+    const host = address.split(':')[0] ?? '';
+    return Promise.resolve(digest([host], [host === '127.0.0.3' ? 9 : 2]));
+  });
+  assert.equal(asked.size, 3, 'also the one of another data centre');
+  assert.deepEqual(
+    ENGINES.map((e) => sight.sizeOf(sight.groupOf(e) as GroupId)?.running),
+    [2, 2, 9],
+  );
+});
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -143,6 +143,7 @@
     dataCentre: asId('a'),
     sightOf: () => undefined,
     groupSize: () => undefined,
+    groupOf: () => undefined,
   });
   const gateway = createGateway(ctx);
   await new Promise<void>((resolve) => gateway.server.listen(0, '127.0.0.1', resolve));
--- a/test/gateway/turns.test.ts
+++ b/test/gateway/turns.test.ts
@@ -1,13 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Clock } from '../../src/core/clock/index.js';
-import { asId } from '../../src/core/ids/index.js';
-import type { RouteId } from '../../src/core/published/index.js';
 import type { GroupSize } from '../../src/gateway/group-sight.js';
 import { Turns } from '../../src/gateway/turns.js';
 import { ENGINE } from '../fixtures/engine.js';
 
-const ROUTE = asId<RouteId>('r-1');
 const never = new AbortController().signal;
 
 /** Time that passes by 10 ms with each look at it: a busy machine changes nothing. */
@@ -50,14 +47,6 @@
   assert.ok(turns.places < 6);
 });
 
-test('who waits much less than others of its route has been here before', () => {
-  const turns = turnsOf(() => undefined);
-  assert.equal(turns.isReturning(ROUTE, 8017), false);
-  assert.equal(turns.isReturning(ROUTE, 8010), false);
-  assert.equal(turns.isReturning(ROUTE, 5600), true);
-  assert.equal(turns.isReturning(asId<RouteId>('r-2'), 5600), false, 'routes differ');
-});
-
 test('an outage is outlasted when it ends in time, and tried by one that waits', async () => {
   const turns = turnsOf(() => undefined);
   breakDown(turns);
@@ -79,3 +68,13 @@
   gone.abort();
   assert.equal(await waiting, false);
 });
+
+test('a group that is seen whole ends an outage, but not one that has just begun', () => {
+  const turns = turnsOf(() => undefined);
+  breakDown(turns);
+  turns.noteSeen();
+  assert.equal(turns.outage.isOut(clock.nowMs()), true, 'what was seen may be of the time before');
+  clock.jump(1000);
+  turns.noteSeen();
+  assert.equal(turns.outage.isOut(clock.nowMs()), false);
+});
--- a/test/group/coordinator-task.test.ts
+++ b/test/group/coordinator-task.test.ts
@@ -99,7 +99,9 @@
     const standIns = ADDRESSES.map((_, rank) => makeGate(rank, `stand-in-${own}-${rank}`, false));
     const task = new CoordinatorTask({
       self: ADDRESSES[own] as string,
+      group: () => 'g',
       agents: () => ADDRESSES,
+      noteReply: () => undefined,
       engine: () => ENGINE,
       call: (address, order, withinMs) => callFrom(own, address, order, withinMs),
       standIn: (address, order) => (standIns[ADDRESSES.indexOf(address)] as RankGate).serve(order),
--- a/test/group/group-looks.test.ts
+++ b/test/group/group-looks.test.ts
@@ -19,6 +19,8 @@
   const group: Group = {
     looks: new GroupLooks({
       self: '10.0.0.0:1',
+      group: () => undefined,
+      noteReply: () => undefined,
       agents: () => addresses,
       clock: { nowMs: () => group.nowMs, wallMs: () => group.nowMs },
       call: (address, order) => {
--- a/test/group/group-view.test.ts
+++ b/test/group/group-view.test.ts
@@ -82,6 +82,7 @@
   assert.equal(look(10).stepMs, 0);
   nowMs = 200;
   assert.deepEqual(look(14), {
+    group: '',
     whole: true,
     hosts: ['a', 'b'],
     pace: [5.46, 1],
--- /dev/null
+++ b/test/group/own-group.test.ts
@@ -0,0 +1,99 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { asId, type EndpointId } from '../../src/core/ids/index.js';
+import type { RankReply } from '../../src/core/groups/index.js';
+import { PublishedState, type PublishedEndpoint } from '../../src/core/published/index.js';
+import { GroupLooks } from '../../src/group/group-looks.js';
+import { OwnGroup } from '../../src/group/own-group.js';
+import { rankReply } from '../fixtures/engine.js';
+
+const PORT = 7400;
+const RANKS = 3;
+const SERVICE = asId<PublishedEndpoint['service']>('llm');
+
+/** Three groups of three behind one service; their engines are dealt out in turn over the addresses. */
+function engineAt(index: number, life = 1): PublishedEndpoint {
+  return {
+    id: asId<EndpointId>(`e-${index}-${life}`),
+    service: SERVICE,
+    address: `10.0.0.${index}:8228`,
+    dataCentre: asId('a'),
+    slots: 8,
+    isLeaving: false,
+  };
+}
+
+const groupAt = (index: number): string => `g${index % RANKS}`;
+const agentAt = (index: number): string => `10.0.0.${index}:${PORT}`;
+const replyAt = (index: number): RankReply =>
+  rankReply(Math.floor(index / RANKS), { group: groupAt(index), ranks: RANKS });
+
+interface Agent {
+  readonly state: PublishedState;
+  readonly group: OwnGroup;
+  readonly looks: GroupLooks;
+  readonly silent: Set<number>;
+  readonly asked: string[];
+}
+
+function startAgent(index: number): Agent {
+  const state = new PublishedState();
+  state.offerList(
+    Array.from({ length: 9 }, (_, i) => engineAt(i)),
+    false,
+  );
+  const group = new OwnGroup(state, { host: `10.0.0.${index}`, port: 8228 }, PORT);
+  group.noteOwn(replyAt(index));
+  const silent = new Set<number>();
+  const asked: string[] = [];
+  const looks = new GroupLooks({
+    self: agentAt(index),
+    group: () => group.group,
+    agents: () => group.agents(),
+    noteReply: (address, reply) => group.noteReply(address, reply),
+    clock: { nowMs: () => 0, wallMs: () => 0 },
+    call: (address) => {
+      asked.push(address);
+      const at = Number(/\.(\d+):/.exec(address)?.[1]);
+      return silent.has(at) ? Promise.reject(new Error('silent')) : Promise.resolve(replyAt(at));
+    },
+  });
+  return { state, group, looks, silent, asked };
+}
+
+test('of several groups behind one service a coordinator sees its own, and asks the others once', async () => {
+  const agent = startAgent(1);
+  const seen = await agent.looks.look(undefined, [], false);
+  assert.equal(agent.asked.length, 9);
+  assert.ok(seen.kind === 'seen');
+  assert.deepEqual(seen.addresses, [1, 4, 7].map(agentAt));
+  agent.asked.length = 0;
+  await agent.looks.look(undefined, [], false);
+  assert.deepEqual(agent.asked, [1, 4, 7].map(agentAt));
+});
+
+test('a silent agent of another group keeps nobody from seeing its own', async () => {
+  const agent = startAgent(1);
+  agent.silent.add(2);
+  assert.equal((await agent.looks.look(undefined, [], false)).kind, 'seen');
+  agent.silent.add(4);
+  assert.equal((await agent.looks.look(undefined, [], false)).kind, 'unseen');
+});
+
+test('members are learnt from the digest of the own coordinator as well', () => {
+  const { group } = startAgent(4);
+  const hosts = ['10.0.0.1', '10.0.0.4', '10.0.0.7'];
+  const digest = { group: 'g1', whole: true, hosts, pace: [], load: [], stepMs: 0, entries: 0 };
+  group.noteDigest(digest);
+  assert.deepEqual(group.agents(), [1, 4, 7].map(agentAt));
+});
+
+test('an engine that was replaced is looked for anew among those whose group is unknown', async () => {
+  const agent = startAgent(1);
+  await agent.looks.look(undefined, [], false);
+  const listed = Array.from({ length: 9 }, (_, i) => engineAt(i, i === 4 ? 2 : 1));
+  agent.state.offerList(listed, false);
+  assert.deepEqual(agent.group.agents(), [1, 4, 7].map(agentAt));
+  const seen = await agent.looks.look(undefined, [], false);
+  assert.equal(seen.kind, 'seen');
+});
