Ask for the margin before a switch when the copies are made

Change: the margin is asked for after the copies, 0.4 s later, with the step time as last seen. Test: switch.test.

--- a/src/agent/rank.ts
+++ b/src/agent/rank.ts
@@ -112,7 +112,7 @@
       call: (rank, order) => callRank(group, rank, order),
       known,
       wantsCounts: true,
-      marginSteps: ARM_MARGIN_STEPS,
+      marginSteps: () => ARM_MARGIN_STEPS,
     };
     const epoch = nextEpoch(Math.max(highest, gate.epoch), rankIndex());
     const { chooseMap } = round.placement;
--- a/src/core/groups/coordinator.ts
+++ b/src/core/groups/coordinator.ts
@@ -20,8 +20,11 @@
   readonly known: ExpertMap | undefined;
   /** Whether promises bring the tokens counted since the last one. */
   readonly wantsCounts: boolean;
-  /** Steps between arming and the switch: what an arm and a confirm round take, with room. */
-  readonly marginSteps: number;
+  /**
+   * Steps between arming and the switch: what an arm and a confirm round take, with room. Asked for when the
+   * copies are made: steps may take four times as long by then as when the round began.
+   */
+  readonly marginSteps: () => number;
 }
 
 /**
@@ -128,7 +131,7 @@
     map: packed,
   }));
   if (!allDone(prepared)) return blockedBy(prepared, 'prepare');
-  const step = Math.max(...prepared.map((r) => r.step)) + c.marginSteps;
+  const step = Math.max(...prepared.map((r) => r.step)) + c.marginSteps();
   const armed = await callAll(c, (rank) => ({
     ...address(rank),
     kind: 'arm',
--- a/src/group/coordinator-task.ts
+++ b/src/group/coordinator-task.ts
@@ -256,7 +256,7 @@
       },
       known: undefined,
       wantsCounts: false,
-      marginSteps: this.margin.steps(this.digest?.stepMs ?? 0),
+      marginSteps: () => this.margin.steps(this.digest?.stepMs ?? 0),
     };
     const end = await runSwitch(coordination, epoch, chooseMap);
     this.highestEpoch = Math.max(epoch, end.kind === 'blocked' ? end.highest : 0);
--- a/test/core/groups/switch.test.ts
+++ b/test/core/groups/switch.test.ts
@@ -139,7 +139,7 @@
           ranks: RANKS,
           known: undefined,
           wantsCounts: false,
-          marginSteps: 2,
+          marginSteps: () => 2,
           call: async (rank, order) => {
             sent += 1;
             const number = sent;
@@ -217,7 +217,7 @@
     ranks: RANKS,
     known: undefined,
     wantsCounts: false,
-    marginSteps: 2,
+    marginSteps: () => 2,
     call,
   };
   const dying = runSwitch(
@@ -238,6 +238,37 @@
   assert.ok(engines.every((e) => e.armed?.map.id === 'm2' && e.armed.confirmed));
 });
 
+test('the margin before the switch is asked for when all ranks have their copies', async () => {
+  const engines = Array.from({ length: RANKS }, () => new SimEngine(true, true));
+  const gates = engines.map(
+    (e, rank) => new RankGate(asId<Incarnation>(`r${rank}`), e, () => rank),
+  );
+  const kinds: string[] = [];
+  let askedAfter: readonly string[] = [];
+  const end = await runSwitch(
+    {
+      group: 'g',
+      ranks: RANKS,
+      known: undefined,
+      wantsCounts: false,
+      marginSteps: () => {
+        askedAfter = [...kinds];
+        return 5;
+      },
+      call: async (rank, order) => {
+        const reply = await (gates[rank] as RankGate).serve(order);
+        kinds.push(order.kind);
+        return reply;
+      },
+    },
+    1024,
+    () => ({ ...INITIAL, id: 'm1' }),
+  );
+  assert.ok(end.kind === 'switched' && end.step === 5);
+  assert.equal(askedAfter.filter((kind) => kind === 'prepare').length, RANKS);
+  assert.ok(!askedAfter.includes('arm'));
+});
+
 test('epochs of two coordinators never meet', () => {
   fc.assert(
     fc.property(
@@ -272,7 +303,7 @@
     ranks: RANKS,
     known: undefined,
     wantsCounts: false,
-    marginSteps: 2,
+    marginSteps: () => 2,
     call: serve,
   };
   // A coordinator arms rank 1 alone and falls silent.
--- a/test/group/switch-play.ts
+++ b/test/group/switch-play.ts
@@ -93,7 +93,14 @@
       await time.sleep(50 + random() * 200);
       if (life !== kills) return;
       const end = await runSwitch(
-        { group: 'g', ranks: RANKS, call, known: undefined, wantsCounts: false, marginSteps: 3 },
+        {
+          group: 'g',
+          ranks: RANKS,
+          call,
+          known: undefined,
+          wantsCounts: false,
+          marginSteps: () => 3,
+        },
         nextEpoch(highest, own),
         (view) => ({ id: String(view.epoch), layers: [[[0], [1], [2, life]]] }),
       );
