Tests: a loopback address for each process

Cause of a test that fell once beside load (a body that comes too slowly is refused): the stand-in of a service got GET /rpc/feedWatch, a call of another test's daemon whose peer's port had been given out anew. Ruled out: the entry itself (it makes no such call to a service). Change: each test process listens on an address of its own in 127.0.0.0/8, so that no daemon can meet what another test started.

--- a/fakes/http/index.ts
+++ b/fakes/http/index.ts
@@ -1,1 +1,2 @@
 export * from './http.js';
+export * from './own-host.js';
