--- a/bench/harness/caller.ts
+++ b/bench/harness/caller.ts
@@ -1,6 +1,5 @@
 /** A caller as real ones are: asks an entry, and asks again elsewhere when it got no clear word. */
 import { request, type Dispatcher } from 'undici';
-import { OWN_HOST } from '../../fakes/http/index.js';
 import { EventSplitter } from '../../src/gateway/events.js';
 import { MODEL, SERVICE, testKey } from './cluster-spec.js';
 
@@ -71,7 +70,7 @@
 async function askChat(ask: Ask, stream: boolean, options: AskOptions): Promise<void> {
   const tokens = options.tokens ?? 16;
   const content = `${options.prompt ?? 'Passenger summary.'} nonce=${ask.nonce}`;
-  const res = await request(`http://${OWN_HOST}:${ask.port}/v1/chat/completions`, {
+  const res = await request(`http://127.0.0.1:${ask.port}/v1/chat/completions`, {
     method: 'POST',
     headers: headersOf(ask, options),
     body: JSON.stringify({
@@ -96,7 +95,7 @@
   const path = once
     ? `/services/${SERVICE}/bags`
     : `/services/${SERVICE}/passes?nonce=${ask.nonce}`;
-  const res = await request(`http://${OWN_HOST}:${ask.port}${path}`, {
+  const res = await request(`http://127.0.0.1:${ask.port}${path}`, {
     method: once ? 'POST' : 'GET',
     headers: headersOf(ask, options),
     ...(once ? { body: JSON.stringify({ nonce: ask.nonce }) } : {}),
--- a/bench/harness/cluster.ts
+++ b/bench/harness/cluster.ts
@@ -4,7 +4,6 @@
 import { join } from 'node:path';
 import { request } from 'undici';
 import type { EngineExecution, MapUse } from '../../fakes/model-engine/index.js';
-import { OWN_HOST } from '../../fakes/http/index.js';
 import type { PlatformMode } from '../../fakes/platform/index.js';
 import type { ServiceExecution } from '../../fakes/service-engine/index.js';
 import type {
@@ -100,7 +99,7 @@
       instance: m.name,
       role: m.role,
       dataCentre: m.dataCentre,
-      host: OWN_HOST,
+      host: '127.0.0.1',
       port: m.ports.daemons,
       state: this.leaving.has(m.name) ? 'leaving' : 'live',
       ...(m.endpoint ? { endpoint: m.endpoint } : {}),
@@ -110,7 +109,7 @@
         instance: endpoint,
         role: 'endpoint',
         dataCentre: this.dataCentreOf(endpoint),
-        host: new URL(url).hostname,
+        host: '127.0.0.1',
         port: Number(new URL(url).port),
         state: this.leaving.has(endpoint) ? 'leaving' : 'live',
         endpoint,
@@ -149,14 +148,14 @@
   }
 
   async status(member: Member): Promise<Record<string, unknown>> {
-    return (await getJson(`http://${OWN_HOST}:${member.ports.operators}/status`)) as Record<
+    return (await getJson(`http://127.0.0.1:${member.ports.operators}/status`)) as Record<
       string,
       unknown
     >;
   }
 
   async counters(member: Member): Promise<Record<string, number>> {
-    return (await getJson(`http://${OWN_HOST}:${member.ports.operators}/counters`)) as Record<
+    return (await getJson(`http://127.0.0.1:${member.ports.operators}/counters`)) as Record<
       string,
       number
     >;
@@ -271,7 +270,7 @@
     url: string | undefined,
   ): Promise<void> {
     const dataCentre = this.dataCentreOf(name);
-    const any = { host: OWN_HOST, port: 0 };
+    const any = { host: '127.0.0.1', port: 0 };
     const settings: Settings = {
       role,
       instance: name,
@@ -302,7 +301,7 @@
   }
 
   private async launch(member: Member): Promise<void> {
-    const any = { host: OWN_HOST, port: member.ports?.daemons ?? 0 };
+    const any = { host: '127.0.0.1', port: member.ports?.daemons ?? 0 };
     // The address stays the same over a restart, as on a real instance.
     member.settings = { ...member.settings, listen: { ...member.settings.listen, daemons: any } };
     const file = join(this.folder, `${member.name}.json`);
--- a/bench/harness/measure.ts
+++ b/bench/harness/measure.ts
@@ -1,7 +1,6 @@
 /** Readings of a process by the operating system, and small statistics. */
 import { readFileSync } from 'node:fs';
 import { request } from 'undici';
-import { OWN_HOST } from '../../fakes/http/index.js';
 import type { Member } from './cluster.js';
 
 const PAGE_BYTES = 4096;
@@ -15,7 +14,7 @@
 /** One gauge or counter of a daemon, from its metrics. */
 export async function readMetric(member: Member, name: string): Promise<number> {
   const text = await (
-    await request(`http://${OWN_HOST}:${member.ports.operators}/metrics`)
+    await request(`http://127.0.0.1:${member.ports.operators}/metrics`)
   ).body.text();
   const line = text.split('\n').find((l) => l.startsWith(`harrierglade_${name} `));
   return Number(line?.split(' ')[1] ?? Number.NaN);
--- a/fakes/http/http.ts
+++ b/fakes/http/http.ts
@@ -1,7 +1,6 @@
 /** Small HTTP helpers of the stand-ins. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { OWN_HOST } from './own-host.js';
 
 /** Reads a JSON body; undefined when there is none. */
 export async function readJson(req: IncomingMessage): Promise<unknown> {
@@ -32,9 +31,9 @@
       else res.destroy();
     });
   });
-  await new Promise<void>((resolve) => server.listen(0, OWN_HOST, resolve));
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const { port } = server.address() as AddressInfo;
-  return { server, port, url: `http://${OWN_HOST}:${port}` };
+  return { server, port, url: `http://127.0.0.1:${port}` };
 }
 
 /** Closes a server and all its connections. */
--- a/fakes/http/index.ts
+++ b/fakes/http/index.ts
@@ -1,2 +1,1 @@
 export * from './http.js';
-export * from './own-host.js';
--- a/test/system/limits.test.ts
+++ b/test/system/limits.test.ts
@@ -3,7 +3,6 @@
 import { connect } from 'node:net';
 import { after, before, test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { OWN_HOST } from '../../fakes/http/index.js';
 import {
   askOnce,
   Cluster,
@@ -60,7 +59,7 @@
 
 test('a body that comes too slowly is refused and runs nothing', async () => {
   const ran = await cluster.serviceExecutions();
-  const socket = connect(entry().ports.callers, OWN_HOST);
+  const socket = connect(entry().ports.callers, '127.0.0.1');
   let answer = '';
   socket.on('data', (text) => (answer += String(text)));
   socket.write(
--- a/test/system/path.test.ts
+++ b/test/system/path.test.ts
@@ -3,7 +3,6 @@
 import { connect } from 'node:net';
 import { after, before, test } from 'node:test';
 import OpenAI from 'openai';
-import { OWN_HOST } from '../../fakes/http/index.js';
 import { request } from 'undici';
 import {
   askOnce,
@@ -30,7 +29,7 @@
       { id: 'akagera', weight: 1, tokensPerSecond: 100_000 },
     ],
   });
-  base = `http://${OWN_HOST}:${cluster.entries[0]?.ports.callers}`;
+  base = `http://127.0.0.1:${cluster.entries[0]?.ports.callers}`;
   client = new OpenAI({ baseURL: `${base}/v1`, apiKey: testKey('rwandair'), maxRetries: 0 });
 });
 
@@ -153,7 +152,7 @@
   await large.body.dump();
   assert.equal(large.statusCode, 431);
   const ran = (await cluster.serviceExecutions()).length;
-  const socket = connect(Number(new URL(base).port), OWN_HOST);
+  const socket = connect(Number(new URL(base).port), '127.0.0.1');
   await new Promise((resolve) => socket.once('connect', resolve));
   socket.write(
     `POST /services/${SERVICE}/bags HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${testKey('rwandair')}\r\ncontent-length: 100\r\n\r\n{"nonce":`,
@@ -212,7 +211,7 @@
 });
 
 test('operators see health, counters by reason, histograms, status and past decisions', async () => {
-  const operators = `http://${OWN_HOST}:${cluster.entries[0]?.ports.operators}`;
+  const operators = `http://127.0.0.1:${cluster.entries[0]?.ports.operators}`;
   const metrics = await (await request(`${operators}/metrics`)).body.text();
   assert.match(
     metrics,
