A daemon compares versions with daemons only, never with an endpoint

Cause of a test that fell beside load (a body that comes too slowly is refused: the stand-in of a service got GET /rpc/feedWatch): the exchange of versions picked any instance of the list, endpoints included, so a plain service could get a request that no caller sent. Ruled out: another test's daemon at a port given out anew (reverted).

--- a/src/core/config-feed/feed.ts
+++ b/src/core/config-feed/feed.ts
@@ -51,8 +51,11 @@
   return meanMs * (0.5 + random());
 }
 
+/** Addresses of all other daemons; the list names endpoints as well, which must not be asked. */
 function otherAddresses(options: FeedOptions): string[] {
-  const listed = options.view().all.filter((i) => i.instance !== options.self);
+  const listed = options
+    .view()
+    .all.filter((i) => i.instance !== options.self && i.role !== 'endpoint');
   return listed.length > 0 ? listed.map((i) => i.address) : [...options.seeds];
 }
 
--- /dev/null
+++ b/test/core/config-feed/feed.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setTimeout as wait } from 'node:timers/promises';
+import { runFeed } from '../../../src/core/config-feed/feed.js';
+import { FeedStore } from '../../../src/core/config-feed/index.js';
+import { seededRandom, systemClock } from '../../../src/core/clock/index.js';
+import { asId } from '../../../src/core/ids/index.js';
+import { silentLog } from '../../../src/core/logging/index.js';
+import { buildInstanceView } from '../../../src/core/membership/index.js';
+import { Metrics } from '../../../src/core/metrics/index.js';
+import type { InstanceRecord } from '../../../src/generated/instances.types.js';
+
+const record = (instance: string, role: InstanceRecord['role'], port: number): InstanceRecord => ({
+  instance,
+  role,
+  dataCentre: 'a',
+  host: '10.0.0.1',
+  port,
+  state: 'live',
+  ...(role === 'entry' ? {} : { endpoint: instance }),
+});
+
+const LIST = {
+  version: 1,
+  instances: [
+    record('entry-1', 'entry', 1),
+    record('entry-2', 'entry', 2),
+    record('lookup-1', 'endpoint', 3),
+    record('lookup-2', 'endpoint', 4),
+  ],
+};
+
+test('daemons compare versions with daemons, and never ask an endpoint', async () => {
+  const metrics = new Metrics();
+  const asked: string[] = [];
+  const ending = new AbortController();
+  const feed = runFeed(
+    {
+      self: asId('entry-1'),
+      dataCentre: 'a',
+      seeds: [],
+      watchMs: 20,
+      fallbackMs: 5,
+      startMs: 20,
+      store: new FeedStore(systemClock, silentLog, metrics),
+      view: () => buildInstanceView(LIST),
+      platform: {
+        watchConfig: () => wait(5).then(() => undefined),
+        watchList: () => wait(5).then(() => undefined),
+      },
+      watchPeer: (address) => {
+        asked.push(address);
+        return Promise.resolve(undefined);
+      },
+      clock: systemClock,
+      random: seededRandom(3),
+      log: silentLog,
+      metrics,
+    },
+    ending.signal,
+  );
+  await feed.started;
+  await wait(150);
+  ending.abort();
+  await feed.ended;
+  assert.deepEqual([...new Set(asked)], ['10.0.0.1:2']);
+});
