Agents hear of endpoints alone; places of a group that is unseen stay as they were

Change: agents read the configuration at their start and watch endpoints; it is read again only while nothing tells what their engine is. An entry keeps its last places of a group that it does not see. Tests: store-client.test, turns.test.

--- a/src/core/published/follow.ts
+++ b/src/core/published/follow.ts
@@ -61,6 +61,8 @@
   readonly metrics: Metrics;
   readonly random: () => number;
   readonly pace: FollowPace;
+  /** Whether what is held lacks something that only a whole read can tell; asked before each watch. */
+  readonly isLacking?: () => boolean;
 }
 
 /** Logs the store once when it is lost and once when it is back. */
@@ -169,7 +171,7 @@
 
   async run(): Promise<void> {
     while (!this.signal.aborted) {
-      if (this.revision === undefined) await this.readAll();
+      if (this.revision === undefined || this.parts.isLacking?.()) await this.readAll();
       else await this.watch(this.revision);
     }
   }
@@ -184,6 +186,7 @@
     this.taker.list(state.offerList(read.val.endpoints, keepsMissing));
     this.taker.invalid(read.val.invalid);
     this.revision = read.val.revision;
+    if (this.parts.isLacking?.()) await sleep(this.parts.pace.changePauseMs, this.signal);
   }
 
   private async watch(from: number): Promise<void> {
--- a/src/gateway/turns.ts
+++ b/src/gateway/turns.ts
@@ -5,7 +5,7 @@
 import type { EngineInfo } from '../core/published/index.js';
 import type { GroupSize } from './group-sight.js';
 
-/** Places of an entry that has not heard of the group for a while. */
+/** Places of an entry that has never heard of the group. */
 const PLACES_UNSEEN = 6;
 /** Allowed pause while no request has told one, ms. */
 const USUAL_PAUSE_MS = 120;
@@ -33,6 +33,8 @@
   readonly outage = new Outage();
   private readonly limit = new StreamLimit();
   private allowedPauseMs = USUAL_PAUSE_MS;
+  /** Places when the group was last seen: they stand while it is not. */
+  private lastPlaces = PLACES_UNSEEN;
 
   constructor(private readonly parts: TurnsParts) {
     this.queue = new TurnQueue(() => this.places);
@@ -42,13 +44,14 @@
   get places(): number {
     const size = this.parts.size();
     const model = this.model(size);
-    if (!size || !model) return PLACES_UNSEEN;
-    return placesOf({
+    if (!size || !model) return this.lastPlaces;
+    this.lastPlaces = placesOf({
       limit: this.limit.streams(this.allowedPauseMs, model),
       running: size.running,
       own: this.queue.running,
       entries: size.entries,
     });
+    return this.lastPlaces;
   }
 
   /** Streams and limit of the group, and this entry's part, for the log; undefined while it is unseen. */
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -55,10 +55,17 @@
   const state = new PublishedState();
   const shared = { clock, random: Math.random, log, metrics };
   const ending = new AbortController();
-  const follow = { ...shared, state, source: parts.source, pace: AGENT_PACE };
-  void followPublished(follow, ending.signal);
-
   const group = new OwnGroup(state, ownEndpoint, settings.internalPort);
+  void followPublished(
+    {
+      ...shared,
+      state,
+      source: parts.source,
+      pace: AGENT_PACE,
+      isLacking: () => group.lacksEngine(),
+    },
+    ending.signal,
+  );
   const agents = (): string[] => group.agents();
   const self = `${settings.ip}:${settings.internalPort}`;
   const layers = (): number => group.engine()?.layers ?? 0;
--- a/src/group/own-group.ts
+++ b/src/group/own-group.ts
@@ -47,6 +47,11 @@
     return service && this.state.config?.services.get(service)?.engine;
   }
 
+  /** Whether this engine is listed and nothing tells what engines of its service are. */
+  lacksEngine(): boolean {
+    return this.own() !== undefined && this.engine() === undefined;
+  }
+
   /**
    * Addresses of its agents, in order: one runs beside each engine, at the engine's own host. While not all
    * members are known, those whose group is unknown are among them.
