--- a/src/group/digest.ts
+++ b/src/group/digest.ts
@@ -33,6 +33,8 @@
       };
     }
     this.takeStep(Math.max(...replies.map((reply) => reply.step)));
+    // A group without work makes no step: the time until its next one says nothing.
+    if (!replies.some((reply) => (reply.running ?? 0) > 0)) this.step = undefined;
     this.group = replies[0]?.group ?? '';
     return {
       group: this.group,
--- a/test/group/group-view.test.ts
+++ b/test/group/group-view.test.ts
@@ -93,6 +93,18 @@
   assert.equal(digester.take(undefined, []).whole, false);
 });
 
+test('the time in which a group had no work is no time of a step', () => {
+  let nowMs = 0;
+  const digester = new Digester({ nowMs: () => nowMs, wallMs: () => nowMs });
+  const look = (step: number, running: number): number =>
+    digester.take([reply(0, { step, running })], ['a']).stepMs;
+  look(1, 0);
+  nowMs = 9000;
+  assert.equal(look(2, 3), 0);
+  nowMs = 9100;
+  assert.equal(look(4, 3), 50);
+});
+
 test('the margin follows the slowest orders lately, and forgets them', async () => {
   let nowMs = 0;
   const margin = new SwitchMargin({ nowMs: () => nowMs, wallMs: () => nowMs });
