--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -33,6 +33,13 @@
  */
 const FAR_RUNS = 3;
 
+/**
+ * Requests that a rank counts for more when all of its slots were taken a moment ago: what comes there waits.
+ * Nothing finer is made of its load, since entries that all send where it was least meet there
+ * (docs/EXPERIMENTS.md).
+ */
+const FULL_RUNS = 4;
+
 function isSlowPace(sight: EngineSight | undefined): boolean {
   return sight !== undefined && sight.pace > SLOW_PACE;
 }
@@ -116,9 +123,9 @@
 
   private score(known: EndpointState, nowMs: number): number {
     const sight = this.parts.sightOf(known.endpoint);
-    // Ranks of a group answer in lock-step: only their own pace, and the way to them, tells them apart.
-    const wayRuns = sight && this.isFar(known.endpoint) ? FAR_RUNS : 0;
-    const load = (known.running + 1 + wayRuns) / known.endpoint.slots;
+    // Ranks of a group answer in lock-step: their own pace, the way to them, and a queue tell them apart.
+    const handicap = sight ? this.handicapOf(known.endpoint, sight) : 0;
+    const load = (known.running + 1 + handicap) / known.endpoint.slots;
     const slowness = sight ? slownessOf(sight) : 1 + known.answerMs / 1000;
     const score = load * slowness * (1 + FAILURE_PENALTY * known.failureShare ** 2);
     // Among equals the one that was used longest ago goes first.
@@ -126,8 +133,11 @@
     return score + turn + (known.health.isEjected(nowMs) ? 1e6 : 0);
   }
 
-  private isFar(endpoint: PublishedEndpoint): boolean {
-    return endpoint.dataCentre !== this.parts.dataCentre;
+  /** Requests that a rank counts for more than this entry has there. */
+  private handicapOf(endpoint: PublishedEndpoint, sight: EngineSight): number {
+    const isFar = endpoint.dataCentre !== this.parts.dataCentre;
+    const isFull = sight.load >= endpoint.slots;
+    return (isFar ? FAR_RUNS : 0) + (isFull ? FULL_RUNS : 0);
   }
 
   /** Whether an endpoint is known to hold its group up. */
--- a/src/gateway/group-sight.ts
+++ b/src/gateway/group-sight.ts
@@ -22,11 +22,10 @@
 /** Age above which what was seen is not acted on any more, ms. */
 const STALE_MS = 1500;
 
-/**
- * One engine as its group's coordinator saw it. Its load is left out: entries that all send where the
- * load was least a moment ago meet there (docs/EXPERIMENTS.md).
- */
+/** One engine as its group's coordinator saw it. */
 export interface EngineSight {
+  /** Requests that ran or waited there. */
+  readonly load: number;
   /** How slow it is; 1 is its ordinary pace. */
   readonly pace: number;
 }
@@ -169,7 +168,7 @@
     for (const engine of listed) {
       const rank = digest.hosts.indexOf(hostOf(engine.address));
       if (rank < 0) continue;
-      engines.set(engine.id, { pace: digest.pace[rank] ?? 1 });
+      engines.set(engine.id, { pace: digest.pace[rank] ?? 1, load: digest.load[rank] ?? 0 });
       this.groups.set(engine.id, group);
     }
     const size: GroupSize = {
--- a/test/gateway/endpoints.test.ts
+++ b/test/gateway/endpoints.test.ts
@@ -13,7 +13,11 @@
 import { endpoint, SERVICE } from './harness.js';
 
 /** Endpoints of an entry in data centre `a`; those of a group are seen, plain ones are not. */
-function endpointsOf(listed: readonly PublishedEndpoint[], isGroup: boolean): Endpoints {
+function endpointsOf(
+  listed: readonly PublishedEndpoint[],
+  isGroup: boolean,
+  loadOf: (endpoint: PublishedEndpoint) => number = () => 0,
+): Endpoints {
   const state = new PublishedState();
   state.offerList(listed, false);
   return new Endpoints({
@@ -23,7 +27,7 @@
     log: silentLog,
     metrics: new Metrics(),
     dataCentre: asId('a'),
-    sightOf: () => (isGroup ? { pace: 1 } : undefined),
+    sightOf: (e) => (isGroup ? { pace: 1, load: loadOf(e) } : undefined),
   });
 }
 
@@ -46,6 +50,13 @@
   assert.equal(sent.filter((id) => id === 'near').length, 5, sent.join(' '));
 });
 
+test('a rank whose slots were all taken gets work only when others have four more of our requests', () => {
+  const other = endpoint('other', '127.0.0.1:3');
+  const loadOf = (e: PublishedEndpoint): number => (e.id === near.id ? near.slots : near.slots - 1);
+  const sent = sendAll(endpointsOf([near, other], true, loadOf), 6);
+  assert.equal(sent.filter((id) => id === 'other').length, 5, sent.join(' '));
+});
+
 test('plain endpoints take turns wherever they are', () => {
   const sent = sendAll(endpointsOf([far, near], false), 6);
   assert.equal(sent.filter((id) => id === 'near').length, 3, sent.join(' '));
