--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -25,7 +25,7 @@
 import type { InstanceSettings } from '../gateway/types.js';
 import { Askers } from './askers.js';
 import {
-  COMPLETE_PAUSE_MS,
+  changePauseMs,
   DIGEST_STALE_MS,
   OWN_PAUSE_MS,
   UNLOOKED_STAGGER_MS,
--- a/test/group/round-policy.test.ts
+++ b/test/group/round-policy.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Askers } from '../../src/group/askers.js';
+import { changePauseMs } from '../../src/group/consts.js';
 import { gainPerCopy, newPerRound } from '../../src/group/round-policy.js';
 import { ENGINE } from '../fixtures/engine.js';
 
@@ -19,6 +20,11 @@
   assert.equal(gainPerCopy(ENGINE, 0), gainPerCopy(ENGINE, 12), 'an idle group');
 });
 
+test('only a large group that knows all its members waits longer for the next change', () => {
+  assert.equal(changePauseMs(12, true), changePauseMs(63, false));
+  assert.ok(changePauseMs(63, true) > changePauseMs(63, false));
+});
+
 test('entries count while they ask, and no longer', () => {
   const askers = new Askers();
   askers.note('e-1', 0);
