--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -71,7 +71,7 @@
         ...AGENT_PACE,
         // Changes elsewhere in the service are many at large sites, and news only while a member is missing.
         get changePauseMs() {
-          return group.isComplete() ? COMPLETE_PAUSE_MS : AGENT_PACE.changePauseMs;
+          return changePauseMs(group.agents().length, group.isComplete());
         },
       },
       isLacking: () => group.lacksEngine(),
