--- a/src/cli/account/tables.ts
+++ b/src/cli/account/tables.ts
@@ -36,26 +36,25 @@
   figures: readonly GroupFigure[],
   spanS: number,
 ): Span[] {
-  const times = ends.map((end) => end.cameAtMs);
-  const startMs = times.reduce((least, ms) => Math.min(least, ms), Infinity);
-  const endMs = times.reduce((last, ms) => Math.max(last, ms), -Infinity);
+  const startMs = ends.reduce((least, end) => Math.min(least, end.cameAtMs), Infinity);
+  const endMs = ends.reduce((last, end) => Math.max(last, end.cameAtMs), -Infinity);
   const spanMs = spanS * MS_PER_S;
-  const spans: Span[] = [];
-  for (let fromMs = startMs; fromMs <= endMs; fromMs += spanMs) {
-    const isIn = (atMs: number): boolean => atMs >= fromMs && atMs < fromMs + spanMs;
-    const counts = new Map<End, number>();
-    for (const end of ends)
-      if (isIn(end.cameAtMs)) counts.set(end.end, (counts.get(end.end) ?? 0) + 1);
-    const told = figures.filter((figure) => isIn(figure.atMs));
-    spans.push({
-      fromS: (fromMs - startMs) / MS_PER_S,
-      counts,
-      skew: most(told.map((figure) => figure.skew)),
-      running: most(told.map((figure) => figure.running)),
-      limit: most(told.map((figure) => figure.limit)),
-    });
+  const count = Math.floor((endMs - startMs) / spanMs) + 1;
+  const counts = Array.from({ length: count }, () => new Map<End, number>());
+  const told = Array.from({ length: count }, (): GroupFigure[] => []);
+  const indexAt = (atMs: number): number => Math.floor((atMs - startMs) / spanMs);
+  for (const end of ends) {
+    const of = counts[indexAt(end.cameAtMs)];
+    of?.set(end.end, (of.get(end.end) ?? 0) + 1);
   }
-  return spans;
+  for (const figure of figures) told[indexAt(figure.atMs)]?.push(figure);
+  return counts.map((of, i) => ({
+    fromS: (i * spanMs) / MS_PER_S,
+    counts: of,
+    skew: most(told[i]?.map((figure) => figure.skew) ?? []),
+    running: most(told[i]?.map((figure) => figure.running) ?? []),
+    limit: most(told[i]?.map((figure) => figure.limit) ?? []),
+  }));
 }
 
 function cell(value: number, digits = 0): string {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -87,6 +87,12 @@
     (await import('./account/index.js')).account(files, options),
   );
 
+// Whoever reads may have seen enough, as `head` has after ten lines.
+process.stdout.on('error', (err: NodeJS.ErrnoException) => {
+  if (err.code === 'EPIPE') process.exit(EXIT.ok);
+  throw err;
+});
+
 program.exitOverride((err) => process.exit(err.exitCode === 0 ? EXIT.ok : EXIT.usage));
 program.parseAsync().catch((err: unknown) => {
   const known = err instanceof CommandError;
--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -31,11 +31,6 @@
  */
 export const KEY_PROOF_MARGIN_MS = 1500;
 
-/**
- * Time for which a caller that came back outlasts an outage, ms: a second refusal ends its request.
- * Callers of streams leave after 2 s without an event, and the first one takes 0.2 to 0.4 s.
- */
-export const RETURNING_OUTAGE_MS = 1500;
 /** Retry-After of a refusal for want of room, s, lower and upper end: spreads those who return. */
 export const BUSY_RETRY_S = { least: 1.0, most: 2.5 } as const;
 /**
--- a/src/gateway/serve-request.ts
+++ b/src/gateway/serve-request.ts
@@ -11,7 +11,6 @@
   FINAL_ANSWER_MS,
   LEAST_ATTEMPT_MS,
   OUTAGE_RETRY_S,
-  RETURNING_OUTAGE_MS,
   SILENCE_FACTOR,
   STREAM_SILENCE_MS,
 } from './consts.js';
@@ -331,10 +330,7 @@
   }
 }
 
-/**
- * Takes one of this entry's places at a group; its end when there is none in time. Who was refused before
- * waits also for the end of an outage: another refusal would be its last answer.
- */
+/** Takes one of this entry's places at a group; its end when there is none in time, or no group serves. */
 async function takeTurn(work: Work, groups: ServiceGroups): Promise<RequestEnd | undefined> {
   const { ctx, request, note } = work;
   const chosen = groups.choose(work.tried);
@@ -346,12 +342,7 @@
   const waitsMs = request.head.deadlineMs ?? DEFAULT_DEADLINE_MS;
   const isReturning = groups.callers.isReturning(route.id, waitsMs);
   note.isReturning = isReturning;
-  const isOut = isReturning
-    ? !(await turns.outlast(Math.min(RETURNING_OUTAGE_MS, leftMs(work)), gone))
-    : turns.outage.refuses(askedAtMs);
-  note.queuedMs = ctx.clock.nowMs() - askedAtMs;
-  if (gone.aborted) return { kind: 'gone' };
-  if (isOut)
+  if (turns.outage.refuses(askedAtMs))
     return refused('outage', 'no endpoint of the service serves', retryS(ctx, OUTAGE_RETRY_S));
   const priority = request.organisation?.priority ?? route.priority;
   const terms = turnTerms({
--- a/src/gateway/turns.ts
+++ b/src/gateway/turns.ts
@@ -1,5 +1,5 @@
 /** Turns at a group of engines in lock-step: how many streams this entry may run there, and who waits. */
-import { sleep, type Clock } from '../core/clock/index.js';
+import type { Clock } from '../core/clock/index.js';
 import { Outage, placesOf, StreamLimit, TurnQueue, type StepModel } from '../core/limits/index.js';
 import type { LogFields } from '../core/logging/index.js';
 import type { EngineInfo } from '../core/published/index.js';
@@ -15,9 +15,6 @@
  * 0.6 s old, and may tell of the time before.
  */
 const SEEN_ENDS_AFTER_MS = 1000;
-/** How often a request that outlasts an outage looks whether it is over, ms. */
-const OUTAGE_POLL_MS = 40;
-
 /** What turns need to know. */
 export interface TurnsParts {
   readonly clock: Clock;
@@ -80,19 +77,6 @@
     return `${this.queue.running} of ${this.places} places taken, ${this.queue.queued} wait, ${group}`;
   }
 
-  /**
-   * Waits for the end of an outage, or for this request's turn to try whether it is over; false when
-   * neither comes within `withinMs`, or the caller leaves.
-   */
-  async outlast(withinMs: number, gone: AbortSignal): Promise<boolean> {
-    const untilMs = this.parts.clock.nowMs() + withinMs;
-    while (this.outage.refuses(this.parts.clock.nowMs())) {
-      if (gone.aborted || this.parts.clock.nowMs() >= untilMs) return false;
-      await sleep(OUTAGE_POLL_MS);
-    }
-    return true;
-  }
-
   /** Notes that the group was seen whole: an outage that has lasted for a while is over. */
   noteSeen(): void {
     if (this.outage.lastedMs(this.parts.clock.nowMs()) > SEEN_ENDS_AFTER_MS) this.outage.noteGood();
--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -1,6 +1,7 @@
 /** The command as operators run it, as a process of its own. */
 import assert from 'node:assert/strict';
-import { execFile } from 'node:child_process';
+import { execFile, spawn } from 'node:child_process';
+import { once } from 'node:events';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -134,6 +135,20 @@
   assert.equal((await run('cli', '--help')).code, 0);
 });
 
+test('a reader that has seen enough ends the command without a fault', async () => {
+  const end = (second: number, request: string): string =>
+    `time=2026-01-01T00:00:${String(second).padStart(2, '0')}Z event=request.end request=${request} outcome=answered`;
+  const log = join(folder, 'entry.log');
+  writeFileSync(log, Array.from({ length: 5000 }, (_, i) => end(i % 60, `q-${i}`)).join('\n'));
+  const args = [join(ROOT, 'dist/src/cli/main.js'), 'account', log, '--span', '0.02'];
+  const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
+  let err = '';
+  child.stderr.on('data', (text) => (err += String(text)));
+  child.stdout.once('data', () => child.stdout.destroy());
+  const [code] = (await once(child, 'close')) as [number];
+  assert.deepEqual([code, err], [0, '']);
+});
+
 test('the daemon refuses bad settings before it opens anything', async () => {
   const daemon = await run(
     'daemon',
