--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -18,6 +18,7 @@
   createGateway,
   type Gateway,
   type GatewayContext,
+  type GatewayParts,
   type GatewaySettings,
 } from '../../src/gateway/index.js';
 
@@ -116,6 +117,8 @@
   return { ...silentLog, info: at, warn: at, error: at };
 }
 
+const UNSEEN = { groupSize: () => undefined, groupOf: () => undefined };
+
 /**
  * Starts a gateway.
  * @example const under = await startGateway(config([route()]), [endpoint('e-1', raw.address)]);
@@ -125,6 +128,7 @@
   endpoints: readonly PublishedEndpoint[],
   clock: Clock = systemClock,
   settings: GatewaySettings = SETTINGS,
+  groups: Pick<GatewayParts, 'groupOf' | 'groupSize'> = UNSEEN,
 ): Promise<GatewayUnderTest> {
   const state = new PublishedState();
   if (cfg) state.offerConfig(cfg, clock.nowMs());
@@ -142,8 +146,7 @@
     metrics,
     dataCentre: asId('a'),
     sightOf: () => undefined,
-    groupSize: () => undefined,
-    groupOf: () => undefined,
+    ...groups,
   });
   const gateway = createGateway(ctx);
   await new Promise<void>((resolve) => gateway.server.listen(0, '127.0.0.1', resolve));
