--- a/bench/soak/proxy.ts
+++ b/bench/soak/proxy.ts
@@ -40,6 +40,7 @@
 export class LoopbackProxy {
   private state = WHOLE;
   private readonly sockets = new Set<Socket>();
+  private readonly silenced = new WeakSet<Socket>();
 
   private constructor(
     private readonly server: Server,
@@ -72,6 +73,11 @@
     for (const socket of this.sockets) resetConnection(socket);
   }
 
+  /** Silences every connection that is open, for good and without a reset; new ones work. */
+  silence(): void {
+    for (const socket of this.sockets) this.silenced.add(socket);
+  }
+
   /** Ends the proxy and its connections. */
   close(): void {
     this.server.close();
@@ -92,12 +98,18 @@
   private carry(from: Socket, to: Socket, way: Way): void {
     let last: Promise<void> = Promise.resolve();
     const after = (act: () => void): void => {
-      last = last.then(() => this.pass(way, to)).then(act);
+      last = last
+        .then(() => this.pass(way, to))
+        .then(() => {
+          if (!this.silenced.has(from)) act();
+        });
     };
     from.on('data', (piece) => after(() => void (to.destroyed || to.write(piece))));
     from.on('end', () => after(() => to.end()));
     // A reset is told as one; what was held up before it is lost.
-    from.on('error', () => resetConnection(to));
+    from.on('error', () => {
+      if (!this.silenced.has(from)) resetConnection(to);
+    });
     from.on('close', (hadError) => {
       if (!hadError) after(() => to.end());
     });
