One copy of what stood twice: who may belong to a group, which endpoints take work, which reasons may have run

The rule of who belongs to a group stood three times (agent, looks, members), the endpoints of a service that take work twice, the reasons after which a request may have run twice (gateway, account), what is seen of a group four times in one class, the start of ranks twice in a test. An agent looked through the list three times for each question who its members are; now once. No decision changes; a log text says that the group is unseen also while its engines are not published, as the places have it.

--- a/src/cli/account/ends.ts
+++ b/src/cli/account/ends.ts
@@ -1,4 +1,5 @@
 /** How each request ended for its caller, from the line that every request leaves. */
+import { MAY_HAVE_RUN_REASONS, type Reason } from '../../core/errors/index.js';
 import type { LogPairs } from './log-lines.js';
 
 /** What became of a request, best first. */
@@ -24,9 +25,6 @@
   readonly reason: string;
 }
 
-/** Outcomes that are answers of our own to a request that may have run. */
-const FAILURES = new Set(['answer-lost', 'time-over']);
-
 function answeredEnd(line: LogPairs): End {
   if (line['returning'] === 'true') return 'late: came back';
   const firstMs = Number(line['firstMs'] ?? line['tookMs']);
@@ -40,7 +38,7 @@
   if (outcome === 'answered') return answeredEnd(line);
   if (outcome === 'cut') return 'cut';
   if (outcome === 'gone') return 'caller left';
-  if (FAILURES.has(outcome)) return 'failed';
+  if (MAY_HAVE_RUN_REASONS.has(outcome as Reason)) return 'failed';
   return line['returning'] === 'true' ? 'refused again' : 'refused';
 }
 
--- a/src/cli/account/index.ts
+++ b/src/cli/account/index.ts
@@ -18,12 +18,11 @@
   if (line['event'] !== 'group.seen') return undefined;
   const atMs = Date.parse(line['time'] ?? '');
   if (Number.isNaN(atMs)) return undefined;
-  const [skew, running, limit] = ['skew', 'running', 'limit'].map((name) => numberIn(line, name));
   return {
     atMs,
-    ...(skew !== undefined && { skew }),
-    ...(running !== undefined && { running }),
-    ...(limit !== undefined && { limit }),
+    skew: numberIn(line, 'skew'),
+    running: numberIn(line, 'running'),
+    limit: numberIn(line, 'limit'),
   };
 }
 
--- a/src/cli/account/tables.ts
+++ b/src/cli/account/tables.ts
@@ -15,9 +15,9 @@
 /** A figure of the group that some line told. */
 export interface GroupFigure {
   readonly atMs: number;
-  readonly skew?: number;
-  readonly running?: number;
-  readonly limit?: number;
+  readonly skew?: number | undefined;
+  readonly running?: number | undefined;
+  readonly limit?: number | undefined;
 }
 
 const MS_PER_S = 1000;
--- a/src/core/errors/kinds.ts
+++ b/src/core/errors/kinds.ts
@@ -146,3 +146,9 @@
 
 /** Name of a row. */
 export type Reason = keyof typeof ERROR_KINDS;
+
+/** Reasons after which a request may have run; every other one promises that it never will. */
+export const MAY_HAVE_RUN_REASONS: ReadonlySet<Reason> = new Set<Reason>([
+  'answer-lost',
+  'time-over',
+]);
--- a/src/core/published/published-state.ts
+++ b/src/core/published/published-state.ts
@@ -5,7 +5,7 @@
  */
 import type { EndpointId } from '../ids/index.js';
 import type { EndpointChange } from './source.js';
-import type { PublishedConfig, PublishedEndpoint } from './types.js';
+import type { PublishedConfig, PublishedEndpoint, ServiceId } from './types.js';
 
 /** What changed in the list of endpoints. */
 export interface ListChange {
@@ -63,6 +63,12 @@
     return this.endpoints.has(id) && !this.left.has(id);
   }
 
+  /** Endpoints of a service that take new work. */
+  *workingOf(service: ServiceId): Iterable<PublishedEndpoint> {
+    for (const endpoint of this.endpoints.values())
+      if (endpoint.service === service && this.takesWork(endpoint.id)) yield endpoint;
+  }
+
   /**
    * Takes a whole list. Endpoints that are missing are gone, unless the store has just come back, when
    * entries that lapsed meanwhile have yet to be written again: then they are kept until `dropMissing`.
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,10 +1,5 @@
 /** What the parts of one gateway share. */
-import type {
-  EngineInfo,
-  PublishedEndpoint,
-  PublishedState,
-  ServiceId,
-} from '../core/published/index.js';
+import type { EngineInfo, PublishedEndpoint, ServiceId } from '../core/published/index.js';
 import { RetryBudget } from '../core/retry/index.js';
 import { KEY_PROOF_MARGIN_MS, RETRY_SHARERS, RETRY_SHARE_USED } from './consts.js';
 import { Endpoints, type EndpointParts } from './endpoints.js';
@@ -34,12 +29,6 @@
   readonly keysProved: () => boolean;
 }
 
-/** Endpoints of a service that take work. */
-function* workingEndpoints(state: PublishedState, service: ServiceId): Iterable<PublishedEndpoint> {
-  for (const endpoint of state.list.values())
-    if (endpoint.service === service && state.takesWork(endpoint.id)) yield endpoint;
-}
-
 /**
  * Puts the shared parts together.
  * @example const ctx = createContext(parts);
@@ -62,7 +51,7 @@
           clock,
           dataCentre: parts.dataCentre,
           engine,
-          endpoints: () => workingEndpoints(state, id),
+          endpoints: () => state.workingOf(id),
           groupOf: parts.groupOf,
           sizeOf: parts.groupSize,
         }),
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -109,9 +109,8 @@
     const nowMs = this.parts.clock.nowMs();
     let best: EndpointState | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
-    for (const endpoint of this.parts.state.list.values()) {
-      if (endpoint.service !== service || tried.has(endpoint.id)) continue;
-      if (!this.parts.state.takesWork(endpoint.id) || !mayTake(endpoint)) continue;
+    for (const endpoint of this.parts.state.workingOf(service)) {
+      if (tried.has(endpoint.id) || !mayTake(endpoint)) continue;
       const known = this.stateOf(endpoint);
       const score = this.score(known, nowMs);
       if (score < bestScore) {
--- a/src/gateway/refuse.ts
+++ b/src/gateway/refuse.ts
@@ -1,11 +1,15 @@
 /** Final answers of the entry's own: what they promise must be true. */
 import type { ServerResponse } from 'node:http';
-import { ERROR_KINDS, notRun, toProblem, unknown, type Reason } from '../core/errors/index.js';
+import {
+  ERROR_KINDS,
+  MAY_HAVE_RUN_REASONS,
+  notRun,
+  toProblem,
+  unknown,
+  type Reason,
+} from '../core/errors/index.js';
 import type { Metrics } from '../core/metrics/index.js';
 
-/** Reasons after which a request may have run; every other one promises that it never will. */
-const MAY_HAVE_RUN: ReadonlySet<Reason> = new Set(['answer-lost', 'time-over']);
-
 /** A final answer of our own. */
 export interface Refusal {
   readonly reason: Reason;
@@ -23,7 +27,7 @@
  */
 export function refuse(res: ServerResponse, metrics: Metrics, refusal: Refusal): boolean {
   const { reason, detail, retryAfterS, close } = refusal;
-  const outcome = MAY_HAVE_RUN.has(reason) ? 'unknown' : 'not-run';
+  const outcome = MAY_HAVE_RUN_REASONS.has(reason) ? 'unknown' : 'not-run';
   metrics.count('refusals_total', { reason, outcome });
   if (res.headersSent || res.destroyed) {
     res.destroy();
--- a/src/gateway/service-groups.ts
+++ b/src/gateway/service-groups.ts
@@ -59,7 +59,11 @@
 
   /** Whether an endpoint belongs to a group. */
   isIn(endpoint: PublishedEndpoint, group: GroupId): boolean {
-    return (this.parts.groupOf(endpoint) ?? UNKNOWN) === group;
+    return this.groupOf(endpoint) === group;
+  }
+
+  private groupOf(endpoint: PublishedEndpoint): GroupId {
+    return this.parts.groupOf(endpoint) ?? UNKNOWN;
   }
 
   /**
@@ -82,7 +86,7 @@
     const found = new Map<GroupId, Candidate>();
     for (const endpoint of this.parts.endpoints()) {
       if (tried.has(endpoint.id)) continue;
-      const id = this.parts.groupOf(endpoint) ?? UNKNOWN;
+      const id = this.groupOf(endpoint);
       if (id === except) continue;
       const isNear = endpoint.dataCentre === this.parts.dataCentre;
       const known = found.get(id);
--- a/src/gateway/turns.ts
+++ b/src/gateway/turns.ts
@@ -24,7 +24,19 @@
   readonly size: () => GroupSize | undefined;
 }
 
-/** Turns of one service at one entry. */
+/** What decides the places of one entry at a group. */
+export interface TurnsFigures extends LogFields {
+  /** Streams that the group runs, and may run. */
+  readonly running: number;
+  readonly limit: number;
+  readonly entries: number;
+  /** Streams of this entry, its places, and those who wait. */
+  readonly own: number;
+  readonly places: number;
+  readonly queued: number;
+}
+
+/** Turns of one group at one entry. */
 export class Turns {
   readonly queue: TurnQueue;
   readonly outage = new Outage();
@@ -39,9 +51,9 @@
 
   /** Streams that this entry may run now. */
   get places(): number {
-    const size = this.parts.size();
-    const model = this.model(size);
-    if (!size || !model) return this.lastPlaces;
+    const seen = this.seen();
+    if (!seen) return this.lastPlaces;
+    const { size, model } = seen;
     this.lastPlaces = placesOf({
       limit: this.limit.streams(this.allowedPauseMs, model),
       running: size.running,
@@ -52,10 +64,10 @@
   }
 
   /** Streams and limit of the group, and this entry's part, for the log; undefined while it is unseen. */
-  figures(): LogFields | undefined {
-    const size = this.parts.size();
-    const model = this.model(size);
-    if (!size || !model) return undefined;
+  figures(): TurnsFigures | undefined {
+    const seen = this.seen();
+    if (!seen) return undefined;
+    const { size, model } = seen;
     return {
       running: size.running,
       limit: Math.round(this.limit.streams(this.allowedPauseMs, model)),
@@ -68,11 +80,9 @@
 
   /** What decided the places, for the log. */
   describe(): string {
-    const size = this.parts.size();
-    const model = this.model(size);
-    const limit = model ? this.limit.streams(this.allowedPauseMs, model).toFixed(0) : 'unknown';
-    const group = size
-      ? `${size.running} of ${limit} in the group of ${size.entries} entries`
+    const seen = this.figures();
+    const group = seen
+      ? `${seen.running} of ${seen.limit} in the group of ${seen.entries} entries`
       : 'group unseen';
     return `${this.queue.running} of ${this.places} places taken, ${this.queue.queued} wait, ${group}`;
   }
@@ -91,13 +101,16 @@
 
   /** Notes a pause between two events of a stream, ms. */
   notePause(pauseMs: number): void {
-    const size = this.parts.size();
-    const model = this.model(size);
-    if (size && model) this.limit.notePause(pauseMs, size.running, model, this.parts.clock.nowMs());
+    const seen = this.seen();
+    if (!seen) return;
+    const { size, model } = seen;
+    this.limit.notePause(pauseMs, size.running, model, this.parts.clock.nowMs());
   }
 
-  private model(size: GroupSize | undefined): StepModel | undefined {
+  /** The group as it is known now; undefined while it is unseen or its engines are not published. */
+  private seen(): { readonly size: GroupSize; readonly model: StepModel } | undefined {
+    const size = this.parts.size();
     const engine = this.parts.engine();
-    return size && engine && { ...engine, ranks: size.ranks };
+    return size && engine && { size, model: { ...engine, ranks: size.ranks } };
   }
 }
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -33,6 +33,7 @@
 } from './consts.js';
 import { CoordinatorTask } from './coordinator-task.js';
 import type { EngineCalls } from './engine-calls.js';
+import { mayBelong } from './group-view.js';
 import { OwnGroup } from './own-group.js';
 import { createSwitchEngine } from './switch-engine.js';
 
@@ -101,9 +102,9 @@
     const waitMs = unlookedMs(agents().length) + group.rank * UNLOOKED_STAGGER_MS;
     return clock.nowMs() - lookedAtMs > waitMs;
   };
-  /** Whether an order comes from the own group, as far as either side knows. */
+  /** Whether an order comes from the own group, as far as either side knows; an empty name is none. */
   const isOwnGroup = (order: RankOrder): boolean =>
-    order.group === '' || group.group === undefined || order.group === group.group;
+    mayBelong(group.group, order.group || undefined);
   const takeDigest = (newest: GroupDigest | undefined): void => {
     if (!newest) return;
     digest = newest;
--- a/src/group/group-looks.ts
+++ b/src/group/group-looks.ts
@@ -7,7 +7,7 @@
 import type { RankOrder, RankReply } from '../core/groups/index.js';
 import type { GroupDigest } from '../generated/messages.types.js';
 import { answerTimes, DIGEST_PAUSE_MS, SAMPLE_RANKS, WHOLE_LOOK_MS } from './consts.js';
-import { addressesOf, mapIdOf, orderReplies, type GroupReplies } from './group-view.js';
+import { addressesOf, mapIdOf, mayBelong, orderReplies, type GroupReplies } from './group-view.js';
 
 /** Sends one order to the agent at an address; rejects when it cannot be reached in time. */
 export type CallAgent = (address: string, order: RankOrder, withinMs: number) => Promise<RankReply>;
@@ -137,8 +137,7 @@
 
   /** Whether a rank belongs to the own group, or may: a service may have several. */
   isOwn(reply: RankReply | undefined): boolean {
-    const group = this.parts.group();
-    return reply?.group === undefined || group === undefined || reply.group === group;
+    return mayBelong(this.parts.group(), reply?.group);
   }
 
   private takeWhole(
--- a/src/group/group-view.ts
+++ b/src/group/group-view.ts
@@ -5,6 +5,14 @@
 /** Replies of all ranks of one group, in order of rank. */
 export type GroupReplies = readonly RankReply[];
 
+/**
+ * Whether something of one group may belong to another: what has not been told may be either.
+ * @example mayBelong('g-1', undefined) // true
+ */
+export function mayBelong(own: string | undefined, other: string | undefined): boolean {
+  return own === undefined || other === undefined || own === other;
+}
+
 /**
  * Orders replies by rank; undefined unless they are whole: each rank once, of one forming of the group.
  * Engines that know how many ranks there are count for more than the list, which may name only some of
--- a/src/group/own-group.ts
+++ b/src/group/own-group.ts
@@ -13,6 +13,7 @@
 } from '../core/published/index.js';
 import type { ListenAddress } from '../gateway/types.js';
 import type { GroupDigest } from '../generated/messages.types.js';
+import { mayBelong } from './group-view.js';
 
 /** The group of the engine beside this agent. */
 export class OwnGroup {
@@ -63,8 +64,8 @@
    */
   agents(): string[] {
     const listed = this.listed();
-    const members = this.members();
-    const isComplete = this.isComplete();
+    const members = this.membersOf(listed);
+    const isComplete = this.isAll(members);
     const asked = isComplete ? members : listed.filter((e) => this.mayBelong(e));
     const hosts = new Set(asked.map((endpoint) => hostOf(endpoint.address)));
     if (!isComplete) for (const host of this.lastHosts) hosts.add(host);
@@ -73,7 +74,7 @@
 
   /** Whether all members are known and listed. */
   isComplete(): boolean {
-    return this.name !== undefined && this.members().length === this.ranks;
+    return this.isAll(this.membersOf(this.listed()));
   }
 
   /** Notes what the own engine tells. */
@@ -102,13 +103,16 @@
     for (const id of this.groupOf.keys()) if (!ids.has(id)) this.groupOf.delete(id);
   }
 
-  private members(): PublishedEndpoint[] {
-    return this.listed().filter((e) => this.groupOf.get(e.id) === this.name);
+  private membersOf(listed: readonly PublishedEndpoint[]): PublishedEndpoint[] {
+    return listed.filter((e) => this.groupOf.get(e.id) === this.name);
+  }
+
+  private isAll(members: readonly PublishedEndpoint[]): boolean {
+    return this.name !== undefined && members.length === this.ranks;
   }
 
   private mayBelong(endpoint: PublishedEndpoint): boolean {
-    const group = this.groupOf.get(endpoint.id);
-    return group === undefined || this.name === undefined || group === this.name;
+    return mayBelong(this.name, this.groupOf.get(endpoint.id));
   }
 
   private listed(): PublishedEndpoint[] {
--- a/test/core/groups/switch.test.ts
+++ b/test/core/groups/switch.test.ts
@@ -10,6 +10,7 @@
   ROUND_BYTES_PER_SECOND,
   roundPauseMs,
   runSwitch,
+  type CallRank,
   type EngineOrder,
   type EngineState,
   type OrderEnd,
@@ -205,13 +206,17 @@
   assert.ok(verdict.failed);
 });
 
-test('a quiet group switches, and a coordinator that died after arming is cleaned up after', async () => {
+/** Ranks whose engines check fences and hold, each behind a gate of its own. */
+function startRanks(): { readonly engines: SimEngine[]; readonly call: CallRank } {
   const engines = Array.from({ length: RANKS }, () => new SimEngine(true, true));
   const gates = engines.map(
     (e, rank) => new RankGate(asId<Incarnation>(`r${rank}`), e, () => rank),
   );
-  const call = (rank: number, order: Parameters<RankGate['serve']>[0]) =>
-    (gates[rank] as RankGate).serve(order);
+  return { engines, call: (rank, order) => (gates[rank] as RankGate).serve(order) };
+}
+
+test('a quiet group switches, and a coordinator that died after arming is cleaned up after', async () => {
+  const { engines, call } = startRanks();
   const c = {
     group: 'g',
     ranks: RANKS,
@@ -239,10 +244,7 @@
 });
 
 test('the margin before the switch is asked for when all ranks have their copies', async () => {
-  const engines = Array.from({ length: RANKS }, () => new SimEngine(true, true));
-  const gates = engines.map(
-    (e, rank) => new RankGate(asId<Incarnation>(`r${rank}`), e, () => rank),
-  );
+  const { call } = startRanks();
   const kinds: string[] = [];
   let askedAfter: readonly string[] = [];
   const end = await runSwitch(
@@ -256,7 +258,7 @@
         return 5;
       },
       call: async (rank, order) => {
-        const reply = await (gates[rank] as RankGate).serve(order);
+        const reply = await call(rank, order);
         kinds.push(order.kind);
         return reply;
       },
