Sight: which agent coordinates, and the time of a step and the rounds in the account

Cause: the logs of a large group could not tell two coordinators from one, nor slow steps at a low skew from slow steps at a high one. `harrierglade account` shows the longest mean time of a step, the rounds that brought a map and those that failed.

--- a/src/cli/account/index.ts
+++ b/src/cli/account/index.ts
@@ -2,6 +2,7 @@
 import { createReadStream } from 'node:fs';
 import { createInterface } from 'node:readline';
 import { errorText } from '../../core/errors/index.js';
+import type { SwitchEnd } from '../../core/groups/index.js';
 import { CommandError, EXIT, print } from '../shared/io.js';
 import { readEnd, type RequestEndLine } from './ends.js';
 import { parseLine, type LogPairs } from './log-lines.js';
@@ -14,15 +15,23 @@
   return line[name] === undefined || Number.isNaN(value) ? undefined : value;
 }
 
+const ROUND_ENDS: readonly SwitchEnd['kind'][] = ['kept', 'switched', 'aborted', 'blocked'];
+
+function readRound(line: LogPairs): SwitchEnd['kind'] | undefined {
+  return ROUND_ENDS.find((kind) => kind === line['end']);
+}
+
 function readFigure(line: LogPairs): GroupFigure | undefined {
-  if (line['event'] !== 'group.seen') return undefined;
   const atMs = Date.parse(line['time'] ?? '');
   if (Number.isNaN(atMs)) return undefined;
+  if (line['event'] === 'group.switch') return { atMs, round: readRound(line) };
+  if (line['event'] !== 'group.seen') return undefined;
   return {
     atMs,
     skew: numberIn(line, 'skew'),
     running: numberIn(line, 'running'),
     limit: numberIn(line, 'limit'),
+    stepMs: numberIn(line, 'stepMs'),
   };
 }
 
--- a/src/cli/account/tables.ts
+++ b/src/cli/account/tables.ts
@@ -1,4 +1,5 @@
 /** Tables of where worth went: by span of time, and by reason. */
+import type { SwitchEnd } from '../../core/groups/index.js';
 import { ENDS, type End, type RequestEndLine } from './ends.js';
 
 /** What one span of time held. */
@@ -10,6 +11,11 @@
   readonly skew: number;
   readonly running: number;
   readonly limit: number;
+  /** Longest mean time of a step that a coordinator saw, ms; NaN without any. */
+  readonly stepMs: number;
+  /** Rounds of coordinators that brought a new map into use, and rounds that ended without. */
+  readonly maps: number;
+  readonly failedRounds: number;
 }
 
 /** A figure of the group that some line told. */
@@ -18,6 +24,9 @@
   readonly skew?: number | undefined;
   readonly running?: number | undefined;
   readonly limit?: number | undefined;
+  readonly stepMs?: number | undefined;
+  /** How a round of a coordinator ended. */
+  readonly round?: SwitchEnd['kind'] | undefined;
 }
 
 const MS_PER_S = 1000;
@@ -27,6 +36,13 @@
   return told.length > 0 ? Math.max(...told) : Number.NaN;
 }
 
+function roundsIn(
+  figures: readonly GroupFigure[] | undefined,
+  counts: (round: SwitchEnd['kind']) => boolean,
+): number {
+  return (figures ?? []).filter(({ round }) => round !== undefined && counts(round)).length;
+}
+
 /**
  * Ends and figures by span, in order of time.
  * @example spansOf(ends, figures, 2)[0]?.counts.get('in time')
@@ -54,6 +70,9 @@
     skew: most(told[i]?.map((figure) => figure.skew) ?? []),
     running: most(told[i]?.map((figure) => figure.running) ?? []),
     limit: most(told[i]?.map((figure) => figure.limit) ?? []),
+    stepMs: most(told[i]?.map((figure) => figure.stepMs) ?? []),
+    maps: roundsIn(told[i], (round) => round === 'switched'),
+    failedRounds: roundsIn(told[i], (round) => round === 'blocked' || round === 'aborted'),
   }));
 }
 
@@ -72,13 +91,16 @@
 
 /** One line a span, for a person. */
 export function printSpans(spans: readonly Span[]): string {
-  const head = ['from s', ...ENDS, 'skew', 'streams', 'limit'];
+  const head = ['from s', ...ENDS, 'skew', 'streams', 'limit', 'step ms', 'maps', 'failed rounds'];
   const rows = spans.map((span) => [
     span.fromS.toFixed(0),
     ...ENDS.map((end) => String(span.counts.get(end) ?? 0)),
     cell(span.skew, 2),
     cell(span.running),
     cell(span.limit),
+    cell(span.stepMs),
+    cell(span.maps),
+    cell(span.failedRounds),
   ]);
   return table([head, ...rows]);
 }
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -24,17 +24,12 @@
 import { buildRouter } from '../rpc/router.js';
 import type { InstanceSettings } from '../gateway/types.js';
 import { Askers } from './askers.js';
-import {
-  changePauseMs,
-  DIGEST_STALE_MS,
-  OWN_PAUSE_MS,
-  UNLOOKED_STAGGER_MS,
-  unlookedMs,
-} from './consts.js';
+import { changePauseMs, DIGEST_STALE_MS, OWN_PAUSE_MS } from './consts.js';
 import { CoordinatorTask } from './coordinator-task.js';
 import type { EngineCalls } from './engine-calls.js';
 import { mayBelong } from './group-view.js';
 import { OwnGroup } from './own-group.js';
+import { Succession } from './succession.js';
 import { createSwitchEngine } from './switch-engine.js';
 
 /** Largest order, bytes: a map of 8 layers, 63 ranks and 5 experts takes 12 KB. */
@@ -92,16 +87,12 @@
   let digest: GroupDigest | undefined;
   let digestAtMs = clock.nowMs();
   const askers = new Askers();
-  let lookedAtMs = clock.nowMs();
-  /** Whether another agent looks after the group; of two, the one with the lower address goes on. */
-  const noteLook = (from: string): void => {
-    if (from < self || !isMine()) lookedAtMs = clock.nowMs();
-  };
-  const isMine = (): boolean => {
-    if (group.rank === undefined) return false;
-    const waitMs = unlookedMs(agents().length) + group.rank * UNLOOKED_STAGGER_MS;
-    return clock.nowMs() - lookedAtMs > waitMs;
-  };
+  const succession = new Succession({
+    ...shared,
+    self,
+    rank: () => group.rank,
+    size: () => agents().length,
+  });
   /** Whether an order comes from the own group, as far as either side knows; an empty name is none. */
   const isOwnGroup = (order: RankOrder): boolean =>
     mayBelong(group.group, order.group || undefined);
@@ -114,7 +105,7 @@
   const serveRank = async (order: RankOrder): ReturnType<RankGate['serve']> => {
     if (order.kind === 'look' && isOwnGroup(order)) {
       takeDigest(order.digest);
-      if (order.from !== undefined && order.from !== self) noteLook(order.from);
+      if (order.from !== undefined) succession.noteLook(order.from);
     }
     const reply = await gate.serve(order);
     group.noteOwn(reply);
@@ -175,7 +166,7 @@
         : peers.at(address).rank.mutate(order, { signal: AbortSignal.timeout(withinMs) }),
   });
   watchSettings(parts.reread, settings, log);
-  void task.run(isMine, ending.signal);
+  void task.run(() => succession.isMine(), ending.signal);
   void learnOwn();
   log.info('process.started', { self, engine: `${ownEndpoint.host}:${ownEndpoint.port}` });
 }
--- a/test/cli/account.test.ts
+++ b/test/cli/account.test.ts
@@ -56,7 +56,10 @@
   const ends = [end(1000, 'in time'), end(2900, 'refused'), end(3100, 'in time')];
   const figures = [
     { atMs: 1500, skew: 1.2 },
-    { atMs: 1600, skew: 3.1, running: 40 },
+    { atMs: 1600, skew: 3.1, running: 40, stepMs: 144 },
+    { atMs: 1700, round: 'switched' as const },
+    { atMs: 1800, round: 'blocked' as const },
+    { atMs: 1900, round: 'kept' as const },
   ];
   const spans = spansOf(ends, figures, 2);
   assert.deepEqual(
@@ -68,6 +71,10 @@
   );
   assert.equal(spans[0]?.skew, 3.1);
   assert.equal(spans[0]?.running, 40);
+  assert.deepEqual(
+    [spans[0]?.stepMs, spans[0]?.maps, spans[0]?.failedRounds, spans[1]?.maps],
+    [144, 1, 1, 0],
+  );
   assert.match(printSpans(spans), /3\.10/);
   assert.match(printReasons(ends), /0\.333\s+1\s+refused \(busy\)/);
 });
