A look from before an outage does not end it

A digest taken before a rank died and told 1 s later ended the outage, and callers went on to ranks that refuse them. Its time is known now. The test fails on the code before.

--- a/src/gateway/turns.ts
+++ b/src/gateway/turns.ts
@@ -19,11 +19,14 @@
 /** Allowed pause while no request has told one, ms. */
 const USUAL_PAUSE_MS = 120;
 
+/** Time after its first failure from which a group that is seen whole ends an outage, ms. */
+const SEEN_ENDS_AFTER_MS = 1000;
 /**
- * Time after its first failure from which a group that is seen whole ends an outage, ms: what is seen is up to
- * 0.6 s old, and may tell of the time before.
+ * Time after the first failure from which a look at the group tells of the outage, ms. What is seen is up to 2 s old: a
+ * look from before it would end an outage that goes on, and send callers to ranks that refuse them.
  */
-const SEEN_ENDS_AFTER_MS = 1000;
+const LOOK_TELLS_AFTER_MS = 400;
+
 /** What turns need to know. */
 export interface TurnsParts {
   readonly clock: Clock;
@@ -101,9 +104,12 @@
     return `${this.queue.running} of ${this.places} places taken, ${this.queue.queued} wait, ${group}`;
   }
 
-  /** Notes that the group was seen whole: an outage that has lasted for a while is over. */
+  /** Notes that the group was seen whole: an outage that had lasted for a while by then is over. */
   noteSeen(): void {
-    if (this.outage.lastedMs(this.parts.clock.nowMs()) > SEEN_ENDS_AFTER_MS) this.outage.noteGood();
+    const nowMs = this.parts.clock.nowMs();
+    const seenAtMs = this.parts.size()?.countedAtMs ?? nowMs;
+    const isTold = this.outage.lastedMs(seenAtMs) > LOOK_TELLS_AFTER_MS;
+    if (isTold && this.outage.lastedMs(nowMs) > SEEN_ENDS_AFTER_MS) this.outage.noteGood();
     // More may be allowed than when those who wait asked.
     this.queue.giveFree();
   }
--- a/test/gateway/turns.test.ts
+++ b/test/gateway/turns.test.ts
@@ -58,3 +58,15 @@
   turns.noteSeen();
   assert.equal(turns.outage.isOut(clock.nowMs()), false);
 });
+
+test('a look from before an outage does not end it, however late it is told', () => {
+  let countedAtMs = clock.nowMs();
+  const turns = turnsOf(() => ({ ranks: 12, running: 0, entries: 3, countedAtMs }));
+  breakDown(turns);
+  clock.jump(1500);
+  turns.noteSeen();
+  assert.equal(turns.outage.isOut(clock.nowMs()), true);
+  countedAtMs = clock.nowMs();
+  turns.noteSeen();
+  assert.equal(turns.outage.isOut(clock.nowMs()), false);
+});
