Digests while a switch is under way: whoever answers tells what it runs

Cause: looks of a large group that fell into a switch gave no digest as soon as one rank of the sample was late or in the other map, or gave the old one as new; entries heard of their group each 1.2 s. What ranks run is now taken apart from what their counts tell; a digest is dated from the start of its look, and fewer than 8 ranks make none.

--- a/src/group/consts.ts
+++ b/src/group/consts.ts
@@ -8,6 +8,8 @@
  * what it does in a group of 12, and 40 streams or so tell what is in demand.
  */
 export const SAMPLE_RANKS = 16;
+/** Ranks of a sample that must answer for a digest: fewer tell too little of what the others run. */
+export const LEAST_TOLD_RANKS = 8;
 /** Time between two looks at all ranks of a large group, ms: 63 questions take 50 ms of an agent's share. */
 export const WHOLE_LOOK_MS = 600;
 /**
--- a/src/group/coordinator-task.ts
+++ b/src/group/coordinator-task.ts
@@ -18,6 +18,7 @@
   BUSY_LOOK_PAUSE_MS,
   LEAST_SKEW_GAIN,
   LEAST_TOKENS,
+  LEAST_TOLD_RANKS,
   LOG_PAUSE_MS,
   LOOK_PAUSE_MS,
   PREPARE_ORDER_MS,
@@ -30,7 +31,7 @@
 import { HeldDigest } from './held-digest.js';
 import { gainPerCopy, newPerRound } from './round-policy.js';
 import { SwitchMargin } from './switch-margin.js';
-import { GroupLooks, type LookParts } from './group-looks.js';
+import { GroupLooks, type LookParts, type Sighting } from './group-looks.js';
 import {
   addressesOf,
   countsOf,
@@ -103,17 +104,25 @@
   }
 
   private async round(line: CoordinatorLine): Promise<void> {
+    const startedAtMs = this.parts.clock.nowMs();
     const seen = await this.looks.look(this.digest.read(), this.maps.ids, this.isSwitching);
     if (!line.takesOver()) return;
     if (seen.kind === 'unseen') return this.goOnUnseen(seen.addresses, seen.replies);
     this.silentSinceMs = undefined;
-    this.digest.take(this.digester.take(seen.replies, seen.fresh, seen.addresses.map(hostOf)));
+    this.takeDigest(seen, this.parts.clock.nowMs() - startedAtMs);
     this.noteEpochs(seen.replies);
     this.takeCounts(seen.fresh);
     // Looks go on while a switch is made: entries and the next plan need what they tell.
     if (!this.isSwitching) this.goOn(seen.replies, seen.addresses);
   }
 
+  /** Keeps the digest of a look that took so long, unless too few ranks answered to tell of all. */
+  private takeDigest(seen: Extract<Sighting, { kind: 'seen' }>, tookMs: number): void {
+    if (seen.running.length < Math.min(LEAST_TOLD_RANKS, seen.replies.length)) return;
+    const digest = this.digester.take(seen.replies, seen.running, seen.addresses.map(hostOf));
+    this.digest.take({ ...digest, ageMs: tookMs });
+  }
+
   private goOnUnseen(
     addresses: readonly string[],
     replies: readonly (RankReply | undefined)[],
--- a/src/group/digest.ts
+++ b/src/group/digest.ts
@@ -11,8 +11,7 @@
  * Streams of a whole group from the ranks of one look. What the others ran at the last look at all is up to two
  * seconds old, so each of them counts as one of those that were asked.
  */
-function runningIn(replies: GroupReplies, fresh: readonly RankReply[]): number {
-  const asked = fresh.length > 0 ? fresh : replies;
+function runningIn(replies: GroupReplies, asked: readonly RankReply[]): number {
   return (runningOf(asked) * replies.length) / Math.max(1, asked.length);
 }
 
@@ -26,12 +25,12 @@
   constructor(private readonly clock: Clock) {}
 
   /**
-   * The digest of one round; `replies` is undefined when the group was not whole, `fresh` are those of this look.
+   * The digest of one round; `replies` is undefined when the group was not whole, `asked` are those of this look.
    * @example digester.take(ordered, ordered, hosts).pace
    */
   take(
     replies: GroupReplies | undefined,
-    fresh: readonly RankReply[],
+    asked: readonly RankReply[],
     hosts: readonly string[],
   ): GroupDigest {
     if (!replies) {
@@ -58,7 +57,7 @@
       hosts: [...hosts],
       pace: replies.map((reply) => Number((reply.pace ?? 1).toFixed(2))),
       load: replies.map(loadOf),
-      running: Math.round(runningIn(replies, fresh)),
+      running: Math.round(runningIn(replies, asked)),
       stepMs: Math.round(this.stepMs),
       entries: new Set(replies.flatMap((reply) => reply.askers ?? [])).size,
       ageMs: 0,
--- a/src/group/group-looks.ts
+++ b/src/group/group-looks.ts
@@ -33,8 +33,10 @@
       readonly replies: GroupReplies;
       /** Addresses of the agents, in order of rank. */
       readonly addresses: readonly string[];
-      /** Replies of this look. */
+      /** Replies of this look that fit the others, and whose counts are of one map. */
       readonly fresh: readonly RankReply[];
+      /** Replies of this look that tell what their ranks run. */
+      readonly running: readonly RankReply[];
       /** Whether all ranks were asked. */
       readonly isWhole: boolean;
     }
@@ -92,7 +94,10 @@
       const some = await this.ask(sample, () => ({ ...order, wantsCounts: true, digest: news }));
       const merged = this.merge(some);
       if (merged) return merged;
-      if (isSwitching && this.last) return { ...this.last, fresh: [], isWhole: false };
+      if (isSwitching && this.last) {
+        const running = this.runningOf(some, this.last);
+        return { ...this.last, fresh: [], running, isWhole: false };
+      }
     }
     const counting = new Set(sample);
     const all = await this.ask(addresses, (address) => ({
@@ -158,6 +163,7 @@
       replies: ordered,
       addresses: addressesOf(ordered, replies, addresses),
       fresh: ordered,
+      running: ordered,
       isWhole: true,
     };
     return this.last;
@@ -178,6 +184,17 @@
       fresh.push(reply);
     }
     this.last = { ...last, replies };
-    return { ...last, replies, fresh, isWhole: false };
+    return { ...last, replies, fresh, running: fresh, isWhole: false };
+  }
+
+  /**
+   * Those of a sample that tell what they run although it does not fit the last look at all: while a switch is under way
+   * ranks are seen in different maps, and busy ones answer late.
+   */
+  private runningOf(some: readonly (RankReply | undefined)[], last: Seen): RankReply[] {
+    return some.filter(
+      (reply): reply is RankReply =>
+        reply?.rank !== undefined && reply.groupEpoch === last.replies[reply.rank]?.groupEpoch,
+    );
   }
 }
