--- a/src/core/limits/stream-limit.ts
+++ b/src/core/limits/stream-limit.ts
@@ -139,10 +139,10 @@
  *
  * A group's count is up to two seconds old. Where places rested on it and on the own streams of now, they grew with
  * each stream that was let in: entries that were told of 34 streams gave out 2,045 places of a limit of 331, refused
- * everyone two seconds later, and the group ran 125 to 477 streams by turns. Of played callers 0.05 are refused while
- * the group has room in place of 0.23 (shared-places.test). Weighed: the own streams of then alone, which refuse 0.10
+ * everyone two seconds later, and the group ran 125 to 477 streams by turns. Of played callers who are told each 1.2 s,
+ * 0.02 are refused while the group has room in place of 0.23 (shared-places.test). Weighed: the own streams of then alone, which refuse 0.10
  * of the callers of a group that is 0.7 full, since an entry with few streams by chance keeps few places.
- * @example runningNow({ running: 200, ownThen: 5, own: 8, entries: 40 }) // 246
+ * @example runningNow({ running: 200, ageMs: 1000, ownThen: 5, own: 8, entries: 40 }) // 253
  */
 export function runningNow({ running, ageMs, ownThen, own, entries }: GroupCount): number {
   const mean = running / Math.max(1, entries);
@@ -173,7 +173,7 @@
 
 /**
  * Places of this entry: its share of the limit, and of a part of what is free.
- * @example placesOf({ limit: 48, running: 48, ownThen: 8, own: 8, entries: 6 }) // 8
+ * @example placesOf({ limit: 48, running: 48, ageMs: 0, ownThen: 8, own: 8, entries: 6 }) // 8
  */
 export function placesOf(load: GroupLoad): number {
   const running = runningNow(load);
