--- a/test/gateway/group-sight.test.ts
+++ b/test/gateway/group-sight.test.ts
@@ -14,7 +14,7 @@
 import { GroupSight, type AskGroup, type GroupSize } from '../../src/gateway/group-sight.js';
 import type { GroupDigest } from '../../src/generated/messages.types.js';
 import { config } from './harness.js';
-import { ENGINE } from '../fixtures/engine.js';
+import { ENGINE, groupDigest } from '../fixtures/engine.js';
 
 const SMALL = asId<ServiceId>('small');
 const LARGE = asId<ServiceId>('large');
@@ -42,17 +42,16 @@
   engine('e-3', LARGE, '127.0.0.3', 'b'),
 ];
 
-const digest = (hosts: readonly string[], load: readonly number[]): GroupDigest => ({
-  group: hosts.join(),
-  whole: true,
-  hosts: [...hosts],
-  load: [...load],
-  pace: hosts.map((_, i) => 1 + i),
-  running: load.reduce((sum, n) => sum + n, 0),
-  entries: 2,
-  stepMs: 40,
-  ageMs: 0,
-});
+const digest = (hosts: readonly string[], load: readonly number[]): GroupDigest =>
+  groupDigest({
+    group: hosts.join(),
+    hosts: [...hosts],
+    load: [...load],
+    pace: hosts.map((_, i) => 1 + i),
+    running: load.reduce((sum, n) => sum + n, 0),
+    entries: 2,
+    stepMs: 40,
+  });
 
 /** Watches both groups for a moment, and tells which addresses were asked. */
 async function watch(
--- a/test/gateway/shared-places.test.ts
+++ b/test/gateway/shared-places.test.ts
@@ -78,7 +78,8 @@
   for (; nowMs < PLAY_MS; nowMs += TICK_MS) {
     for (const run of due.get(nowMs) ?? []) run();
     due.delete(nowMs);
-    for (let due = (perSecond * TICK_MS) / 1000; due > 0; due -= 1) if (random() < due) call(false);
+    for (let expected = (perSecond * TICK_MS) / 1000; expected > 0; expected -= 1)
+      if (random() < expected) call(false);
     ran.push(running);
     if (nowMs % everyMs === 0) {
       const countedAtMs = Math.max(0, nowMs - ageMs);
--- a/test/group/group-looks.test.ts
+++ b/test/group/group-looks.test.ts
@@ -9,7 +9,7 @@
   WHOLE_LOOK_MS,
 } from '../../src/group/consts.js';
 import { GroupLooks, sampleOf, type Sighting } from '../../src/group/group-looks.js';
-import { rankReply } from '../fixtures/engine.js';
+import { groupDigest, rankReply } from '../fixtures/engine.js';
 
 interface Group {
   readonly looks: GroupLooks;
@@ -87,17 +87,7 @@
 
 test('a sample hears of the group as well, some times a second', async () => {
   const group = startGroup(63);
-  const digest = {
-    group: '',
-    whole: true,
-    hosts: [],
-    pace: [],
-    load: [],
-    running: 0,
-    stepMs: 0,
-    entries: 0,
-    ageMs: 0,
-  };
+  const digest = groupDigest();
   const told = async (): Promise<number> => {
     group.asked = [];
     await group.looks.look(digest, [], false);
--- a/test/group/held-digest.test.ts
+++ b/test/group/held-digest.test.ts
@@ -2,18 +2,9 @@
 import { test } from 'node:test';
 import type { GroupDigest } from '../../src/generated/messages.types.js';
 import { HeldDigest } from '../../src/group/held-digest.js';
+import { groupDigest } from '../fixtures/engine.js';
 
-const digest = (running: number, ageMs: number): GroupDigest => ({
-  group: 'g',
-  whole: true,
-  hosts: [],
-  pace: [],
-  load: [],
-  running,
-  stepMs: 0,
-  entries: 0,
-  ageMs,
-});
+const digest = (running: number, ageMs: number): GroupDigest => groupDigest({ running, ageMs });
 
 test('a digest ages while it is held, and an older one does not replace it', () => {
   let nowMs = 5000;
--- a/test/group/own-group.test.ts
+++ b/test/group/own-group.test.ts
@@ -5,7 +5,7 @@
 import { PublishedState, type PublishedEndpoint } from '../../src/core/published/index.js';
 import { GroupLooks } from '../../src/group/group-looks.js';
 import { OwnGroup } from '../../src/group/own-group.js';
-import { rankReply } from '../fixtures/engine.js';
+import { groupDigest, rankReply } from '../fixtures/engine.js';
 
 const PORT = 7400;
 const RANKS = 3;
@@ -83,17 +83,7 @@
 test('members are learnt from the digest of the own coordinator as well', () => {
   const { group } = startAgent(4);
   const hosts = ['10.0.0.1', '10.0.0.4', '10.0.0.7'];
-  const digest = {
-    group: 'g1',
-    whole: true,
-    hosts,
-    pace: [],
-    load: [],
-    running: 0,
-    stepMs: 0,
-    entries: 0,
-    ageMs: 0,
-  };
+  const digest = groupDigest({ group: 'g1', hosts });
   group.noteDigest(digest);
   assert.equal(group.isComplete(), true);
   assert.deepEqual(group.agents(), [1, 4, 7].map(agentAt));
@@ -103,17 +93,7 @@
   const { group, state } = startAgent(4);
   const hosts = ['10.0.0.1', '10.0.0.4', '10.0.0.7'];
   group.agents();
-  group.noteDigest({
-    group: 'g1',
-    whole: true,
-    hosts,
-    pace: [],
-    load: [],
-    running: 0,
-    stepMs: 0,
-    entries: 0,
-    ageMs: 0,
-  });
+  group.noteDigest(groupDigest({ group: 'g1', hosts }));
   const others = Array.from({ length: 9 }, (_, i) => i).filter((i) => i !== 4 && i !== 7);
   state.offerList(
     others.map((i) => engineAt(i)),
