Test of events passed on as they come: the second is sent once the caller has the first

Beside 24 processes on 8 cores the first event took over the 100 ms that the test gave it; the entry was not at fault, the bound was of the machine. Instead of a time the order is checked: an entry that keeps an event back gets no other one, and the stream ends as silent.

--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -88,6 +88,8 @@
   readonly agent?: http.Agent;
   /** Leaves after so many ms. */
   readonly leaveAfterMs?: number;
+  /** Called with the body so far at each piece of it. */
+  readonly onBody?: (body: string) => void;
 }
 
 /** What a caller got. */
@@ -192,7 +194,10 @@
       (res) => {
         status = res.statusCode ?? 0;
         headers = res.headers;
-        res.on('data', (piece: Buffer) => (body += piece.toString('latin1')));
+        res.on('data', (piece: Buffer) => {
+          body += piece.toString('latin1');
+          ask.onBody?.(body);
+        });
         res.on('close', () => end(res.complete));
         res.on('error', () => undefined);
       },
--- a/test/gateway/stream.test.ts
+++ b/test/gateway/stream.test.ts
@@ -76,15 +76,21 @@
 });
 
 test('each event is passed on as it comes', async () => {
+  let sendSecond = (): void => undefined;
   const paced: RawAnswer = (req) => {
     req.socket.write(head(req) + chunk(event(1)));
-    setTimeout(() => req.socket.write(chunk(event(2)) + chunk('')), 120);
+    sendSecond = () => void req.socket.write(chunk(event(2)) + chunk(''));
   };
   await withStreams([paced], async (under) => {
-    const got = await under.ask('q-1');
+    // The second event is sent only once the caller has the first: an entry that kept it back would get no other.
+    const got = await under.ask('q-1', {
+      onBody: (body) => {
+        if (body === event(1)) sendSecond();
+      },
+    });
     assert.deepEqual([got.status, got.body, got.complete], [200, events(1, 2), true]);
     const line = under.lines.find((l) => l.fields['request'] === 'q-1');
-    assert.ok(Number(line?.fields['firstMs']) < 100, 'the first event did not wait for the second');
+    assert.equal(typeof line?.fields['firstMs'], 'number');
   });
 });
 
