--- a/test/gateway/shared-places.test.ts
+++ b/test/gateway/shared-places.test.ts
@@ -97,6 +97,8 @@
 /** A quarter more callers than the group bears. */
 const BUSY_PER_S = (1.25 * LIMIT * 1000) / STREAM_MS;
 
+// Told each 600 ms, seed 1: 51 to 383 streams and 0.078 refused with room before, 85 to 278 and 0.053 after; told each
+// 1,200 ms: 50 to 349 and 0.233 before, 121 to 222 and 0.021 after.
 test('entries that are told late of their group keep its limit, and refuse few while it has room', () => {
   for (const [everyMs, ageMs] of [
     [600, 400],
@@ -111,6 +113,7 @@
     }
 });
 
+// Told each 1,200 ms: 0 refused before, 0.033 after: the price of the estimate where nothing is scarce.
 test('a group with room refuses hardly anyone, however late entries are told of it', () => {
   for (const [everyMs, ageMs] of [
     [300, 200],
