Tests: one wait for what must come about

It stood twice, in the tests of the programs and in a fixture written beside it. The bounds are as they were: 10 s for programs, 5 s for what follows the store.

--- a/test/core/published/published-state.test.ts
+++ b/test/core/published/published-state.test.ts
@@ -176,6 +176,8 @@
   return Ok({ kind: 'changes', config, endpoints: [], revision, invalid: [] });
 }
 
+/** Time within which news must be in force, ms: waits take 22 ms, timers of a busy machine are tenths of a second late. */
+const NEWS_MS = 5000;
 const LOST: Result<Watched, ReadFault> = Err({ kind: 'timeout', detail: 'silent' });
 
 interface Following {
@@ -210,10 +212,14 @@
 
 test('following takes changes from the watch itself, without another read', async () => {
   await following(async ({ source, state }) => {
-    await until(() => state.config?.version === 1, 'the first version is in force');
+    await until('the first version is in force', () => state.config?.version === 1, NEWS_MS);
     source.queued.push(changes({ kind: 'read', config: version(2) }, 7));
-    await until(() => state.config?.version === 2, 'the next one is');
-    await until(() => source.watches.at(-1)?.[0] === 7, 'it goes on from the newest revision');
+    await until('the next one is', () => state.config?.version === 2, NEWS_MS);
+    await until(
+      'it goes on from the newest revision',
+      () => source.watches.at(-1)?.[0] === 7,
+      NEWS_MS,
+    );
     assert.equal(source.reads, 1);
   });
 });
@@ -238,9 +244,13 @@
 
 test('a history that is gone is read again, and an older version is not taken', async () => {
   await following(async ({ source, state, events }) => {
-    await until(() => source.watches.length > 0, 'the first version was read');
+    await until('the first version was read', () => source.watches.length > 0, NEWS_MS);
     source.queued.push(changes({ kind: 'read', config: version(4) }, 7), Ok({ kind: 'forgotten' }));
-    await until(() => events.includes('config.older'), 'the older version is read and left');
+    await until(
+      'the older version is read and left',
+      () => events.includes('config.older'),
+      NEWS_MS,
+    );
     assert.equal(source.reads, 2);
     assert.equal(state.config?.version, 4);
   });
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -18,6 +18,7 @@
 import { listensForSignals } from '../../bench/soak/signals.js';
 import { okAnswer, startRawEndpoint } from '../../fakes/raw-endpoint/index.js';
 import { startStore } from '../../fakes/store/index.js';
+import { until } from '../fixtures/until.js';
 import { bootText } from './boot-text.js';
 
 const MAIN = join(import.meta.dirname, '../../platform/main.js');
@@ -80,14 +81,6 @@
   return { child, boot: path, output: () => output, ended };
 }
 
-async function until(what: string, holds: () => boolean | Promise<boolean>): Promise<void> {
-  for (let i = 0; i < 200; i += 1) {
-    if (await holds()) return;
-    await wait(50);
-  }
-  assert.fail(`not within 10 s: ${what}`);
-}
-
 interface Answer {
   readonly status: number;
   readonly body: string;
