Failing test: an entry stays with an agent that has no news any more

Found on reading the change again: an agent that is cut off from its coordinator answers without a digest, or with one that is not whole, and the entry that had news from it once asks nobody else. It does not see a group that others tell of.

--- a/test/gateway/group-sight.test.ts
+++ b/test/gateway/group-sight.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
-import { systemClock } from '../../src/core/clock/index.js';
+import { seededRandom, systemClock } from '../../src/core/clock/index.js';
 import { asId, type GroupId } from '../../src/core/ids/index.js';
 import { silentLog } from '../../src/core/logging/index.js';
 import { Metrics } from '../../src/core/metrics/index.js';
@@ -15,6 +15,7 @@
 import type { GroupDigest } from '../../src/generated/messages.types.js';
 import { config } from './harness.js';
 import { ENGINE, groupDigest } from '../fixtures/engine.js';
+import { until } from '../fixtures/until.js';
 
 const SMALL = asId<ServiceId>('small');
 const LARGE = asId<ServiceId>('large');
@@ -53,10 +54,18 @@
     stepMs: 40,
   });
 
-/** Watches both groups for a moment, and tells which addresses were asked. */
+/** Streams of the large group, as it was seen. */
+function runningOf(sight: GroupSight): number | undefined {
+  const group = sight.groupOf(ENGINES[2] as PublishedEndpoint);
+  return group && sight.sizeOf(group)?.running;
+}
+
+/** Watches both groups for a moment, or until there is enough, and tells which addresses were asked. */
 async function watch(
   answer: AskGroup,
   dataCentre = 'a',
+  random: () => number = () => 0.5,
+  isEnough: (sight: GroupSight) => Promise<void> = () => wait(400),
 ): Promise<{ sight: GroupSight; asked: Set<string> }> {
   const state = new PublishedState();
   state.offerConfig(config([], { services: new Map([service(SMALL), service(LARGE)]) }), 0);
@@ -65,7 +74,7 @@
   const sight = new GroupSight({
     state,
     clock: systemClock,
-    random: () => 0.5,
+    random,
     log: silentLog,
     metrics: new Metrics(),
     dataCentre: asId(dataCentre),
@@ -79,7 +88,7 @@
   });
   const ending = new AbortController();
   const running = sight.run(ending.signal);
-  await wait(400);
+  await isEnough(sight);
   ending.abort();
   await running;
   return { sight, asked };
@@ -149,3 +158,27 @@
   assert.equal(sight.sizeOf(group)?.running, 11);
   assert.ok(asked.has(`127.0.0.3:${PORT}`));
 });
+
+/**
+ * An agent that is cut off from its coordinator still answers, that it has no news or that the group is not whole.
+ * Entries that went on asking it, because it had told news before, did not see a group that others told of.
+ */
+test('an agent that told news and has none any more is not asked for ever', async () => {
+  const hosts = ['127.0.0.2', '127.0.0.3'];
+  for (const nothing of [undefined, { ...digest(hosts, []), whole: false }]) {
+    let first: string | undefined;
+    let asked = 0;
+    await watch(
+      (address) => {
+        if (address.startsWith('127.0.0.1')) return Promise.reject(new Error('no route'));
+        first ??= address;
+        if (address !== first) return Promise.resolve(digest(hosts, [5, 6]));
+        asked += 1;
+        return Promise.resolve(asked === 1 ? digest(hosts, [1, 1]) : nothing);
+      },
+      'c',
+      seededRandom(1),
+      (sight) => until('the other agent tells', () => runningOf(sight) === 11),
+    );
+  }
+});
