An agent that has no news any more is not asked in particular

An entry noted who told news, and forgot it only for a failed question or an old digest: no digest at all, or one of a group that is not whole, left the note as it was. Ruled out: asking two agents each time, which doubles the questions. The test that failed passes; how much it matters on a deployment is not measured.

--- a/src/gateway/group-sight.ts
+++ b/src/gateway/group-sight.ts
@@ -159,9 +159,10 @@
     try {
       const address = `${hostOf(agent.address)}:${parts.port}`;
       const digest = await parts.ask(address, isUsed, ASK_MS);
-      if (digest?.whole) this.take(service, digest, listed, agent.id);
+      if (digest?.whole) this.take(service, digest, listed);
+      this.noteTeller(group, agent, digest);
     } catch (err) {
-      if (group !== undefined) this.newsFrom.delete(group);
+      this.noteTeller(group, agent, undefined);
       parts.metrics.count('group_asks_failed_total');
       if (!this.lost)
         parts.log.info('group.lost', { agent: hostOf(agent.address), err: errorText(err) });
@@ -179,15 +180,26 @@
     return choices.find((agent) => agent.id === known) ?? any;
   }
 
+  /**
+   * Notes whether an agent told news of the group that it was asked about. One that is cut off from its coordinator
+   * still answers, and would be asked for as long as it is.
+   */
+  private noteTeller(
+    group: GroupId | undefined,
+    agent: PublishedEndpoint,
+    digest: GroupDigest | undefined,
+  ): void {
+    if (group === undefined) return;
+    if (digest?.whole && digest.ageMs <= NEWS_MS) this.newsFrom.set(group, agent.id);
+    else this.newsFrom.delete(group);
+  }
+
   private take(
     service: ServiceId,
     digest: GroupDigest,
     listed: readonly PublishedEndpoint[],
-    agent: EndpointId,
   ): void {
     const group = asId<GroupId>(digest.group);
-    if (digest.ageMs <= NEWS_MS) this.newsFrom.set(group, agent);
-    else this.newsFrom.delete(group);
     const seenAtMs = this.parts.clock.nowMs() - digest.ageMs;
     if (seenAtMs < (this.sights.get(group)?.seenAtMs ?? 0)) return;
     const engines = new Map<EndpointId, EngineSight>();
