Names and twins from a second reading; behaviour as it was

The replies that tell what ranks run are called so, and no longer like the sum of what they run; the time of a count stands once in what an entry saw; the account looks at a span's figures once.

--- a/src/cli/account/tables.ts
+++ b/src/cli/account/tables.ts
@@ -36,11 +36,8 @@
   return told.length > 0 ? Math.max(...told) : Number.NaN;
 }
 
-function roundsIn(
-  figures: readonly GroupFigure[] | undefined,
-  counts: (round: SwitchEnd['kind']) => boolean,
-): number {
-  return (figures ?? []).filter(({ round }) => round !== undefined && counts(round)).length;
+function roundsThat(figures: readonly GroupFigure[], ended: SwitchEnd['kind']): number {
+  return figures.filter(({ round }) => round === ended).length;
 }
 
 /**
@@ -64,16 +61,19 @@
     of?.set(end.end, (of.get(end.end) ?? 0) + 1);
   }
   for (const figure of figures) told[indexAt(figure.atMs)]?.push(figure);
-  return counts.map((of, i) => ({
-    fromS: (i * spanMs) / MS_PER_S,
-    counts: of,
-    skew: most(told[i]?.map((figure) => figure.skew) ?? []),
-    running: most(told[i]?.map((figure) => figure.running) ?? []),
-    limit: most(told[i]?.map((figure) => figure.limit) ?? []),
-    stepMs: most(told[i]?.map((figure) => figure.stepMs) ?? []),
-    maps: roundsIn(told[i], (round) => round === 'switched'),
-    failedRounds: roundsIn(told[i], (round) => round === 'blocked' || round === 'aborted'),
-  }));
+  return counts.map((of, i) => {
+    const seen = told[i] ?? [];
+    return {
+      fromS: (i * spanMs) / MS_PER_S,
+      counts: of,
+      skew: most(seen.map((figure) => figure.skew)),
+      running: most(seen.map((figure) => figure.running)),
+      limit: most(seen.map((figure) => figure.limit)),
+      stepMs: most(seen.map((figure) => figure.stepMs)),
+      maps: roundsThat(seen, 'switched'),
+      failedRounds: roundsThat(seen, 'blocked') + roundsThat(seen, 'aborted'),
+    };
+  });
 }
 
 function cell(value: number, digits = 0): string {
--- a/src/gateway/group-sight.ts
+++ b/src/gateway/group-sight.ts
@@ -42,14 +42,12 @@
   readonly running: number;
   /** Entries that send to it. */
   readonly entries: number;
-  /** When the streams were counted, monotonic ms of this entry. */
+  /** When its ranks were asked, monotonic ms of this entry. */
   readonly countedAtMs: number;
 }
 
 /** What was seen of one group. */
 interface Sight {
-  /** When its ranks were asked, monotonic ms. */
-  readonly seenAtMs: number;
   readonly engines: ReadonlyMap<EndpointId, EngineSight>;
   readonly size: GroupSize;
 }
@@ -108,7 +106,7 @@
 
   private fresh(group: GroupId): Sight | undefined {
     const sight = this.sights.get(group);
-    if (!sight || this.parts.clock.nowMs() - sight.seenAtMs > STALE_MS) return undefined;
+    if (!sight || this.parts.clock.nowMs() - sight.size.countedAtMs > STALE_MS) return undefined;
     return sight;
   }
 
@@ -200,8 +198,8 @@
     listed: readonly PublishedEndpoint[],
   ): void {
     const group = asId<GroupId>(digest.group);
-    const seenAtMs = this.parts.clock.nowMs() - digest.ageMs;
-    if (seenAtMs < (this.sights.get(group)?.seenAtMs ?? 0)) return;
+    const countedAtMs = this.parts.clock.nowMs() - digest.ageMs;
+    if (countedAtMs < (this.sights.get(group)?.size.countedAtMs ?? 0)) return;
     const engines = new Map<EndpointId, EngineSight>();
     for (const engine of listed) {
       const rank = digest.hosts.indexOf(hostOf(engine.address));
@@ -213,9 +211,9 @@
       ranks: digest.hosts.length,
       running: digest.running,
       entries: digest.entries,
-      countedAtMs: seenAtMs,
+      countedAtMs,
     };
-    this.sights.set(group, { seenAtMs, engines, size });
+    this.sights.set(group, { engines, size });
     if (this.lost) this.parts.log.info('group.regained', { group, engines: engines.size });
     this.lost = false;
     this.parts.onSeen(service, group);
--- a/src/group/coordinator-task.ts
+++ b/src/group/coordinator-task.ts
@@ -118,8 +118,8 @@
 
   /** Keeps the digest of a look that took so long, unless too few ranks answered to tell of all. */
   private takeDigest(seen: Extract<Sighting, { kind: 'seen' }>, tookMs: number): void {
-    if (seen.running.length < Math.min(LEAST_TOLD_RANKS, seen.replies.length)) return;
-    const digest = this.digester.take(seen.replies, seen.running, seen.addresses.map(hostOf));
+    if (seen.telling.length < Math.min(LEAST_TOLD_RANKS, seen.replies.length)) return;
+    const digest = this.digester.take(seen.replies, seen.telling, seen.addresses.map(hostOf));
     this.digest.take({ ...digest, ageMs: tookMs });
   }
 
--- a/src/group/group-looks.ts
+++ b/src/group/group-looks.ts
@@ -36,7 +36,7 @@
       /** Replies of this look that fit the others, and whose counts are of one map. */
       readonly fresh: readonly RankReply[];
       /** Replies of this look that tell what their ranks run. */
-      readonly running: readonly RankReply[];
+      readonly telling: readonly RankReply[];
       /** Whether all ranks were asked. */
       readonly isWhole: boolean;
     }
@@ -95,8 +95,8 @@
       const merged = this.merge(some);
       if (merged) return merged;
       if (isSwitching && this.last) {
-        const running = this.runningOf(some, this.last);
-        return { ...this.last, fresh: [], running, isWhole: false };
+        const telling = this.tellingOf(some, this.last);
+        return { ...this.last, fresh: [], telling, isWhole: false };
       }
     }
     const counting = new Set(sample);
@@ -163,7 +163,7 @@
       replies: ordered,
       addresses: addressesOf(ordered, replies, addresses),
       fresh: ordered,
-      running: ordered,
+      telling: ordered,
       isWhole: true,
     };
     return this.last;
@@ -184,14 +184,14 @@
       fresh.push(reply);
     }
     this.last = { ...last, replies };
-    return { ...last, replies, fresh, running: fresh, isWhole: false };
+    return { ...last, replies, fresh, telling: fresh, isWhole: false };
   }
 
   /**
    * Those of a sample that tell what they run although it does not fit the last look at all: while a switch is under way
    * ranks are seen in different maps, and busy ones answer late.
    */
-  private runningOf(some: readonly (RankReply | undefined)[], last: Seen): RankReply[] {
+  private tellingOf(some: readonly (RankReply | undefined)[], last: Seen): RankReply[] {
     return some.filter(
       (reply): reply is RankReply =>
         reply?.rank !== undefined && reply.groupEpoch === last.replies[reply.rank]?.groupEpoch,
--- a/test/group/group-looks.test.ts
+++ b/test/group/group-looks.test.ts
@@ -160,14 +160,14 @@
   for (let rank = 20; rank < 63; rank += 1) group.changes.set(rank, { mapId: '7', running: 5 });
   const seen = await look(group, true);
   assert.ok(seen.kind === 'seen' && !seen.isWhole);
-  assert.equal(seen.running.length, SAMPLE_RANKS - 1);
-  assert.ok(seen.running.some((reply) => reply.running === 5));
+  assert.equal(seen.telling.length, SAMPLE_RANKS - 1);
+  assert.ok(seen.telling.some((reply) => reply.running === 5));
   assert.equal(seen.fresh.length, 0);
   group.changes.set(3, { groupEpoch: 2 });
   const reformed = await look(group, true);
   assert.ok(reformed.kind === 'seen');
   assert.equal(
-    reformed.running.length,
+    reformed.telling.length,
     SAMPLE_RANKS - 2,
     'a rank of another forming tells nothing',
   );
