Endpoints that start again under their id, and records from other writers

What had left under an id was left out for good; failures, connections and counts of the earlier process were held against the new one; a state that nobody names counted as leaving for good; an address that is none made each request that was given to it fail; an overwritten record stayed in use. Change: the start of the process is read from records and reports (0 where it is not told). A process that left takes no work, a later one under its id does; entries keep a state for each process; counts begin anew; an agent claims its epoch anew before an engine that forgot its fences. A record that cannot be taken names no endpoint any more. Ruled out: a new groupEpoch alone does not tell it: the list is read by entries that see no group. Test changed: 'an endpoint record that cannot be taken' counted one change where there are now two (the record that went and the one that came); it now names both.

--- a/fakes/rank-engine/rank-group.ts
+++ b/fakes/rank-engine/rank-group.ts
@@ -41,6 +41,8 @@
 }
 
 interface Rank {
+  /** When its engine started, ms of the group's time. */
+  readonly startedAtMs: number;
   map: HeldMap;
   /** What is prepared, or is being copied. */
   next: HeldMap | undefined;
@@ -60,7 +62,8 @@
 const MOST_TICKS = 4;
 const LATE_MS = { least: 2000, most: 12_000 };
 
-const fresh = (): Rank => ({
+const fresh = (startedAtMs: number): Rank => ({
+  startedAtMs,
   map: { version: 0, experts: [] },
   next: undefined,
   prepared: undefined,
@@ -86,7 +89,7 @@
     private readonly random: () => number,
     private readonly options: RankGroupOptions,
   ) {
-    this.ranks = Array.from({ length: options.ranks }, fresh);
+    this.ranks = Array.from({ length: options.ranks }, () => fresh(time.nowMs()));
     this.time.after(options.stepMs, () => this.tick());
   }
 
@@ -95,10 +98,10 @@
     return this.longestMs;
   }
 
-  /** Forms the group anew, as after the death of a rank. */
+  /** Forms the group anew, as after its engines started again under the ids that they had. */
   reform(): void {
     this.epoch += 1;
-    this.ranks = this.ranks.map(fresh);
+    this.ranks = this.ranks.map(() => fresh(this.time.nowMs()));
   }
 
   /** Versions in use, by rank. */
@@ -137,6 +140,7 @@
         const rank = of();
         const report: EngineReport = {
           group: 'g',
+          startedAtMs: rank.startedAtMs,
           groupEpoch: this.epoch,
           rank: index,
           ranks: this.options.ranks,
--- a/src/caller-api/published.ts
+++ b/src/caller-api/published.ts
@@ -95,6 +95,7 @@
       dataCentre: asId(listed.dataCentre),
       slots: ENDPOINT_SLOTS,
       isLeaving: listed.state === 'leaving',
+      startedAtMs: 0,
     };
     return [published];
   });
--- a/src/core/groups/rank-gate.ts
+++ b/src/core/groups/rank-gate.ts
@@ -28,6 +28,8 @@
   readonly queued?: number;
   /** How often the group was formed, where engines count that. */
   readonly groupEpoch?: number;
+  /** When the engine's process started, Unix ms, where engines tell it. */
+  readonly engineStartedAtMs?: number;
   /** Experts that this rank holds, by layer, where the engine knows no more of the map. */
   readonly placed?: number[][];
   /** Tokens of this rank's own requests since the engine's start, by layer and expert. */
@@ -128,7 +130,7 @@
       knownMapIds: order.knownMapIds ?? [],
     });
     const { placed, picked, pace, running, queued } = state;
-    const since = picked && this.deltas.take(order.from ?? '', state.groupEpoch, picked);
+    const since = picked && this.deltas.take(order.from ?? '', state, picked);
     const counted = since && packCounts(since);
     return { ...this.describe(state, true), placed, counted, pace, running, queued };
   }
--- a/src/core/published/published-state.ts
+++ b/src/core/published/published-state.ts
@@ -1,7 +1,7 @@
 /**
  * The published state as one daemon holds it: the newest configuration, how fresh that is proved to
- * be, and the endpoints. Versions never go back, and an endpoint that was seen leaving takes no new
- * work under its id, whatever is read later.
+ * be, and the endpoints. Versions never go back, and a process of an endpoint that was seen leaving takes
+ * no new work, whatever is read later; a later process may have its id.
  */
 import type { EndpointId } from '../ids/index.js';
 import type { EndpointChange } from './source.js';
@@ -21,8 +21,8 @@
   private current: PublishedConfig | undefined;
   private provedAtMs = Number.NEGATIVE_INFINITY;
   private endpoints = new Map<EndpointId, PublishedEndpoint>();
-  /** Endpoints that were seen leaving; one that is only missing may be listed again. */
-  private readonly left = new Set<EndpointId>();
+  /** Endpoints that were seen leaving, by the start of their process; one that is only missing may be listed again. */
+  private readonly left = new Map<EndpointId, number>();
   /** Endpoints that are no longer listed and still kept. */
   private readonly missing = new Set<EndpointId>();
 
@@ -60,13 +60,19 @@
 
   /** Whether an endpoint takes new work. */
   takesWork(id: EndpointId): boolean {
-    return this.endpoints.has(id) && !this.left.has(id);
+    const endpoint = this.endpoints.get(id);
+    return endpoint !== undefined && !this.hasLeft(endpoint);
   }
 
   /** Endpoints of a service that take new work. */
   *workingOf(service: ServiceId): Iterable<PublishedEndpoint> {
     for (const endpoint of this.endpoints.values())
-      if (endpoint.service === service && this.takesWork(endpoint.id)) yield endpoint;
+      if (endpoint.service === service && !this.hasLeft(endpoint)) yield endpoint;
+  }
+
+  private hasLeft({ id, startedAtMs }: PublishedEndpoint): boolean {
+    const leftAtMs = this.left.get(id);
+    return leftAtMs !== undefined && startedAtMs <= leftAtMs;
   }
 
   /**
@@ -77,11 +83,11 @@
   offerList(listed: readonly PublishedEndpoint[], keepsMissing: boolean): ListChange {
     const next = new Map(listed.map((endpoint) => [endpoint.id, endpoint]));
     const gone = keepsMissing ? this.keepMissing(next) : this.missingFrom(next);
-    const joined = listed.filter((e) => !this.endpoints.has(e.id));
-    const leaving = listed.filter((e) => e.isLeaving && !this.left.has(e.id)).map((e) => e.id);
-    for (const id of leaving) this.left.add(id);
+    const joined = listed.filter((e) => e.startedAtMs !== this.endpoints.get(e.id)?.startedAtMs);
+    const leaving = listed.filter((e) => e.isLeaving && !this.hasLeft(e));
+    for (const endpoint of leaving) this.left.set(endpoint.id, endpoint.startedAtMs);
     this.endpoints = next;
-    return { joined, leaving, gone };
+    return { joined, leaving: leaving.map((e) => e.id), gone };
   }
 
   /**
--- a/src/core/published/types.ts
+++ b/src/core/published/types.ts
@@ -105,4 +105,9 @@
   /** Requests that it works on at once. */
   readonly slots: number;
   readonly isLeaving: boolean;
+  /**
+   * When its process started, Unix ms; 0 where it does not say. One that starts again may keep its id, and holds nothing
+   * of before.
+   */
+  readonly startedAtMs: number;
 }
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -45,6 +45,10 @@
   return sight !== undefined && sight.pace > SLOW_PACE;
 }
 
+function isSameProcess(a: PublishedEndpoint, b: PublishedEndpoint): boolean {
+  return a.startedAtMs === b.startedAtMs && a.address === b.address;
+}
+
 function slownessOf(sight: EngineSight): number {
   return isSlowPace(sight) ? SLOW_PENALTY * sight.pace : 1;
 }
@@ -79,22 +83,29 @@
 /** All endpoints of this entry. */
 export class Endpoints {
   private readonly byId = new Map<EndpointId, EndpointState>();
+  /** Earlier processes of endpoints, until nothing of them runs. */
+  private readonly earlier = new Set<EndpointState>();
   private sequence = 0;
 
   constructor(private readonly parts: EndpointParts) {}
 
-  /** Drops endpoints that are gone, once nothing runs there. */
+  /** Drops endpoints that are gone, and earlier processes of others, once nothing runs there. */
   prune(): void {
     for (const [id, known] of this.byId) {
       if (this.parts.state.list.has(id) || known.running > 0) continue;
       this.byId.delete(id);
       void known.pool.destroy();
     }
+    for (const known of this.earlier) {
+      if (known.running > 0) continue;
+      this.earlier.delete(known);
+      void known.pool.destroy();
+    }
   }
 
   /** Closes all connections. */
   close(): void {
-    for (const known of this.byId.values()) void known.pool.destroy();
+    for (const known of [...this.byId.values(), ...this.earlier]) void known.pool.destroy();
   }
 
   /**
@@ -147,7 +158,9 @@
 
   private stateOf(endpoint: PublishedEndpoint): EndpointState {
     const known = this.byId.get(endpoint.id);
-    if (known) return known;
+    if (known && isSameProcess(known.endpoint, endpoint)) return known;
+    // It started again: what failed, ran or was connected there says nothing of it now.
+    if (known) this.earlier.add(known);
     const service = this.parts.state.config?.services.get(endpoint.service);
     const share = Math.floor((service?.maxConnections ?? 0) / CONNECTION_SHARERS);
     const made: EndpointState = {
--- a/src/group/engine-calls.ts
+++ b/src/group/engine-calls.ts
@@ -4,6 +4,8 @@
 export interface EngineReport {
   /** Name of the group; a service may have several. */
   readonly group: string;
+  /** When the engine's process started, Unix ms; 0 where it does not say. A later one holds nothing of before. */
+  readonly startedAtMs: number;
   /** How often the group was formed; each time it starts with its first map and nothing armed. */
   readonly groupEpoch: number;
   readonly rank: number;
--- a/src/group/own-group.ts
+++ b/src/group/own-group.ts
@@ -130,7 +130,9 @@
     return `${hostOf(endpoint.address)}:${this.agentPort}`;
   }
 
+  /** The record of the own engine; others may have written its address as well, under a service of no engines. */
   private own(): PublishedEndpoint | undefined {
-    return [...this.state.list.values()].find((e) => e.address === this.ownAddress);
+    const here = [...this.state.list.values()].filter((e) => e.address === this.ownAddress);
+    return here.find((e) => this.state.config?.services.get(e.service)?.engine) ?? here[0];
   }
 }
--- a/src/group/switch-engine.ts
+++ b/src/group/switch-engine.ts
@@ -66,7 +66,9 @@
 export function createSwitchEngine(parts: SwitchEngineParts): RankEngine {
   const { calls, clock } = parts;
   let groupEpoch = 0;
-  /** Whether an epoch has been fenced that no earlier life of this agent took. */
+  /** Start of the engine's process that was fenced last, Unix ms. */
+  let fencedLife = 0;
+  /** Whether an epoch has been fenced, in this life of the engine, that no earlier life of this agent took. */
   let hasClaimed = false;
 
   /** Gives an order until its proof shows in the report; `refused` when it cannot be had in time. */
@@ -103,6 +105,9 @@
     const report = await calls.report();
     if (!report.isOpen) return 'refused';
     groupEpoch = report.groupEpoch;
+    // An engine that started again has forgotten its fences, and with them what was claimed.
+    if (report.startedAtMs !== fencedLife) hasClaimed = false;
+    fencedLife = report.startedAtMs;
     if (!hasClaimed) {
       const claimed = await raiseFence(roundFence(epoch) - 1);
       if (claimed !== 'done') return claimed;
@@ -193,6 +198,7 @@
       running: report.running,
       queued: report.queued,
       groupEpoch: report.groupEpoch,
+      engineStartedAtMs: report.startedAtMs,
     };
     if (!parts.isOwn) return state;
     const wantsPlaced = wants.placed && !wants.knownMapIds.includes(mapId);
--- a/test/core/groups/packing.test.ts
+++ b/test/core/groups/packing.test.ts
@@ -60,10 +60,18 @@
 
 test('each asker is told what was counted since it asked last, also through a restart', () => {
   const deltas = new CountDeltas();
-  assert.equal(deltas.take('a', 1, [[10, 0]]), undefined);
-  assert.deepEqual(deltas.take('a', 1, [[15, 1]]), [[5, 1]]);
-  assert.equal(deltas.take('b', 1, [[20, 1]]), undefined, 'a second coordinator begins anew');
-  assert.deepEqual(deltas.take('a', 1, [[25, 1]]), [[10, 0]]);
-  assert.deepEqual(deltas.take('a', 1, [[3, 4]]), [[0, 3]], 'an engine that was started anew');
-  assert.equal(deltas.take('a', 2, [[9, 9]]), undefined, 'a group that was formed anew');
+  const origin = { groupEpoch: 1, engineStartedAtMs: 100 };
+  assert.equal(deltas.take('a', origin, [[10, 0]]), undefined);
+  assert.deepEqual(deltas.take('a', origin, [[15, 1]]), [[5, 1]]);
+  assert.equal(deltas.take('b', origin, [[20, 1]]), undefined, 'a second coordinator begins anew');
+  assert.deepEqual(deltas.take('a', origin, [[25, 1]]), [[10, 0]]);
+  assert.deepEqual(deltas.take('a', origin, [[3, 4]]), [[0, 3]], 'an engine that was started anew');
+  const formed = { ...origin, groupEpoch: 2 };
+  assert.equal(deltas.take('a', formed, [[9, 9]]), undefined, 'a group that was formed anew');
+  const reborn = { ...formed, engineStartedAtMs: 200 };
+  assert.equal(
+    deltas.take('a', reborn, [[10, 9]]),
+    undefined,
+    'an engine that says it started again, whatever its totals are',
+  );
 });
--- a/test/core/published/published-state.test.ts
+++ b/test/core/published/published-state.test.ts
@@ -65,6 +65,30 @@
   assert.equal(state.takesWork(b.id), true);
 });
 
+/**
+ * Story: engines may start again under the id that they had (the users' pages). What had left under an id was left out
+ * for good, so that an engine that was drained and came back never got a request again, and its rank's slots stood empty.
+ * Evidence: this test failed on the code before, `takesWork` stayed false whatever was published afterwards.
+ */
+test('an endpoint that left and starts again under its id takes work, its earlier process does not', () => {
+  const state = new PublishedState();
+  const first = { ...endpoint('a', 'x:1'), startedAtMs: 1000 };
+  state.offerList([first], false);
+  state.offerList([{ ...first, isLeaving: true }], false);
+  state.offerList([first], false);
+  assert.equal(
+    state.takesWork(first.id),
+    false,
+    'what is read late tells of the process that left',
+  );
+  const second = { ...first, startedAtMs: 2000 };
+  assert.deepEqual(state.offerList([second], false).joined, [second]);
+  assert.equal(state.takesWork(first.id), true);
+  assert.deepEqual([...state.workingOf(first.service)], [second]);
+  assert.deepEqual(state.offerList([{ ...second, isLeaving: true }], false).leaving, ['a']);
+  assert.equal(state.takesWork(first.id), false);
+});
+
 test('entries that lapsed while the store was away have their grace, and no more', () => {
   const state = new PublishedState();
   const a = endpoint('a', 'x:1');
--- a/test/gateway/endpoints.test.ts
+++ b/test/gateway/endpoints.test.ts
@@ -20,6 +20,14 @@
 ): Endpoints {
   const state = new PublishedState();
   state.offerList(listed, false);
+  return endpointsIn(state, isGroup, loadOf);
+}
+
+function endpointsIn(
+  state: PublishedState,
+  isGroup: boolean,
+  loadOf: (endpoint: PublishedEndpoint) => number = () => 0,
+): Endpoints {
   return new Endpoints({
     state,
     clock: systemClock,
@@ -61,3 +69,31 @@
   const sent = sendAll(endpointsOf([far, near], false), 6);
   assert.equal(sent.filter((id) => id === 'near').length, 3, sent.join(' '));
 });
+
+/**
+ * Story: an engine that starts again may keep its id. What an entry had counted against the process before (failures in a
+ * row, requests under way, connections to its old address) was held against the new one.
+ * Evidence: this test failed on the code before: the endpoint stayed ejected, and its pool led to the old address.
+ */
+test('an endpoint that started again under its id begins anew, and its earlier process ends by itself', () => {
+  const state = new PublishedState();
+  const before = { ...endpoint('again', '127.0.0.1:1'), startedAtMs: 1 };
+  const other = endpoint('other', '127.0.0.1:3');
+  state.offerList([before, other], false);
+  const endpoints = endpointsIn(state, false);
+  const first = endpoints.choose(asId(SERVICE), new Set([other.id]));
+  assert.ok(first);
+  endpoints.noteSent(first);
+  for (let i = 0; i < 8; i += 1) endpoints.noteBad(first, 'refused');
+  assert.equal(endpoints.choose(asId(SERVICE), new Set())?.endpoint.id, 'other');
+  const after = { ...before, address: '127.0.0.1:4', startedAtMs: 2 };
+  state.offerList([after, other], false);
+  const second = endpoints.choose(asId(SERVICE), new Set([other.id]));
+  assert.deepEqual([second?.running, second?.failureShare, second?.endpoint], [0, 0, after]);
+  endpoints.prune();
+  assert.equal(first.pool.destroyed, false, 'a request of before still runs there');
+  endpoints.noteEnded(first);
+  endpoints.prune();
+  assert.equal(first.pool.destroyed, true);
+  endpoints.close();
+});
--- a/test/gateway/group-sight.test.ts
+++ b/test/gateway/group-sight.test.ts
@@ -34,6 +34,7 @@
     dataCentre: asId(dataCentre),
     slots: 8,
     isLeaving: false,
+    startedAtMs: 0,
   };
 }
 
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -69,6 +69,7 @@
     dataCentre: asId('a'),
     slots: 4,
     isLeaving: false,
+    startedAtMs: 0,
   };
 }
 
--- a/test/group/own-group.test.ts
+++ b/test/group/own-group.test.ts
@@ -20,6 +20,7 @@
     dataCentre: asId('a'),
     slots: 8,
     isLeaving: false,
+    startedAtMs: 0,
   };
 }
 
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -194,11 +194,52 @@
     store.put('servers/i-3', { ...ENDPOINT, slots: -1 });
     store.put('servers/i-4', ENDPOINT);
     const changed = await watch(source, revision, 5000);
-    assert.equal(changed.endpoints.length, 1);
+    assert.deepEqual(
+      changed.endpoints.map((c) => (c.kind === 'written' ? c.endpoint.id : `no ${c.id}`)),
+      ['no i-3', 'i-4'],
+    );
     assert.match(changed.invalid[0] ?? '', /i-3\.slots: -1/);
   });
 });
 
+/**
+ * Story: an entry may come from another writer (the users' pages). One with a state that nobody names was taken for an
+ * endpoint that leaves, for good; one whose address is no address made every request that was given to it fail; and a
+ * record that was overwritten stayed in use as it had been.
+ * Evidence: each of these cases failed on the code before.
+ */
+const FOREIGN: readonly (readonly [string, unknown, RegExp])[] = [
+  ['a state that is not named', { ...ENDPOINT, state: 'asleep' }, /state: "asleep" is no state/],
+  ['no state', { ...ENDPOINT, state: undefined }, /state: nothing is no text/],
+  ['an address of a name', { ...ENDPOINT, address: 'engine:80' }, /address: "engine:80" is no/],
+  ['a start that is no number', { ...ENDPOINT, born: 'today' }, /born: "today" is no number/],
+  ['no zone', { ...ENDPOINT, zone: undefined }, /zone: nothing is no text/],
+  ['a list', [], /\[\] is no object/],
+  ['nothing', null, /null is no object/],
+];
+
+for (const [what, record, message] of FOREIGN) {
+  test(`a record with ${what} names no endpoint, nor does it any more; the others hold`, async () => {
+    await withStore(async (store, source) => {
+      store.put('servers/i-1', ENDPOINT);
+      store.put('servers/i-2', ENDPOINT);
+      const { revision } = await readAll(source);
+      store.put('servers/i-1', record);
+      const { endpoints, invalid } = await watch(source, revision, 5000);
+      assert.deepEqual(endpoints, [{ kind: 'removed', id: 'i-1' }]);
+      assert.match(invalid[0] ?? '', message);
+      const read = await readAll(source);
+      assert.deepEqual(
+        read.endpoints.map((e) => e.id),
+        ['i-2'],
+      );
+      store.put('servers/i-1', { ...ENDPOINT, born: 1_772_000_000_000 });
+      const again = (await readAll(source)).endpoints.find((e) => e.id === 'i-1');
+      assert.equal(again?.startedAtMs, 1_772_000_000_000, 'the engine has written it again');
+    });
+  });
+}
+
 const MOODS: readonly (readonly [StoreMood, ReadFault['kind']])[] = [
   ['busy', 'busy'],
   ['reset', 'reset'],
