The shared allowance of retries is split among the entries there are

Cause: each entry took a part for 48 entries whatever their number; 137 of them, as the large site may have, could take 1,279 retries at once of the 448 allowed. Change: the part is for as many entries as a group's digest tells, 48 at least; two each in any case. Ruled out: a smaller fixed part (a site of 6 entries would lose its own).

--- a/src/core/retry/retry.ts
+++ b/src/core/retry/retry.ts
@@ -2,27 +2,26 @@
 
 /** Budget of one set of endpoints. */
 export class RetryBudget {
-  private tokens: number;
+  /** Retries taken and not yet made good by first attempts; 0 or below. */
+  private balance = 0;
 
   /**
    * @param share retries allowed for each first attempt, 0 to 1
-   * @param burst retries allowed at once when nothing was retried for long
+   * @param burst retries allowed at once when nothing was retried for long; it may change
    */
   constructor(
     private readonly share: () => number,
-    private readonly burst = 10,
-  ) {
-    this.tokens = burst;
-  }
+    private readonly burst: () => number = () => 10,
+  ) {}
 
   /** Notes a first attempt. */
   deposit(): void {
-    this.tokens = Math.min(this.burst, this.tokens + this.share());
+    this.balance = Math.min(0, this.balance + this.share());
   }
 
   /** Whether a retry could be taken now. */
   canWithdraw(): boolean {
-    return this.tokens >= 1;
+    return this.burst() + this.balance >= 1;
   }
 
   /**
@@ -31,7 +30,7 @@
    */
   withdraw(): boolean {
     if (!this.canWithdraw()) return false;
-    this.tokens -= 1;
+    this.balance -= 1;
     return true;
   }
 }
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -83,6 +83,7 @@
     metrics,
     dataCentre: asId(settings.dataCentre),
     sightOf: () => undefined,
+    entriesKnown: () => 0,
     groupSize: () => undefined,
     groupOf: () => undefined,
   });
--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -42,7 +42,7 @@
 /** Retry-After where another entry can serve at once, s. */
 export const ELSEWHERE_RETRY_S = 0.05;
 
-/** Entries among which the shared retry allowance is split; no entry can count the others. */
+/** Entries among which the shared retry allowance is split at least: before a group tells how many there are. */
 export const RETRY_SHARERS = 48;
 /** Part of the shared retry ratio that an entry uses: the rest covers windows that do not align. */
 export const RETRY_SHARE_USED = 0.7;
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -15,6 +15,8 @@
   /** Retries allowed for each request, by all entries together; asked for at each request. */
   readonly retryShare: () => number;
   readonly callers: CallerInterface;
+  /** Entries that are known to send to the same groups; 0 while none was heard of. */
+  readonly entriesKnown: () => number;
   /** What is known of a group as a whole; undefined when nothing was heard of it lately. */
   readonly groupSize: (group: GroupId) => GroupSize | undefined;
   /** The group of a model engine; undefined while it is not known. */
@@ -29,6 +31,18 @@
   readonly keysProved: () => boolean;
 }
 
+/** Retries that an entry may always take at once: a fault that it meets alone must not end its requests. */
+const LEAST_RETRY_BURST = 2;
+
+/**
+ * This entry's part of the retries that all entries may take at once. Where it was a part for 48 entries whatever their
+ * number, 137 of them could take 1,279 of the 448 that a large deployment allows (retry.test).
+ * @example retryBurst(448, 137) // 3.27
+ */
+export function retryBurst(extra: number, entriesKnown: number): number {
+  return Math.max(LEAST_RETRY_BURST, extra / Math.max(RETRY_SHARERS, entriesKnown));
+}
+
 /**
  * Puts the shared parts together.
  * @example const ctx = createContext(parts);
@@ -40,7 +54,7 @@
     const engine = (): EngineInfo | undefined => state.config?.services.get(id)?.engine;
     const budget = new RetryBudget(
       () => parts.retryShare() * RETRY_SHARE_USED,
-      Math.max(2, settings.retryExtra / RETRY_SHARERS),
+      () => retryBurst(settings.retryExtra, parts.entriesKnown()),
     );
     return {
       id,
--- a/src/gateway/group-sight.ts
+++ b/src/gateway/group-sight.ts
@@ -104,6 +104,11 @@
     return this.fresh(group)?.size;
   }
 
+  /** Entries that send to the group which most send to, as far as that was ever told. */
+  get entriesKnown(): number {
+    return Math.max(0, ...[...this.sights.values()].map((sight) => sight.size.entries));
+  }
+
   private fresh(group: GroupId): Sight | undefined {
     const sight = this.sights.get(group);
     if (!sight || this.parts.clock.nowMs() - sight.size.countedAtMs > STALE_MS) return undefined;
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -77,6 +77,7 @@
     retryShare: () => settings.retryShare,
     callers: parts.callers,
     sightOf: (endpoint) => groups.of(endpoint),
+    entriesKnown: () => groups.entriesKnown,
     groupSize: (group) => groups.sizeOf(group),
     groupOf: (endpoint) => groups.groupOf(endpoint),
   });
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -149,6 +149,7 @@
     metrics,
     dataCentre: asId('a'),
     sightOf: () => undefined,
+    entriesKnown: () => 0,
     ...groups,
   });
   const gateway = createGateway(ctx);
