--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -18,7 +18,15 @@
 import type { Ask, Disturbance, Withdrawal } from './record.js';
 
 /** Ports; each instance has an address of its own. */
-const PORT = { callers: 8227, ready: 8220, internal: 7340, app: 8228, engine: 8100, store: 8223 };
+const PORT = {
+  callers: 8227,
+  ready: 8220,
+  control: 8229,
+  internal: 7340,
+  app: 8228,
+  engine: 8100,
+  store: 8223,
+};
 /** Time from the signal to stop until the kill, s. */
 export const GRACE_S = 4;
 /** Time of a token step of the group, ms. */
@@ -83,6 +91,15 @@
 export const KEYS = ['k-0', 'k-1', 'k-2', 'k-3'];
 export const ORGANISATION = 'org-1';
 
+/** Addresses at which an entry listens, and their names in the boot file. */
+const ENTRY_ADDRESSES = ['callers', 'ready', 'control'] as const;
+const ADDRESS_NAME = { callers: 'front', ready: 'ready', control: 'control' } as const;
+
+/** Last part of the first entry's address. */
+const FIRST_ENTRY = 150;
+/** Entries of each so many that tell others what is published. */
+const ENTRIES_A_RELAY = 2;
+
 let nextNet = 0;
 
 /** Addresses of a deployment of its own, so that several may run side by side. */
@@ -93,16 +110,23 @@
   return (n) => `127.${a}.${b}.${n}`;
 }
 
-function bootText(name: string, host: string, app: Address | undefined): string {
+function bootText(
+  name: string,
+  host: string,
+  app: Address | undefined,
+  relays: readonly string[],
+): string {
   return [
     `node-name = "${name}"`,
     `ip = "${host}"`,
     'zone = "a"',
     `internal-port-range = [${PORT.internal}, ${PORT.internal + 5}]`,
-    `seed-nodes = []`,
+    `seed-nodes = ${JSON.stringify(relays)}`,
     ...(app ? [`app = "${app.host}:${app.port}"`] : []),
     '[listen]',
-    ...(app ? [] : [`front = "${host}:${PORT.callers}"`, `ready = "${host}:${PORT.ready}"`]),
+    ...(app
+      ? []
+      : ENTRY_ADDRESSES.map((kind) => `${ADDRESS_NAME[kind]} = "${host}:${PORT[kind]}"`)),
     '[bounds]',
     'revoke-ms = 5000',
     'config-apply-ms = 2000',
@@ -210,6 +234,11 @@
     return { id, service, host: at, engine, proxy, faults };
   }
 
+  const relays = Array.from(
+    { length: Math.ceil(size.entries / ENTRIES_A_RELAY) },
+    (_, i) => `${host(FIRST_ENTRY + i)}:${PORT.control}`,
+  );
+
   async function startInstance(
     name: string,
     role: 'entry' | 'agent',
@@ -217,7 +246,7 @@
   ): Promise<SoakInstance> {
     const storeLink = await LoopbackProxy.start({ host: at, port: PORT.store }, storeAddress);
     const app = role === 'agent' ? { host: at, port: PORT.app } : undefined;
-    const program = new Program({ name, role, folder, bootText: bootText(name, at, app) });
+    const program = new Program({ name, role, folder, bootText: bootText(name, at, app, relays) });
     program.start();
     return { name, host: at, program, storeLink };
   }
@@ -229,7 +258,7 @@
     endpoints.push(await startEndpoint(`model-${i}`, 'model', host(10 + i)));
   const entries: SoakInstance[] = [];
   for (let i = 0; i < size.entries; i += 1)
-    entries.push(await startInstance(`entry-${i}`, 'entry', host(150 + i)));
+    entries.push(await startInstance(`entry-${i}`, 'entry', host(FIRST_ENTRY + i)));
   const agents: SoakInstance[] = [];
   for (let i = 0; i < size.ranks; i += 1)
     agents.push(await startInstance(`agent-${i}`, 'agent', host(10 + i)));
