Rounds of large groups: plans rest, maps are deflated, a round's line tells its parts

Tried and reverted: a search that stops at the gain that no single move exceeds; a quarter more copies for the same skew.

--- a/src/core/groups/packing.ts
+++ b/src/core/groups/packing.ts
@@ -1,57 +1,70 @@
 /**
- * Packs expert maps and counts for the wire. At 63 ranks a map as JSON numbers is 9 KB and the counts of one
- * look 10 KB a rank, which a coordinator's link of 5.6 Mbit/s does not carry; packed they are 3.4 and 2.7 KB.
+ * Packs expert maps and counts for the wire. At 129 ranks, 16 layers and 3 experts a map as JSON numbers is 31 KB and the
+ * counts of one look 20 KB a rank, which a coordinator's link of 4.2 Mbit/s does not carry; packed they are 12 and 5.5 KB,
+ * and the change of a map 6 KB or less.
  */
 import { createHash } from 'node:crypto';
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import type { MapChange, PackedCounts, PackedMap } from '../../generated/messages.types.js';
 import type { ExpertMap } from './types.js';
 
 /** Largest number of a byte. */
 const BYTE_MAX = 255;
+/** Bytes of a number of a map. */
+const NUMBER_BYTES = 2;
+
+function bytesOf(numbers: readonly number[]): Buffer {
+  const bytes = Buffer.alloc(numbers.length * NUMBER_BYTES);
+  numbers.forEach((n, i) => bytes.writeUInt16LE(n, i * NUMBER_BYTES));
+  return bytes;
+}
+
+function numbersOf(bytes: Buffer): number[] {
+  const count = Math.floor(bytes.length / NUMBER_BYTES);
+  return Array.from({ length: count }, (_, i) => bytes.readUInt16LE(i * NUMBER_BYTES));
+}
 
 /**
- * Packs a map. Numbers take two bytes as soon as one of them needs more than one.
- * @example packMap({ id: 'm1', layers: [[[0, 2], [1]]] }).layers // ['AgACAQE=']
+ * Packs a map.
+ * @example packMap({ id: 'm1', layers: [[[0, 2], [1]]] }).numbers
  */
-export function packMap(map: ExpertMap): PackedMap {
-  const flat = map.layers.map((layer) => layer.flatMap((rank) => [rank.length, ...rank]));
-  const width = flat.some((numbers) => numbers.some((n) => n > BYTE_MAX)) ? 2 : 1;
-  const layers = flat.map((numbers) => {
-    const bytes = Buffer.alloc(numbers.length * width);
-    numbers.forEach((n, i) => bytes.writeUIntLE(n, i * width, width));
-    return bytes.toString('base64');
-  });
-  return { id: map.id, width, layers };
+export function packMap({ id, layers }: ExpertMap): PackedMap {
+  const flat = layers.flatMap((layer) => [
+    layer.length,
+    ...layer.flatMap((held) => [held.length, ...held]),
+  ]);
+  const bytes = bytesOf([layers.length, ...flat]);
+  return { id, numbers: deflateRawSync(bytes).toString('base64') };
 }
 
 /**
  * Unpacks a map; undefined when it was cut short or altered on its way.
  * @example unpackMap(packMap(map)) // equals map
  */
-export function unpackMap(packed: PackedMap): ExpertMap | undefined {
-  const layers = packed.layers.map((text) => unpackLayer(text, packed.width));
-  if (!layers.every((layer) => layer !== undefined)) return undefined;
-  return { id: packed.id, layers };
+export function unpackMap({ id, numbers: text }: PackedMap): ExpertMap | undefined {
+  const numbers = inflate(text);
+  let at = 0;
+  const next = (): number => numbers?.[at++] ?? Number.NaN;
+  const listOf = <T>(read: () => T): T[] | undefined => {
+    const count = next();
+    if (Number.isNaN(count) || count > (numbers?.length ?? 0)) return undefined;
+    return Array.from({ length: count }, read);
+  };
+  const layers = listOf(() => listOf(() => listOf(next)));
+  if (!layers?.every((layer) => layer?.every((held) => held?.every(Number.isInteger))))
+    return undefined;
+  return at === numbers?.length ? { id, layers: layers as number[][][] } : undefined;
 }
 
-function unpackLayer(text: string, width: number): number[][] | undefined {
-  const bytes = Buffer.from(text, 'base64');
-  const numbers = Array.from({ length: Math.floor(bytes.length / width) }, (_, i) =>
-    bytes.readUIntLE(i * width, width),
-  );
-  const ranks: number[][] = [];
-  for (let at = 0; at < numbers.length;) {
-    const count = numbers[at] ?? 0;
-    const held = numbers.slice(at + 1, at + 1 + count);
-    if (held.length < count) return undefined;
-    ranks.push(held);
-    at += 1 + count;
+/** The numbers of a text; undefined where it is no deflated one. */
+function inflate(text: string): number[] | undefined {
+  try {
+    return numbersOf(inflateRawSync(Buffer.from(text, 'base64')));
+  } catch {
+    return undefined;
   }
-  return ranks;
 }
 
-/** Bytes of a number in a change. */
-const CELL_BYTES = 2;
 /** Characters of a map's digest: maps of one id never differ but by a fault. */
 const CHECK_CHARACTERS = 16;
 
@@ -61,8 +74,8 @@
 }
 
 /**
- * Packs a map as what differs from another one. Whole, a map of 16 layers, 129 ranks and 3 experts takes 22 KB: to all
- * ranks 2.8 MB, 5.4 s of a link of 4.2 Mbit/s, where a change of 900 experts takes 8 KB (packing.test).
+ * Packs a map as what differs from another one. Whole, a map of 16 layers, 129 ranks and 3 experts takes 12 KB;
+ * where a third of it changed, the change takes 6 KB (packing.test).
  * @example packChange(inUse, next).cells
  */
 export function packChange(base: ExpertMap, next: ExpertMap): MapChange {
@@ -74,9 +87,8 @@
       if (!isSame) numbers.push(l, rank, held.length, ...held);
     }),
   );
-  const bytes = Buffer.alloc(numbers.length * CELL_BYTES);
-  numbers.forEach((n, i) => bytes.writeUInt16LE(n, i * CELL_BYTES));
-  return { id: next.id, base: base.id, cells: bytes.toString('base64'), check: checkOf(next) };
+  const cells = bytesOf(numbers).toString('base64');
+  return { id: next.id, base: base.id, cells, check: checkOf(next) };
 }
 
 /**
@@ -84,10 +96,7 @@
  * @example unpackChange(inUse, packChange(inUse, next)) // equals next
  */
 export function unpackChange(base: ExpertMap, change: MapChange): ExpertMap | undefined {
-  const bytes = Buffer.from(change.cells, 'base64');
-  const numbers = Array.from({ length: Math.floor(bytes.length / CELL_BYTES) }, (_, i) =>
-    bytes.readUInt16LE(i * CELL_BYTES),
-  );
+  const numbers = numbersOf(Buffer.from(change.cells, 'base64'));
   const layers = base.layers.map((layer) => layer.map((held) => [...held]));
   for (let at = 0; at < numbers.length; at += 3 + (numbers[at + 2] ?? 0)) {
     const [layer = 0, rank = 0, count = 0] = numbers.slice(at, at + 3);
--- a/src/core/placement/layer-loads.ts
+++ b/src/core/placement/layer-loads.ts
@@ -17,7 +17,9 @@
   private readonly weighed: Float64Array;
   /** Change that last touched each rank. */
   private readonly touchedBy: Uint32Array;
-  private touched: number[] = [];
+  /** Those ranks, the first `touchedCount` of them: weighing allocates nothing. */
+  private readonly touched: Uint32Array;
+  private touchedCount = 0;
   private change = 0;
 
   constructor(
@@ -32,6 +34,7 @@
     this.order = Array.from({ length: map.length }, (_, rank) => rank);
     this.weighed = new Float64Array(map.length);
     this.touchedBy = new Uint32Array(map.length);
+    this.touched = new Uint32Array(map.length);
     this.refresh();
   }
 
@@ -102,7 +105,7 @@
   /** Begins to weigh a change. */
   begin(): void {
     this.change += 1;
-    this.touched = [];
+    this.touchedCount = 0;
   }
 
   /** Weighs one more replica of an expert at a rank: the others carry less. */
@@ -130,9 +133,14 @@
   /** Largest load after the change that was weighed. */
   maxWeighed(): number {
     let max = 0;
-    for (const rank of this.touched) max = Math.max(max, this.weighed[rank] ?? 0);
-    const untouched = this.order.find((rank) => this.touchedBy[rank] !== this.change);
-    return untouched === undefined ? max : Math.max(max, this.of(untouched));
+    for (let i = 0; i < this.touchedCount; i += 1)
+      max = Math.max(max, this.weighed[this.touched[i] ?? 0] ?? 0);
+    return Math.max(max, this.mostUntouched());
+  }
+
+  private mostUntouched(): number {
+    for (const rank of this.order) if (this.touchedBy[rank] !== this.change) return this.of(rank);
+    return 0;
   }
 
   private spread(expert: number, tokens: number): void {
@@ -143,7 +151,8 @@
     if (this.touchedBy[rank] !== this.change) {
       this.touchedBy[rank] = this.change;
       this.weighed[rank] = this.of(rank);
-      this.touched.push(rank);
+      this.touched[this.touchedCount] = rank;
+      this.touchedCount += 1;
     }
     this.weighed[rank] = (this.weighed[rank] ?? 0) + tokens * this.paceOf(rank);
   }
--- a/src/core/placement/moves.ts
+++ b/src/core/placement/moves.ts
@@ -8,6 +8,28 @@
  */
 const MOST_TARGETS = 12;
 
+/** Fetches of a swap. */
+const SWAP_FETCHES = 2;
+
+/** A move that was weighed: plain numbers, since most of them are left for a better one. */
+interface Weighed {
+  readonly expert: number;
+  /** Where it goes. */
+  readonly rank: number;
+  /** What it takes the place of; undefined in a free slot. */
+  readonly evicts: number | undefined;
+  /** Whether what is evicted goes to the most loaded rank. */
+  readonly isSwap: boolean;
+  /** Fall of the layer's largest rank load, tokens. */
+  readonly gain: number;
+}
+
+/** Gain for each fetch. */
+function rateOf(weighed: Weighed | undefined): number {
+  if (!weighed) return 0;
+  return weighed.isSwap ? weighed.gain / SWAP_FETCHES : weighed.gain;
+}
+
 /** A layer that moves can be applied to. */
 export class LayerPlanner {
   private readonly held: number[][];
@@ -71,27 +93,21 @@
    * @example const move = planner.bestMove(); if (move) planner.apply(move);
    */
   bestMove(): Move | undefined {
-    const { held } = this;
     const hot = this.loads.hottest;
-    let best: Move | undefined;
-    const offer = (move: Move | undefined): void => {
-      if (move && (!best || move.gain / move.fetches.length > best.gain / best.fetches.length))
-        best = move;
-    };
+    const isOpen = (rank: number): boolean => rank !== hot && !this.isFull(rank);
+    const targets = this.loads.leastLoaded(MOST_TARGETS, isOpen);
     const hotIsFull = this.isFull(hot);
-    const targets = this.loads.leastLoaded(
-      MOST_TARGETS,
-      (rank) => rank !== hot && !this.isFull(rank),
-    );
-    for (const expert of held[hot] ?? []) {
+    let best: Weighed | undefined;
+    for (const expert of this.held[hot] ?? []) {
       for (const rank of targets) {
-        if (held[rank]?.includes(expert)) continue;
-        offer(this.replicate(expert, rank));
+        const held = this.held[rank] ?? [];
+        if (held.includes(expert)) continue;
+        best = this.weighReplica(expert, rank, best);
         if (hotIsFull) continue;
-        for (const other of held[rank] ?? []) offer(this.swap(hot, expert, rank, other));
+        for (const other of held) best = this.weighSwap(hot, expert, rank, other, best);
       }
     }
-    return best;
+    return best && { fetches: this.fetchesOf(best, hot), gain: best.gain };
   }
 
   /**
@@ -144,15 +160,21 @@
     this.loads.refresh();
   }
 
-  /** Puts another replica of an expert on a rank, in a free slot or in place of a spare replica. */
-  private replicate(expert: number, rank: number): Move | undefined {
+  /** Weighs another replica of an expert on a rank, in a free slot or in place of a spare replica; the better move. */
+  private weighReplica(
+    expert: number,
+    rank: number,
+    best: Weighed | undefined,
+  ): Weighed | undefined {
     const held = this.held[rank] ?? [];
     const evicts = held.length < this.slots ? undefined : this.coldestSpare(held, expert);
-    if (held.length >= this.slots && evicts === undefined) return undefined;
+    if (held.length >= this.slots && evicts === undefined) return best;
     this.loads.begin();
     this.loads.weighAdded(rank, expert);
     if (evicts !== undefined) this.loads.weighRemoved(rank, evicts);
-    return this.moveOf(() => [{ layer: this.layer, rank, expert, evicts }]);
+    const gain = this.gainWeighed();
+    if (gain <= 0 || gain <= rateOf(best)) return best;
+    return { expert, rank, evicts, isSwap: false, gain };
   }
 
   /** The expert that carries least of those that other ranks hold too; undefined when there is none. */
@@ -166,23 +188,33 @@
     return coldest;
   }
 
-  private swap(hot: number, expert: number, rank: number, other: number): Move | undefined {
-    if (this.loads.share(other) >= this.loads.share(expert)) return undefined;
-    if (this.held[hot]?.includes(other)) return undefined;
+  /** Weighs two experts of two ranks that change places; the better move. */
+  private weighSwap(
+    hot: number,
+    expert: number,
+    rank: number,
+    other: number,
+    best: Weighed | undefined,
+  ): Weighed | undefined {
+    if (this.loads.share(other) >= this.loads.share(expert)) return best;
+    if (this.held[hot]?.includes(other)) return best;
     this.loads.begin();
     this.loads.weighMoved(hot, rank, expert);
     this.loads.weighMoved(rank, hot, other);
-    const { layer } = this;
-    return this.moveOf(() => [
-      { layer, rank, expert, evicts: other },
-      { layer, rank: hot, expert: other, evicts: expert },
-    ]);
+    const gain = this.gainWeighed();
+    if (gain <= 0 || gain / SWAP_FETCHES <= rateOf(best)) return best;
+    return { expert, rank, evicts: other, isSwap: true, gain };
+  }
+
+  private gainWeighed(): number {
+    return this.maxLoad - this.loads.maxWeighed();
   }
 
-  /** The move that was weighed, if it lowers the largest load. */
-  private moveOf(fetches: () => Fetch[]): Move | undefined {
-    const gain = this.maxLoad - this.loads.maxWeighed();
-    return gain > 0 ? { fetches: fetches(), gain } : undefined;
+  private fetchesOf({ expert, rank, evicts, isSwap }: Weighed, hot: number): Fetch[] {
+    const { layer } = this;
+    const arrives: Fetch = { layer, rank, expert, evicts };
+    if (!isSwap || evicts === undefined) return [arrives];
+    return [arrives, { layer, rank: hot, expert: evicts, evicts: expert }];
   }
 }
 
--- a/src/group/consts.ts
+++ b/src/group/consts.ts
@@ -115,6 +115,11 @@
 export const MARGIN_FACTOR = 1.3;
 /** Time after which a slow arm round counts half, ms: orders go unanswered for some seconds at a time. */
 export const MARGIN_HALF_LIFE_MS = 4000;
+/**
+ * Rest after a plan, in times that the plan took. With 129 ranks a plan takes 0.1 to 0.2 s of an agent's share of a core;
+ * made at each look they took most of it, and digests were 1.3 to 2.3 s old at entries.
+ */
+export const PLAN_REST = 2;
 /** Tokens that an estimate needs before a map rests on it. */
 export const LEAST_TOKENS = 2000;
 /** How often the same fault of a round is logged at most, ms. */
--- a/src/group/coordinator-task.ts
+++ b/src/group/coordinator-task.ts
@@ -23,6 +23,7 @@
   LOG_PAUSE_MS,
   LOOK_PAUSE_MS,
   MOST_DIRECT,
+  PLAN_REST,
   PREPARE_ORDER_MS,
   SILENT_MS,
   SKEW_LOG_PAUSE_MS,
@@ -31,6 +32,7 @@
 import { Digester } from './digest.js';
 import { HeldDigest } from './held-digest.js';
 import { gainPerCopy, newPerRound } from './round-policy.js';
+import { RoundTimes } from './round-times.js';
 import { SwitchMargin } from './switch-margin.js';
 import type { Replies } from './fan-out.js';
 import { GroupLooks, type LookParts, type Sighting } from './group-looks.js';
@@ -61,6 +63,8 @@
   readonly silent?: ReadonlySet<string>;
   /** The map in use, as ranks may hold it. */
   readonly base?: ExpertMap;
+  /** Takes the times of its parts. */
+  readonly times?: RoundTimes;
 }
 
 /** Tells an agent whether it coordinates. */
@@ -80,6 +84,8 @@
   private readonly digester: Digester;
   private readonly digest: HeldDigest;
   private isSwitching = false;
+  /** When the last plan was made, and how long it took, ms. */
+  private planned = { atMs: Number.NEGATIVE_INFINITY, tookMs: 0 };
   /** Since when some agent has not answered, while a switch is open. */
   private silentSinceMs: number | undefined;
   private lastStep = 0;
@@ -232,7 +238,8 @@
     const popularity = this.estimate?.read();
     if (!engine || !current || !popularity) return;
     const tokens = popularity[0]?.reduce((sum, count) => sum + count, 0) ?? 0;
-    if (tokens < LEAST_TOKENS) return;
+    if (tokens < LEAST_TOKENS || !this.isPlanDue()) return;
+    const planAtMs = this.parts.clock.nowMs();
     const pace = replies.map((reply) => reply.pace ?? 1);
     const plan = planRound(current, popularity, {
       slotsPerRank: engine.slotsPerRank,
@@ -241,6 +248,7 @@
       gainPerCopy: gainPerCopy(engine, runningOf(replies)),
       pace,
     });
+    this.notePlan(planAtMs);
     this.parts.metrics.observe('group_skew_permille', plan.skewBefore * 1000);
     this.noteSkew(plan.skewBefore);
     if (plan.copies === 0 || plan.skewBefore < plan.skewAfter * LEAST_SKEW_GAIN) return;
@@ -252,7 +260,8 @@
       this.maps.note(map.id, plan.placement);
       return map;
     };
-    const end = await this.switchMaps(byRank, choose, { base: mapOf(inUse, current) });
+    const times = new RoundTimes(this.parts.clock);
+    const end = await this.switchMaps(byRank, choose, { base: mapOf(inUse, current), times });
     this.parts.log.info('group.switch', {
       end: end.kind,
       detail: 'detail' in end ? end.detail : undefined,
@@ -262,14 +271,31 @@
       skewBefore: Number(plan.skewBefore.toFixed(3)),
       skewAfter: Number(plan.skewAfter.toFixed(3)),
       tokens: Math.round(tokens),
+      planMs: Math.round(this.planned.tookMs),
       tookMs: Math.round(this.parts.clock.nowMs() - startedAtMs),
+      times: times.text,
     });
   }
 
+  /** Whether a plan may be made: nobody is answered while one is, so most of the time is left for that. */
+  private isPlanDue(): boolean {
+    const { atMs, tookMs } = this.planned;
+    return this.parts.clock.nowMs() - atMs >= PLAN_REST * tookMs;
+  }
+
+  private notePlan(startedAtMs: number): void {
+    const atMs = this.parts.clock.nowMs();
+    this.planned = { atMs, tookMs: atMs - startedAtMs };
+  }
+
   private async switchMaps(
     byRank: readonly string[],
     chooseMap: (view: GroupView) => ExpertMap | undefined,
-    { silent = new Set<string>(), base }: SwitchExtras = {},
+    {
+      silent = new Set<string>(),
+      base,
+      times = new RoundTimes(this.parts.clock),
+    }: SwitchExtras = {},
   ): ReturnType<typeof runSwitch> {
     const { parts } = this;
     const own = byRank.indexOf(parts.self);
@@ -278,7 +304,10 @@
       group: '',
       ranks: byRank.length,
       callRanks: (order, ranks) =>
-        this.margin.timed(order.kind, this.callRanks(order, ranks, byRank, silent)),
+        times.timed(
+          order.kind,
+          this.margin.timed(order.kind, this.callRanks(order, ranks, byRank, silent)),
+        ),
       base,
       known: undefined,
       wantsCounts: false,
