Daemons that start together wait a moment for the relays among them

Cause: all daemons start within 0.3 s, also after a loss of power; relays listen a moment later, and each daemon that found none read everything from the store, four or more calls. Change: who knows nothing yet asks the relays for 0.7 s before it asks the store.

--- a/src/core/published/relayed-source.ts
+++ b/src/core/published/relayed-source.ts
@@ -50,6 +50,13 @@
 /** Time for which a source that failed is not asked, ms; it doubles with each failure in a row up to the longest. */
 const AVOIDED_MS = { first: 3000, most: 24_000 } as const;
 
+/**
+ * Time for which a daemon that knows nothing yet asks the relays before it asks the store, and the pause between, ms. All
+ * daemons may start together, and the relays among them are up within some tenths of a second: each that does not wait
+ * reads everything from the store, four calls of a large list in place of one.
+ */
+const START = { withinMs: 700, pauseMs: 200 } as const;
+
 /** What reading needs. */
 export interface RelayedParts {
   readonly store: PublishedStore;
@@ -64,6 +71,8 @@
   /** Whether a newer configuration is wanted; the first one is in any case. */
   readonly wantsConfig: () => boolean;
   readonly log: Log;
+  /** Waits, ms; a test may bring its own time. */
+  readonly pause: (ms: number) => Promise<void>;
 }
 
 /** Where something may be read. */
@@ -98,6 +107,8 @@
 
   /** Reads everything from the first source that has it. */
   async readAll(): Promise<Result<PublishedRead, ReadFault>> {
+    const first = this.held || this.parts.isRelay ? undefined : await this.readAtStart();
+    if (first) return first;
     let last = fault('missing', 'no source was asked');
     for (const from of this.inTurn()) {
       const read =
@@ -114,6 +125,20 @@
     return last;
   }
 
+  /** Reads everything from a relay that may have yet to start; undefined when none of them answers in time. */
+  private async readAtStart(): Promise<Result<PublishedRead, ReadFault> | undefined> {
+    const relays = this.candidates.filter((candidate) => candidate.relay !== undefined);
+    const untilMs = this.parts.clock.nowMs() + START.withinMs;
+    while (relays.length > 0 && this.parts.clock.nowMs() < untilMs) {
+      for (const from of relays) {
+        const read = await this.readRelay(from, from.relay as string);
+        if (read.ok) return read;
+      }
+      await this.parts.pause(START.pauseMs);
+    }
+    return undefined;
+  }
+
   /** Changes since what was read last; where they cannot be had there, everything is to be read anew elsewhere. */
   async watch(revision: number, waitMs: number): Promise<Result<Watched, ReadFault>> {
     const { held } = this;
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -91,6 +91,7 @@
     relays: relaysFor(settings, own),
     isRelay,
     ask: askRelay(peers),
+    pause: sleep,
     pace: ENTRY_RELAYED,
     wantsConfig: () => true,
   });
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -66,6 +66,7 @@
     relays: relaysFor(settings, undefined),
     isRelay: false,
     ask: askRelay(peers),
+    pause: sleep,
     pace: AGENT_RELAYED,
     wantsConfig: () => group.lacksEngine(),
   });
--- a/test/core/published/relayed-source.test.ts
+++ b/test/core/published/relayed-source.test.ts
@@ -97,6 +97,8 @@
   readonly daemons: Map<string, Daemon>;
   readonly events: string[];
   nowMs: number;
+  /** Called while a daemon that knows nothing yet waits. */
+  onPause: () => void;
   start(name: string, relays: readonly string[], pace?: RelayedPace, clock?: Clock): Daemon;
 }
 
@@ -108,6 +110,7 @@
     daemons: new Map(),
     events: [],
     nowMs: 0,
+    onPause: () => undefined,
     start: (name, relays, pace = ENTRY_RELAYED, clock = fleetClock) => {
       const state = new PublishedState();
       const relay = new PublishedRelay({ state, clock, life: asId(`life-${name}`) });
@@ -120,6 +123,11 @@
         clock,
         pace,
         wantsConfig: () => pace.wantsProof,
+        pause: (ms) => {
+          fleet.nowMs += ms;
+          fleet.onPause();
+          return Promise.resolve();
+        },
         log: {
           ...silentLog,
           info: (event, fields) => fleet.events.push(`${event} ${JSON.stringify(fields)}`),
@@ -220,6 +228,24 @@
   assert.equal((await daemon.source.watch(1, 0)).unwrap().kind, 'forgotten', 'relays again');
 });
 
+test('a daemon that starts with the relays waits for them for a moment, and not for long', async () => {
+  const fleet = startFleet();
+  const relay = fleet.start('relay', ['relay']);
+  let pauses = 0;
+  let ready: Promise<void> | undefined;
+  fleet.onPause = () => {
+    pauses += 1;
+    if (pauses === 2) ready = readAll(relay, fleet);
+  };
+  await readAll(fleet.start('entry', ['relay']), fleet);
+  await ready;
+  assert.deepEqual([fleet.store.calls.all, fleet.store.calls.config], [1, 1]);
+  const startedAtMs = fleet.nowMs;
+  await readAll(fleet.start('alone', ['gone']), fleet);
+  assert.equal(fleet.store.calls.all, 2);
+  assert.ok(fleet.nowMs - startedAtMs < 1000, 'who finds no relay is not kept waiting');
+});
+
 test('an older configuration than the own one is never taken from a relay', async () => {
   const fleet = startFleet();
   await readAll(fleet.start('relay', ['relay']), fleet);
