--- a/test/group/large-group.test.ts
+++ b/test/group/large-group.test.ts
@@ -12,6 +12,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { seededRandom } from '../../src/core/clock/index.js';
 import { startCoordinators, type CoordinatorPlay } from './coordinator-play.js';
 
 /** Time in which agents are slow, ms. */
@@ -97,3 +98,32 @@
   assert.ok(maps >= 4, `${maps} maps`);
   assert.deepEqual(play.group.mixed, []);
 });
+
+test('agents that stand still while they pass orders on mix no maps, and the group goes on', async () => {
+  for (let seed = 1; seed <= 4; seed += 1) {
+    const random = seededRandom(seed);
+    const play = startCoordinators({
+      seed,
+      ranks: 40,
+      coordinators: 3,
+      stepMs: 40,
+      copyMs: 60,
+      lateShare: 0.02,
+      shiftSteps: 25,
+      inTurn: true,
+    });
+    // What a frozen agent was about to pass on is passed on when it wakes, up to 4 s late.
+    const freeze = (): void => {
+      const rank = Math.floor(40 * random());
+      play.frozen.add(rank);
+      play.time.after(200 + 3800 * random(), () => play.frozen.delete(rank));
+      if (play.time.nowMs() < 20_000) play.time.after(700 + 2500 * random(), freeze);
+    };
+    play.time.after(2000, freeze);
+    await play.time.playUntil(36_000);
+    const before = rounds(play, 'switched');
+    await play.time.playUntil(44_000);
+    assert.deepEqual(play.group.mixed, [], `seed ${seed}`);
+    assert.ok(rounds(play, 'switched') > before, `seed ${seed}: maps come on afterwards`);
+  }
+});
