--- a/src/core/clock/index.ts
+++ b/src/core/clock/index.ts
@@ -1,2 +1,3 @@
 export * from './changes.js';
 export * from './clock.js';
+export * from './timed.js';
--- a/src/core/published/follow.ts
+++ b/src/core/published/follow.ts
@@ -26,12 +26,13 @@
 /**
  * An entry's pace. A wait without a change proves at its end that the configuration in force is still the
  * newest, and keys may be honoured for 3.5 s after such a proof: that leaves time for one failed call.
- * Changes have to be in force within 2 s.
+ * Changes have to be in force within 2 s, also where the relay stood still that would have told of one: the next is found
+ * 1.3 s later.
  */
 export const ENTRY_PACE: FollowPace = {
   waitMs: 2400,
   leastWaitMs: 200,
-  changePauseMs: 800,
+  changePauseMs: 600,
   failedPauseMs: 300,
 };
 /**
--- a/src/core/published/relayed-source.ts
+++ b/src/core/published/relayed-source.ts
@@ -242,6 +242,8 @@
         },
         heldMs + ANSWER_MS,
       );
+      if (news.configVersion === undefined)
+        return fault('stale', `${address} has read no configuration yet`);
       if (news.provedAgoMs <= STALE_MS) return Ok(news);
       return fault('stale', `${address} had its last proof ${Math.round(news.provedAgoMs)} ms ago`);
     } catch (err) {
@@ -253,8 +255,7 @@
   private async configFor(news: PublishedNews): Promise<Result<ConfigRead, ReadFault>> {
     const own = this.parts.state.config?.version;
     const theirs = news.configVersion;
-    if (theirs === undefined) return fault('stale', 'the relay has no configuration yet');
-    if (own !== undefined && theirs < own)
+    if (own !== undefined && theirs !== undefined && theirs < own)
       return fault('stale', `the relay has version ${theirs}, ${own} is in force here`);
     const same: ConfigNews = { kind: 'same' };
     if (own === theirs || (own !== undefined && !this.parts.wantsConfig()))
--- a/src/group/coordinator-task.ts
+++ b/src/group/coordinator-task.ts
@@ -1,49 +1,27 @@
 /** The coordinator of a group: looks at every rank, and brings in a new map when it is worth its copies. */
 import { errorText } from '../core/errors/index.js';
-import {
-  nextEpoch,
-  runSwitch,
-  type CalledRank,
-  type Coordination,
-  type ExpertMap,
-  type GroupView,
-  type RankOrder,
-  type RankReply,
-} from '../core/groups/index.js';
+import type { ExpertMap, GroupView, RankOrder, RankReply } from '../core/groups/index.js';
 import type { Log } from '../core/logging/index.js';
 import type { Metrics } from '../core/metrics/index.js';
-import { DemandEstimate, planRound, type Placement } from '../core/placement/index.js';
 import { hostOf, type EngineInfo } from '../core/published/index.js';
 import {
-  answerTimes,
   BUSY_LOOK_PAUSE_MS,
   LEAST_SKEW_GAIN,
-  LEAST_TOKENS,
   LEAST_TOLD_RANKS,
   LOG_PAUSE_MS,
   LOOK_PAUSE_MS,
   MOST_DIRECT,
-  PLAN_REST,
-  PREPARE_ORDER_MS,
   SILENT_MS,
   SKEW_LOG_PAUSE_MS,
   STANDS_MS,
 } from './consts.js';
 import { Digester } from './digest.js';
+import { GroupLooks, type LookParts, type Sighting } from './group-looks.js';
+import { addressesOf, KnownMaps, orderReplies, type GroupReplies } from './group-view.js';
 import { HeldDigest } from './held-digest.js';
-import { gainPerCopy, newPerRound } from './round-policy.js';
+import { mapOf, MapPlanner } from './map-planner.js';
 import { RoundTimes } from './round-times.js';
-import { SwitchMargin } from './switch-margin.js';
-import type { Replies } from './fan-out.js';
-import { GroupLooks, type LookParts, type Sighting } from './group-looks.js';
-import {
-  addressesOf,
-  countsOf,
-  KnownMaps,
-  orderReplies,
-  runningOf,
-  type GroupReplies,
-} from './group-view.js';
+import { SwitchRounds } from './switch-rounds.js';
 
 /** What a coordinator needs. */
 export interface CoordinatorParts extends LookParts {
@@ -57,16 +35,6 @@
   readonly metrics: Metrics;
 }
 
-/** What a switch may know besides its ranks. */
-interface SwitchExtras {
-  /** Agents that do not answer, by address. */
-  readonly silent?: ReadonlySet<string>;
-  /** The map in use, as ranks may hold it. */
-  readonly base?: ExpertMap;
-  /** Takes the times of its parts. */
-  readonly times?: RoundTimes;
-}
-
 /** Tells an agent whether it coordinates. */
 export interface CoordinatorLine {
   /** Whether it is to look at the group. */
@@ -77,20 +45,17 @@
 
 /** Coordinates while its line says so. */
 export class CoordinatorTask {
-  private estimate: DemandEstimate | undefined;
   private readonly looks: GroupLooks;
   private readonly maps = new KnownMaps();
-  private readonly margin: SwitchMargin;
+  private readonly planner: MapPlanner;
+  private readonly rounds: SwitchRounds;
   private readonly digester: Digester;
   private readonly digest: HeldDigest;
   private isSwitching = false;
-  /** When the last plan was made, and how long it took, ms. */
-  private planned = { atMs: Number.NEGATIVE_INFINITY, tookMs: 0 };
   /** Since when some agent has not answered, while a switch is open. */
   private silentSinceMs: number | undefined;
   private lastStep = 0;
   private steppedAtMs = 0;
-  private highestEpoch = 0;
   private loggedAtMs = Number.NEGATIVE_INFINITY;
   private skewLoggedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -98,7 +63,8 @@
     this.looks = new GroupLooks(parts);
     this.digester = new Digester(parts.clock);
     this.digest = new HeldDigest(parts.clock);
-    this.margin = new SwitchMargin(parts.clock);
+    this.planner = new MapPlanner(parts.clock);
+    this.rounds = new SwitchRounds(parts, () => this.digest.read()?.stepMs ?? 0);
   }
 
   /** Runs until the signal aborts. */
@@ -126,8 +92,8 @@
     if (seen.kind === 'unseen') return this.goOnUnseen(seen.addresses, seen.replies);
     this.silentSinceMs = undefined;
     this.takeDigest(seen, this.parts.clock.nowMs() - startedAtMs);
-    this.noteEpochs(seen.replies);
-    this.takeCounts(seen.fresh);
+    this.rounds.noteEpochs(seen.replies);
+    this.planner.takeCounts(seen.fresh);
     // Looks go on while a switch is made: entries and the next plan need what they tell.
     if (!this.isSwitching) this.goOn(seen.replies, seen.addresses);
   }
@@ -199,9 +165,9 @@
     );
     const ordered = orderReplies(all, addresses.length);
     if (!ordered) throw new Error('an engine whose agent is silent cannot be reached either');
-    this.noteEpochs(ordered);
+    this.rounds.noteEpochs(ordered);
     const byRank = addressesOf(ordered, all, addresses);
-    const end = await this.switchMaps(byRank, () => undefined, { silent });
+    const end = await this.rounds.run(byRank, () => undefined, { silent });
     this.parts.log.info('group.rescue', { silent: [...silent].join(','), end: end.kind });
   }
 
@@ -210,58 +176,27 @@
     if (ordered.every((reply) => reply.armed?.confirmed)) return;
     const isOpen = ordered.some((reply) => reply.armed);
     this.startSwitch(
-      isOpen ? this.switchMaps(byRank, () => undefined) : this.improve(ordered, byRank),
+      isOpen ? this.rounds.run(byRank, () => undefined) : this.improve(ordered, byRank),
     );
   }
 
-  /** Fences and versions rise over everything that any rank has seen or holds. */
-  private noteEpochs(replies: GroupReplies): void {
-    for (const reply of replies)
-      this.highestEpoch = Math.max(
-        this.highestEpoch,
-        reply.promised,
-        reply.lastConfirmed ?? 0,
-        reply.armed?.epoch ?? 0,
-      );
-  }
-
-  private takeCounts(replies: readonly RankReply[]): void {
-    const counts = countsOf(replies);
-    if (!counts) return;
-    this.estimate ??= new DemandEstimate(counts.length, counts[0]?.length ?? 0);
-    this.estimate.add(counts, this.parts.clock.nowMs());
-  }
-
   private async improve(replies: GroupReplies, byRank: readonly string[]): Promise<void> {
-    const engine = this.parts.engine();
     const current = this.maps.inUse(replies);
-    const popularity = this.estimate?.read();
-    if (!engine || !current || !popularity) return;
-    const tokens = popularity[0]?.reduce((sum, count) => sum + count, 0) ?? 0;
-    if (tokens < LEAST_TOKENS || !this.isPlanDue()) return;
-    const planAtMs = this.parts.clock.nowMs();
-    const pace = replies.map((reply) => reply.pace ?? 1);
-    const plan = planRound(current, popularity, {
-      slotsPerRank: engine.slotsPerRank,
-      mostNew: newPerRound(engine),
-      mostNewInLayer: engine.mostNew,
-      gainPerCopy: gainPerCopy(engine, runningOf(replies)),
-      pace,
-    });
-    this.notePlan(planAtMs);
+    const plan = current && this.planner.plan(current, replies, this.parts.engine());
+    if (!plan) return;
     this.parts.metrics.observe('group_skew_permille', plan.skewBefore * 1000);
     this.noteSkew(plan.skewBefore);
     if (plan.copies === 0 || plan.skewBefore < plan.skewAfter * LEAST_SKEW_GAIN) return;
     const startedAtMs = this.parts.clock.nowMs();
-    const inUse = replies[0]?.mapId ?? '';
+    const base = mapOf(replies[0]?.mapId ?? '', current);
     const choose = (view: GroupView): ExpertMap | undefined => {
-      if (view.mapId !== inUse) return undefined;
+      if (view.mapId !== base.id) return undefined;
       const map = mapOf(view.epoch, plan.placement);
       this.maps.note(map.id, plan.placement);
       return map;
     };
     const times = new RoundTimes(this.parts.clock);
-    const end = await this.switchMaps(byRank, choose, { base: mapOf(inUse, current), times });
+    const end = await this.rounds.run(byRank, choose, { base, times });
     this.parts.log.info('group.switch', {
       end: end.kind,
       detail: 'detail' in end ? end.detail : undefined,
@@ -270,78 +205,13 @@
       copies: plan.copies,
       skewBefore: Number(plan.skewBefore.toFixed(3)),
       skewAfter: Number(plan.skewAfter.toFixed(3)),
-      tokens: Math.round(tokens),
-      planMs: Math.round(this.planned.tookMs),
+      tokens: Math.round(plan.tokens),
+      planMs: Math.round(plan.tookMs),
       tookMs: Math.round(this.parts.clock.nowMs() - startedAtMs),
       times: times.text,
     });
   }
 
-  /** Whether a plan may be made: nobody is answered while one is, so most of the time is left for that. */
-  private isPlanDue(): boolean {
-    const { atMs, tookMs } = this.planned;
-    return this.parts.clock.nowMs() - atMs >= PLAN_REST * tookMs;
-  }
-
-  private notePlan(startedAtMs: number): void {
-    const atMs = this.parts.clock.nowMs();
-    this.planned = { atMs, tookMs: atMs - startedAtMs };
-  }
-
-  private async switchMaps(
-    byRank: readonly string[],
-    chooseMap: (view: GroupView) => ExpertMap | undefined,
-    {
-      silent = new Set<string>(),
-      base,
-      times = new RoundTimes(this.parts.clock),
-    }: SwitchExtras = {},
-  ): ReturnType<typeof runSwitch> {
-    const { parts } = this;
-    const own = byRank.indexOf(parts.self);
-    const epoch = nextEpoch(this.highestEpoch, Math.max(0, own));
-    const coordination: Coordination = {
-      group: '',
-      ranks: byRank.length,
-      callRanks: (order, ranks) =>
-        times.timed(
-          order.kind,
-          this.margin.timed(order.kind, this.callRanks(order, ranks, byRank, silent)),
-        ),
-      base,
-      known: undefined,
-      wantsCounts: false,
-      marginSteps: () => this.margin.steps(this.digest.read()?.stepMs ?? 0),
-    };
-    const end = await runSwitch(coordination, epoch, chooseMap);
-    this.highestEpoch = Math.max(epoch, end.kind === 'blocked' ? end.highest : 0);
-    parts.metrics.count('switch_rounds_total', { end: end.kind });
-    return end;
-  }
-
-  /** Sends an order of a round; to the engines of silent agents straight. */
-  private async callRanks(
-    order: RankOrder,
-    ranks: readonly CalledRank[],
-    byRank: readonly string[],
-    silent: ReadonlySet<string>,
-  ): Promise<Replies> {
-    const members = ranks.map(({ rank, incarnation }) => ({
-      address: byRank[rank] ?? '',
-      ...(incarnation !== undefined && { incarnation }),
-    }));
-    const heard = members.filter((member) => !silent.has(member.address));
-    const [replies, ...straight] = await Promise.all([
-      this.parts.callAll(order, heard, orderMs(order, byRank.length)),
-      ...members
-        .filter((member) => silent.has(member.address))
-        .map(({ address, ...own }) =>
-          this.parts.standIn(address, { ...order, ...own }).catch(() => undefined),
-        ),
-    ]);
-    return members.map((member) => (silent.has(member.address) ? straight : replies).shift());
-  }
-
   /** Logs the skew that is lived with, now and then. */
   private noteSkew(skew: number): void {
     const nowMs = this.parts.clock.nowMs();
@@ -360,14 +230,3 @@
     this.parts.log.info('group.waiting', { why, detail });
   }
 }
-
-function orderMs(order: RankOrder, ranks: number): number {
-  if (order.kind === 'prepare') return PREPARE_ORDER_MS;
-  const times = answerTimes(ranks);
-  return order.kind === 'confirm' || order.kind === 'abort' ? times.decisionMs : times.orderMs;
-}
-
-/** A map by its id. That of a round is the round's epoch, so that no other round can have made it. */
-function mapOf(id: number | string, placement: Placement): ExpertMap {
-  return { id: String(id), layers: placement.map((layer) => layer.map((rank) => [...rank])) };
-}
--- a/src/group/round-times.ts
+++ b/src/group/round-times.ts
@@ -1,5 +1,5 @@
 /** How long the parts of one round took, for its log line: what makes a new map late. */
-import type { Clock } from '../core/clock/index.js';
+import { timed, type Clock } from '../core/clock/index.js';
 import type { RankOrder } from '../core/groups/index.js';
 
 /** Times of one round, ms. */
@@ -9,14 +9,10 @@
   constructor(private readonly clock: Clock) {}
 
   /** Passes calls through and adds the time they took to that of their kind. */
-  async timed<T>(kind: RankOrder['kind'], calls: Promise<T>): Promise<T> {
-    const startedAtMs = this.clock.nowMs();
-    try {
-      return await calls;
-    } finally {
-      const tookMs = this.clock.nowMs() - startedAtMs;
+  timed<T>(kind: RankOrder['kind'], calls: Promise<T>): Promise<T> {
+    return timed(this.clock, calls, (tookMs) => {
       this.byKind.set(kind, (this.byKind.get(kind) ?? 0) + tookMs);
-    }
+    });
   }
 
   /**
--- a/src/group/switch-margin.ts
+++ b/src/group/switch-margin.ts
@@ -2,7 +2,7 @@
  * How many steps before a switch its arming begins. A group whose step is due before every rank has been
  * told the decision stands still, and every stream with it; a margin that is too wide makes maps late.
  */
-import type { Clock } from '../core/clock/index.js';
+import { timed, type Clock } from '../core/clock/index.js';
 import type { RankOrder } from '../core/groups/index.js';
 import { FIRST_MARGIN_STEPS, MARGIN_FACTOR, MARGIN_HALF_LIFE_MS, MARGIN_STEPS } from './consts.js';
 
@@ -14,15 +14,10 @@
   constructor(private readonly clock: Clock) {}
 
   /** Passes calls through and notes how long they took, also when they failed. */
-  async timed<T>(kind: RankOrder['kind'], calls: Promise<T>): Promise<T> {
-    const startedAtMs = this.clock.nowMs();
-    try {
-      return await calls;
-    } finally {
-      const nowMs = this.clock.nowMs();
-      if (nowMs - startedAtMs >= this.lately(kind))
-        this.slowest.set(kind, { ms: nowMs - startedAtMs, atMs: nowMs });
-    }
+  timed<T>(kind: RankOrder['kind'], calls: Promise<T>): Promise<T> {
+    return timed(this.clock, calls, (ms) => {
+      if (ms >= this.lately(kind)) this.slowest.set(kind, { ms, atMs: this.clock.nowMs() });
+    });
   }
 
   /**
