--- a/src/core/published/relayed-source.ts
+++ b/src/core/published/relayed-source.ts
@@ -45,7 +45,7 @@
 
 /** Time for an answer beyond the wait, ms; a relay has two thirds of a core, and some hundred daemons to answer. */
 const ANSWER_MS = 300;
-/** Time for which a source that failed is not asked, ms; it doubles with each failure in a row up to the longest. */
+/** Time for which a source that failed is not asked, ms; for a relay it doubles with each failure in a row up to the longest. */
 const AVOIDED_MS = { first: 3000, most: 24_000 } as const;
 
 /**
@@ -173,7 +173,9 @@
   }
 
   private noteBad(from: Candidate, { kind, detail }: ReadFault): void {
-    const avoidedMs = Math.min(AVOIDED_MS.most, AVOIDED_MS.first * 2 ** from.failures);
+    // A store that was away has to be asked again soon: relays hear of changes from it alone.
+    const growth = from.relay === undefined ? 1 : 2 ** from.failures;
+    const avoidedMs = Math.min(AVOIDED_MS.most, AVOIDED_MS.first * growth);
     from.failures += 1;
     from.avoidedUntilMs = this.parts.clock.nowMs() + avoidedMs;
     const source = from.relay ?? 'store';
