--- a/test/core/limits/limits.test.ts
+++ b/test/core/limits/limits.test.ts
@@ -231,7 +231,7 @@
 /**
  * Story: on a group of 129 ranks with four slots each entries refused callers by a limit of 581 streams whenever steps were
  * slow, and the group ran 421 of them: what came to ranks without a free slot waited, and its first event was late.
- * Evidence: `limit=581` beside `running=421` in the lines `group.seen` of scale-1 of the large site, seconds 3 to 7.
+ * Evidence: `limit=581` beside `running=421` in the lines `group.seen` of a deployment of 228 daemons under load, seconds 3 to 7.
  */
 test('no limit takes more than its share of the slots, however slow steps are', () => {
   const model: StepModel = { ...MODEL, ranks: 129, slots: 4 };
--- a/test/core/published/published-state.test.ts
+++ b/test/core/published/published-state.test.ts
@@ -66,7 +66,7 @@
 });
 
 /**
- * Story: engines may start again under the id that they had (the users' pages). What had left under an id was left out
+ * Story: engines may start again under the id that they had. What had left under an id was left out
  * for good, so that an engine that was drained and came back never got a request again, and its rank's slots stood empty.
  * Evidence: this test failed on the code before, `takesWork` stayed false whatever was published afterwards.
  */
--- a/test/core/published/relayed-source.test.ts
+++ b/test/core/published/relayed-source.test.ts
@@ -2,7 +2,7 @@
  * Story: on a deployment of 228 daemons each kept a waiting call at the store, 10,782 calls in 73 s of its heaviest day, the
  * largest price of that day (0.12 of its worth; 0.17 to 0.26 on days of 30 daemons). And where the store turned single
  * entries away for 9 s, these refused every keyed request although their neighbours knew that nothing had changed.
- * Evidence: the accounts of `trouble-3` and of the small twins on the code before; docs/OPERATIONS.md, `proof-old`.
+ * Evidence: the accounts of three played days on the code before (docs/LARGE-FLEETS.md); docs/OPERATIONS.md, `proof-old`.
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
@@ -394,7 +394,7 @@
  * Story: a key that was revoked was honoured 2.03 s after the store had acknowledged it, where 2 s are allowed.
  * Order of events: the store turned the three relays away for a moment each, one after the other; each heard from the next
  * one from then on, in a ring, and nobody asked the store until all proofs were 2.6 s old.
- * Evidence: `published.avoided` of the drawn day fresh-6f41 (Sao Mai, 7d7ba696, replayed): thuduc-1 by 10.1.0.14, tanthuan-1
+ * Evidence: `published.avoided` of a played day (docs/INCIDENTS.md, ring): thuduc-1 by 10.1.0.14, tanthuan-1
  * by 10.2.0.35, quan7-1 by 10.3.0.18, all `stale` at 18.87 s with proofs of 2,667 to 2,678 ms; keys revoked at 16.58 s.
  */
 test('relays that the store turns away in turn do not hear from each other in a ring', async () => {
--- a/test/group/large-group.test.ts
+++ b/test/group/large-group.test.ts
@@ -69,7 +69,7 @@
  * Story: on a deployment of 129 engines in one group (99 entries, 134 endpoints) four new maps came into use in 57 s and
  * steps took twice their time, where a group of 12 had 25 maps; a quarter of the requests was served late, a quarter
  * refused.
- * Evidence: `scale-1` of the large site. Rank 0 logs a skew of 3.03 at 1.05 s and answers nobody until after 5.6 s: it makes
+ * Evidence: the logs of its coordinator. Rank 0 logs a skew of 3.03 at 1.05 s and answers nobody until after 5.6 s: it makes
  * its plan (round-plan.test); rank 1 takes over at 2.8 s and finds `1 of 129` silent. Behind that stood what the coordinator
  * sends by itself, which this test plays: 129 calls a phase, the digest to each rank (0.28 MB a look), and a map of 22 KB to
  * each rank (2.8 MB, 5.4 s of its link of 4.2 Mbit/s, where a prepare has 5 s). The code before brings 2 maps here.
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -203,7 +203,7 @@
 });
 
 /**
- * Story: an entry may come from another writer (the users' pages). One with a state that nobody names was taken for an
+ * Story: an entry may come from another writer. One with a state that nobody names was taken for an
  * endpoint that leaves, for good; one whose address is no address made every request that was given to it fail; and a
  * record that was overwritten stayed in use as it had been.
  * Evidence: each of these cases failed on the code before.
