--- a/src/core/groups/count-deltas.ts
+++ b/src/core/groups/count-deltas.ts
@@ -1,5 +1,7 @@
 /** Turns an engine's totals into what was counted since a coordinator looked last. */
 
+import { setNewest } from './newest.js';
+
 /** What totals count from: each life of an engine, and each forming of its group, begins anew. */
 export interface CountOrigin {
   readonly groupEpoch?: number | undefined;
@@ -34,13 +36,9 @@
     totals: readonly (readonly number[])[],
   ): number[][] | undefined {
     const last = this.lastByAsker.get(asker);
-    this.lastByAsker.delete(asker);
-    this.lastByAsker.set(asker, {
-      totals,
-      origin: { groupEpoch: origin.groupEpoch, engineStartedAtMs: origin.engineStartedAtMs },
-    });
-    if (this.lastByAsker.size > MOST_ASKERS)
-      this.lastByAsker.delete(this.lastByAsker.keys().next().value as string);
+    const { groupEpoch, engineStartedAtMs } = origin;
+    const next = { totals, origin: { groupEpoch, engineStartedAtMs } };
+    setNewest(this.lastByAsker, asker, next, MOST_ASKERS);
     if (!last || !isSame(last.origin, origin)) return undefined;
     return totals.map((layer, l) =>
       // A total that fell is that of an engine that was started anew.
--- a/src/core/groups/packing.ts
+++ b/src/core/groups/packing.ts
@@ -43,17 +43,17 @@
  */
 export function unpackMap({ id, numbers: text }: PackedMap): ExpertMap | undefined {
   const numbers = inflate(text);
+  if (!numbers) return undefined;
   let at = 0;
-  const next = (): number => numbers?.[at++] ?? Number.NaN;
+  const next = (): number => numbers[at++] ?? Number.NaN;
   const listOf = <T>(read: () => T): T[] | undefined => {
     const count = next();
-    if (Number.isNaN(count) || count > (numbers?.length ?? 0)) return undefined;
-    return Array.from({ length: count }, read);
+    return count <= numbers.length ? Array.from({ length: count }, read) : undefined;
   };
   const layers = listOf(() => listOf(() => listOf(next)));
   if (!layers?.every((layer) => layer?.every((held) => held?.every(Number.isInteger))))
     return undefined;
-  return at === numbers?.length ? { id, layers: layers as number[][][] } : undefined;
+  return at === numbers.length ? { id, layers: layers as number[][][] } : undefined;
 }
 
 /** The numbers of a text; undefined where it is no deflated one. */
--- a/src/core/groups/rank-gate.ts
+++ b/src/core/groups/rank-gate.ts
@@ -5,6 +5,7 @@
  */
 import type { Incarnation } from '../ids/index.js';
 import { CountDeltas } from './count-deltas.js';
+import { setNewest } from './newest.js';
 import { packCounts, packMap, unpackChange, unpackMap } from './packing.js';
 import type { ExpertMap, RankOrder, RankReply } from './types.js';
 
@@ -124,12 +125,8 @@
       return this.reply(false, 'made for another incarnation');
     if (order.epoch !== this.promised)
       return this.reply(false, `epoch ${this.promised} is promised`);
-    if (order.kind === 'prepare' && !this.mapOf(order)) {
-      const reply = await this.reply(false, 'the map cannot be built here');
-      return { ...reply, lacksBase: true };
-    }
-    const done = await this.act(order);
-    return this.reply(done, done ? undefined : 'the engine refused');
+    if (order.kind === 'prepare') return this.prepare(order);
+    return this.replyTo(await this.act(order));
   }
 
   private async look(order: RankOrder): Promise<RankReply> {
@@ -170,36 +167,41 @@
     return base && unpackChange(base, change);
   }
 
-  private keep(map: ExpertMap): void {
-    this.maps.delete(map.id);
-    this.maps.set(map.id, map);
-    if (this.maps.size > MOST_MAPS) this.maps.delete(this.maps.keys().next().value as string);
+  private async prepare(order: RankOrder): Promise<RankReply> {
+    const map = this.mapOf(order);
+    if (!map) {
+      const reply = await this.reply(false, 'the map cannot be built here');
+      return { ...reply, lacksBase: true };
+    }
+    this.prepared = map;
+    setNewest(this.maps, map.id, map, MOST_MAPS);
+    return this.replyTo(await this.give({ kind: 'load', epoch: order.epoch, map }));
+  }
+
+  /** Gives the engine an order; whether it was carried out. */
+  private async give(order: EngineOrder): Promise<boolean> {
+    return (await this.engine.order(order)) === 'done';
   }
 
   private async act(order: RankOrder): Promise<boolean> {
-    const give = async (own: EngineOrder): Promise<boolean> =>
-      (await this.engine.order(own)) === 'done';
     const { epoch } = order;
     // The promise stands in this incarnation: the reply's state is the answer.
     if (order.kind === 'recheck') return true;
-    if (order.kind === 'prepare') {
-      const map = this.mapOf(order);
-      if (!map) return false;
-      this.prepared = map;
-      this.keep(map);
-      return give({ kind: 'load', epoch, map });
-    }
     if (order.kind === 'arm') {
       const { prepared } = this;
       if (!prepared || prepared.id !== order.mapId || order.step === undefined) return false;
       // An engine that checks no fences is protected by looking first: nobody else gives it orders.
       const state = await this.read(STATE_ONLY);
       if (state.armed || order.step <= state.step) return false;
-      return give({ kind: 'arm', epoch, map: prepared, step: order.step });
+      return this.give({ kind: 'arm', epoch, map: prepared, step: order.step });
     }
-    if (order.kind === 'promise' || order.kind === 'look' || order.target === undefined)
-      return false;
-    return give({ kind: order.kind, epoch, target: order.target });
+    if (order.kind !== 'confirm' && order.kind !== 'abort') return false;
+    if (order.target === undefined) return false;
+    return this.give({ kind: order.kind, epoch, target: order.target });
+  }
+
+  private replyTo(done: boolean): Promise<RankReply> {
+    return this.reply(done, done ? undefined : 'the engine refused');
   }
 
   private async reply(done: boolean, detail: string | undefined): Promise<RankReply> {
--- a/src/group/group-view.ts
+++ b/src/group/group-view.ts
@@ -1,5 +1,5 @@
 /** Puts together what the ranks of a group tell. */
-import { unpackCounts, type RankReply } from '../core/groups/index.js';
+import { setNewest, unpackCounts, type RankReply } from '../core/groups/index.js';
 import type { Placement, Popularity } from '../core/placement/index.js';
 
 /** Replies of all ranks of one group, in order of rank. */
@@ -112,9 +112,7 @@
 
   /** Notes a map. */
   note(id: string, placement: Placement): void {
-    this.byId.delete(id);
-    this.byId.set(id, placement);
-    if (this.byId.size > MOST_MAPS) this.byId.delete(this.byId.keys().next().value as string);
+    setNewest(this.byId, id, placement, MOST_MAPS);
   }
 
   /**
