One relay is a source like the store; failing over knows sources alone

Cause: RelayedSource held both what one relay had told and which of several sources is asked, and told store and relay apart at five places. Entries and agents each worked out their relays and whether they are one. The daemons of both interfaces built the same server of calls, each by itself. Each entry compared all endpoints as JSON at each proof. Change: OneRelay reads from one relay (life, sequence, age, configuration) and is a PublishedSource as the store is; RelayedSource chooses among sources. relayPlace says both from the settings. serveRpc serves the own interface as well, with its size, keep-alive and counter as options. Endpoints that are the same objects are alike without a text of them. Errors of a relay are told by errorText, as elsewhere. Behaviour as it was otherwise.

--- a/src/core/published/index.ts
+++ b/src/core/published/index.ts
@@ -5,4 +5,5 @@
 export * from './source.js';
 export * from './follow.js';
 export * from './relay.js';
+export * from './one-relay.js';
 export * from './relayed-source.js';
--- /dev/null
+++ b/src/core/published/one-relay.ts
@@ -0,0 +1,166 @@
+/** The published state as one relay tells it. A proof keeps the age that it had there, so that it never counts for younger. */
+import { errorText } from '../errors/index.js';
+import { asId, type EndpointId } from '../ids/index.js';
+import { Err, Ok, type Result } from '../result/index.js';
+import type { PublishedAsk, PublishedNews } from '../../generated/messages.types.js';
+import type { PublishedState } from './published-state.js';
+import { endpointFrom, STALE_MS } from './relay.js';
+import type {
+  ConfigNews,
+  ConfigRead,
+  EndpointChange,
+  PublishedRead,
+  PublishedSource,
+  PublishedStore,
+  ReadFault,
+  Watched,
+} from './source.js';
+
+/** Asks a relay by its address; rejects when it cannot be reached in time. */
+export type AskRelay = (
+  address: string,
+  ask: PublishedAsk,
+  withinMs: number,
+) => Promise<PublishedNews>;
+
+/** How a daemon reads from relays. */
+export interface RelayedPace {
+  /** Longest time that a relay holds a question, ms. */
+  readonly waitMs: number;
+  /** Whether each new proof is wanted. */
+  readonly wantsProof: boolean;
+}
+
+/**
+ * An entry's: it must find another source within a second of when it could have heard the next proof; a change that a relay
+ * never tells has to be in force 2 s after it was made.
+ */
+export const ENTRY_RELAYED: RelayedPace = { waitMs: 700, wantsProof: true };
+/** An agent's: it acts on changes of its own group, rarely. */
+export const AGENT_RELAYED: RelayedPace = { waitMs: 5000, wantsProof: false };
+
+/** Time for an answer beyond the wait, ms; a relay has two thirds of a core, and some hundred daemons to answer. */
+const ANSWER_MS = 300;
+
+/** What reading from a relay needs. */
+export interface OneRelayParts {
+  readonly store: PublishedStore;
+  /** Whether this daemon is a relay itself. */
+  readonly isRelay: boolean;
+  readonly ask: AskRelay;
+  readonly state: PublishedState;
+  readonly pace: RelayedPace;
+  /** Whether a newer configuration is wanted; the first one is in any case. */
+  readonly wantsConfig: () => boolean;
+}
+
+/** What a relay has told so far. */
+type Told = Pick<PublishedAsk, 'life' | 'sequence'>;
+
+const NOTHING: Told = { life: '', sequence: 0 };
+
+/** What was heard of a relay, with the configuration that it tells of. */
+interface Heard extends ConfigRead {
+  readonly news: PublishedNews;
+  readonly provedAfterMs: number;
+}
+
+function fault(kind: ReadFault['kind'], detail: string): Result<never, ReadFault> {
+  return Err({ kind, detail });
+}
+
+/** Reads from the relay at an address. */
+export class OneRelay implements PublishedSource {
+  private told = NOTHING;
+
+  constructor(
+    private readonly address: string,
+    private readonly parts: OneRelayParts,
+  ) {}
+
+  /** All that the relay holds. */
+  async readAll(): Promise<Result<PublishedRead, ReadFault>> {
+    const heard = await this.hear(NOTHING, 0);
+    if (heard.err) return heard;
+    const { news, ...read } = heard.val;
+    return Ok({ ...read, endpoints: news.written.map(endpointFrom), revision: 0 });
+  }
+
+  /** What has changed since it told last, whatever the revision; a fault where it no longer knows what that was. */
+  async watch(_revision: number, waitMs: number): Promise<Result<Watched, ReadFault>> {
+    const heard = await this.hear(this.told, waitMs);
+    if (heard.err) return heard;
+    const { news, ...read } = heard.val;
+    return Ok({ ...read, kind: 'changes', endpoints: changesOf(news), revision: 0 });
+  }
+
+  private async hear(told: Told, waitMs: number): Promise<Result<Heard, ReadFault>> {
+    const asked = await this.ask(told, Math.min(waitMs, this.parts.pace.waitMs));
+    if (asked.err) return asked;
+    const news = asked.val;
+    const useless = this.uselessness(news) ?? this.gap(told, news);
+    if (useless) return useless;
+    const config = await this.configFor(news);
+    if (config.err) return config;
+    this.told = { life: news.life, sequence: news.sequence };
+    // It held the question for so long after it was asked, and had its proof so long before it answered.
+    const provedAfterMs = news.waitedMs - news.provedAgoMs;
+    return Ok({ ...config.val, news, provedAfterMs });
+  }
+
+  private async ask(told: Told, waitMs: number): Promise<Result<PublishedNews, ReadFault>> {
+    const { ask, pace, state } = this.parts;
+    const { wantsProof } = pace;
+    const configVersion = wantsProof ? state.config?.version : undefined;
+    const question: PublishedAsk = {
+      ...told,
+      waitMs,
+      wantsProof,
+      ...(configVersion !== undefined && { configVersion }),
+    };
+    try {
+      return Ok(await ask(this.address, question, waitMs + ANSWER_MS));
+    } catch (err) {
+      return fault('reset', `${this.address}: ${errorText(err)}`);
+    }
+  }
+
+  /** Why news is of no use here, as of its age or its way. */
+  private uselessness(news: PublishedNews): Result<never, ReadFault> | undefined {
+    const { address, parts } = this;
+    const { configVersion: theirs, provedAgoMs } = news;
+    if (theirs === undefined) return fault('stale', `${address} has read no configuration yet`);
+    // Relays that heard from each other would all wait for news that nobody asks the store for.
+    if (parts.isRelay && !news.isDirect)
+      return fault('stale', `${address} hears from another relay itself`);
+    if (provedAgoMs >= STALE_MS)
+      return fault('stale', `${address} had its last proof ${Math.round(provedAgoMs)} ms ago`);
+    const own = parts.state.config?.version;
+    if (own !== undefined && theirs < own)
+      return fault('stale', `${address} has version ${theirs}, ${own} is in force here`);
+    return undefined;
+  }
+
+  /** Whoever asks for changes and is told all cannot tell what went meanwhile. */
+  private gap(told: Told, news: PublishedNews): Result<never, ReadFault> | undefined {
+    if (told === NOTHING || !news.isWhole) return undefined;
+    return fault('missing', `${this.address} no longer knows what was told`);
+  }
+
+  /** The configuration beside some news: of the store where the relay has a newer one, which is too large to pass on. */
+  private async configFor({
+    configVersion: theirs,
+  }: PublishedNews): Promise<Result<ConfigRead, ReadFault>> {
+    const own = this.parts.state.config?.version;
+    const isWanted = own === undefined || (own !== theirs && this.parts.wantsConfig());
+    const same: ConfigNews = { kind: 'same' };
+    return isWanted ? this.parts.store.readConfig() : Ok({ config: same, invalid: [] });
+  }
+}
+
+function changesOf(news: PublishedNews): EndpointChange[] {
+  return [
+    ...news.written.map((told) => ({ kind: 'written' as const, endpoint: endpointFrom(told) })),
+    ...news.removed.map((id) => ({ kind: 'removed' as const, id: asId<EndpointId>(id) })),
+  ];
+}
--- a/src/core/published/relay.ts
+++ b/src/core/published/relay.ts
@@ -41,8 +41,9 @@
  */
 export const STALE_MS = 1200;
 
+/** Endpoints that did not change are the same objects from one look to the next, but after everything was read anew. */
 function isAlike(a: PublishedEndpoint, b: PublishedEndpoint | undefined): boolean {
-  return JSON.stringify(a) === JSON.stringify(b);
+  return a === b || JSON.stringify(a) === JSON.stringify(b);
 }
 
 /** Tells others what this daemon follows. */
--- a/src/core/published/relayed-source.ts
+++ b/src/core/published/relayed-source.ts
@@ -1,50 +1,10 @@
-/**
- * The published state as a daemon reads it from relays, or from the store where none of them has fresh news. A proof keeps
- * the age that it had at the relay, so that it never counts for younger than it is.
- */
+/** The published state as a daemon reads it: from the first relay that has fresh news, or from the store. */
 import type { Clock } from '../clock/index.js';
-import { asId, type EndpointId } from '../ids/index.js';
 import type { Log } from '../logging/index.js';
 import { Err, Ok, type Result } from '../result/index.js';
-import type { PublishedAsk, PublishedNews } from '../../generated/messages.types.js';
-import type { PublishedState } from './published-state.js';
-import { endpointFrom, STALE_MS } from './relay.js';
-import type {
-  ConfigNews,
-  ConfigRead,
-  EndpointChange,
-  PublishedRead,
-  PublishedSource,
-  PublishedStore,
-  ReadFault,
-  Watched,
-} from './source.js';
-
-/** Asks a relay by its address; rejects when it cannot be reached in time. */
-export type AskRelay = (
-  address: string,
-  ask: PublishedAsk,
-  withinMs: number,
-) => Promise<PublishedNews>;
-
-/** How a daemon reads from relays. */
-export interface RelayedPace {
-  /** Longest time that a relay holds a question, ms. */
-  readonly waitMs: number;
-  /** Whether each new proof is wanted. */
-  readonly wantsProof: boolean;
-}
+import { OneRelay, type OneRelayParts } from './one-relay.js';
+import type { PublishedRead, PublishedSource, ReadFault, Watched } from './source.js';
 
-/**
- * An entry's: it must find another source within a second of when it could have heard the next proof; a change that a relay
- * never tells has to be in force 2 s after it was made.
- */
-export const ENTRY_RELAYED: RelayedPace = { waitMs: 700, wantsProof: true };
-/** An agent's: it acts on changes of its own group, rarely. */
-export const AGENT_RELAYED: RelayedPace = { waitMs: 5000, wantsProof: false };
-
-/** Time for an answer beyond the wait, ms; a relay has two thirds of a core, and some hundred daemons to answer. */
-const ANSWER_MS = 300;
 /** Time for which a source that failed is not asked, ms; for a relay it doubles with each failure in a row up to the longest. */
 const AVOIDED_MS = { first: 3000, most: 24_000 } as const;
 
@@ -55,19 +15,11 @@
  */
 const START = { withinMs: 700, pauseMs: 200 } as const;
 
-/** What reading needs. */
-export interface RelayedParts {
-  readonly store: PublishedStore;
+/** What reading needs; those who are relays themselves ask the store before the others. */
+export interface RelayedParts extends OneRelayParts {
   /** Addresses of the relays, the first to be asked first. */
   readonly relays: readonly string[];
-  /** Whether the store is asked before the relays: those who are relays themselves do. */
-  readonly isRelay: boolean;
-  readonly ask: AskRelay;
-  readonly state: PublishedState;
   readonly clock: Clock;
-  readonly pace: RelayedPace;
-  /** Whether a newer configuration is wanted; the first one is in any case. */
-  readonly wantsConfig: () => boolean;
   readonly log: Log;
   /** Waits, ms; a test may bring its own time. */
   readonly pause: (ms: number) => Promise<void>;
@@ -75,54 +27,48 @@
 
 /** Where something may be read. */
 interface Candidate {
-  /** Address of a relay; undefined for the store. */
-  readonly relay: string | undefined;
+  /** Its address, or `store`. */
+  readonly name: string;
+  readonly source: PublishedSource;
   failures: number;
   avoidedUntilMs: number;
 }
 
-/** What was read last, and where. */
-interface Held {
-  readonly from: Candidate;
-  readonly life: string;
-  readonly sequence: number;
-}
-
-function fault(kind: ReadFault['kind'], detail: string): Result<never, ReadFault> {
-  return Err({ kind, detail });
+function candidateOf(name: string, source: PublishedSource): Candidate {
+  return { name, source, failures: 0, avoidedUntilMs: Number.NEGATIVE_INFINITY };
 }
 
 /** Reads from the first source of several that has fresh news. */
 export class RelayedSource implements PublishedSource {
-  private readonly candidates: readonly Candidate[];
-  private held: Held | undefined;
+  private readonly store: Candidate;
+  private readonly relays: readonly Candidate[];
+  /** Where was read last. */
+  private current: Candidate | undefined;
 
   constructor(private readonly parts: RelayedParts) {
-    const relays = parts.relays.map((relay) => candidateOf(relay));
-    const store = candidateOf(undefined);
-    this.candidates = parts.isRelay ? [store, ...relays] : [...relays, store];
+    this.store = candidateOf('store', parts.store);
+    this.relays = parts.relays.map((address) => candidateOf(address, new OneRelay(address, parts)));
   }
 
   /** Whether what is held comes from the store itself. */
   get isDirect(): boolean {
-    return this.held?.from.relay === undefined;
+    return this.current === undefined || this.current === this.store;
   }
 
   /** Reads everything from the first source that has it. */
   async readAll(): Promise<Result<PublishedRead, ReadFault>> {
-    const first = this.held || this.parts.isRelay ? undefined : await this.readAtStart();
+    const first = this.current || this.parts.isRelay ? undefined : await this.readAtStart();
     if (first) return first;
-    let last = fault('missing', 'no source was asked');
+    let last: Result<PublishedRead, ReadFault> = Err({
+      kind: 'missing',
+      detail: 'no source was asked',
+    });
     for (const from of this.inTurn()) {
-      const read =
-        from.relay === undefined
-          ? await this.readStore(from)
-          : await this.readRelay(from, from.relay);
-      if (read.ok) {
-        this.noteGood(from);
-        return read;
+      last = await this.readFrom(from);
+      if (last.ok) {
+        from.failures = 0;
+        return last;
       }
-      last = read as Result<never, ReadFault>;
       this.noteBad(from, last.val as ReadFault);
     }
     return last;
@@ -130,11 +76,10 @@
 
   /** Reads everything from a relay that may have yet to start; undefined when none of them answers in time. */
   private async readAtStart(): Promise<Result<PublishedRead, ReadFault> | undefined> {
-    const relays = this.candidates.filter((candidate) => candidate.relay !== undefined);
     const untilMs = this.parts.clock.nowMs() + START.withinMs;
-    while (relays.length > 0 && this.parts.clock.nowMs() < untilMs) {
-      for (const from of relays) {
-        const read = await this.readRelay(from, from.relay as string);
+    while (this.relays.length > 0 && this.parts.clock.nowMs() < untilMs) {
+      for (const from of this.relays) {
+        const read = await this.readFrom(from);
         if (read.ok) return read;
       }
       await this.parts.pause(START.pauseMs);
@@ -142,148 +87,41 @@
     return undefined;
   }
 
+  private async readFrom(from: Candidate): Promise<Result<PublishedRead, ReadFault>> {
+    const read = await from.source.readAll();
+    if (read.ok) this.current = from;
+    return read;
+  }
+
   /** Changes since what was read last; where they cannot be had there, everything is to be read anew elsewhere. */
   async watch(revision: number, waitMs: number): Promise<Result<Watched, ReadFault>> {
-    const { held } = this;
-    const best = this.inTurn()[0];
-    if (!held || best !== held.from) return Ok({ kind: 'forgotten' });
-    const watched =
-      held.from.relay === undefined
-        ? await this.parts.store.watch(revision, waitMs)
-        : await this.watchRelay(held, held.from.relay, waitMs);
+    const { current } = this;
+    if (!current || this.inTurn()[0] !== current) return Ok({ kind: 'forgotten' });
+    const watched = await current.source.watch(revision, waitMs);
     if (watched.ok) {
-      this.noteGood(held.from);
+      current.failures = 0;
       return watched;
     }
-    this.noteBad(held.from, watched.val as ReadFault);
-    const isAlone = this.inTurn()[0] === held.from;
+    this.noteBad(current, watched.val as ReadFault);
+    const isAlone = this.inTurn()[0] === current;
     return isAlone ? watched : Ok({ kind: 'forgotten' });
   }
 
   /** Sources to be asked, in their order. The store is asked in any case, when no other is left. */
   private inTurn(): Candidate[] {
     const nowMs = this.parts.clock.nowMs();
-    const open = this.candidates.filter((candidate) => candidate.avoidedUntilMs <= nowMs);
-    if (open.some((candidate) => candidate.relay === undefined)) return open;
-    return [...open, ...this.candidates.filter((candidate) => candidate.relay === undefined)];
-  }
-
-  private noteGood(from: Candidate): void {
-    from.failures = 0;
+    const isOpen = ({ avoidedUntilMs }: Candidate): boolean => avoidedUntilMs <= nowMs;
+    const relays = this.relays.filter(isOpen);
+    const isFirst = this.parts.isRelay && isOpen(this.store);
+    return isFirst ? [this.store, ...relays] : [...relays, this.store];
   }
 
   private noteBad(from: Candidate, { kind, detail }: ReadFault): void {
     // A store that was away has to be asked again soon: relays hear of changes from it alone.
-    const growth = from.relay === undefined ? 1 : 2 ** from.failures;
+    const growth = from === this.store ? 1 : 2 ** from.failures;
     const avoidedMs = Math.min(AVOIDED_MS.most, AVOIDED_MS.first * growth);
     from.failures += 1;
     from.avoidedUntilMs = this.parts.clock.nowMs() + avoidedMs;
-    const source = from.relay ?? 'store';
-    this.parts.log.info('published.avoided', { source, kind, detail, forMs: avoidedMs });
-  }
-
-  private async readStore(from: Candidate): Promise<Result<PublishedRead, ReadFault>> {
-    const read = await this.parts.store.readAll();
-    if (read.ok) this.held = { from, life: '', sequence: 0 };
-    return read;
-  }
-
-  private async readRelay(
-    from: Candidate,
-    address: string,
-  ): Promise<Result<PublishedRead, ReadFault>> {
-    const asked = await this.ask(address, { life: '', sequence: 0, waitMs: 0 });
-    if (asked.err) return asked;
-    const news = asked.val;
-    const config = await this.configFor(news);
-    if (config.err) return config;
-    this.held = { from, life: news.life, sequence: news.sequence };
-    return Ok({
-      ...config.val,
-      endpoints: news.written.map(endpointFrom),
-      revision: 0,
-      provedAfterMs: provedAfterMs(news),
-    });
-  }
-
-  private async watchRelay(
-    held: Held,
-    address: string,
-    waitMs: number,
-  ): Promise<Result<Watched, ReadFault>> {
-    const { life, sequence } = held;
-    const asked = await this.ask(address, { life, sequence, waitMs });
-    if (asked.err) return asked;
-    const news = asked.val;
-    if (news.isWhole) return fault('missing', `${address} no longer knows what was told`);
-    const config = await this.configFor(news);
-    if (config.err) return config;
-    this.held = { ...held, sequence: news.sequence };
-    return Ok({
-      kind: 'changes',
-      ...config.val,
-      endpoints: changesOf(news),
-      revision: 0,
-      provedAfterMs: provedAfterMs(news),
-    });
-  }
-
-  private async ask(
-    address: string,
-    { life, sequence, waitMs }: Pick<PublishedAsk, 'life' | 'sequence' | 'waitMs'>,
-  ): Promise<Result<PublishedNews, ReadFault>> {
-    const { ask, pace, state } = this.parts;
-    const heldMs = Math.min(waitMs, pace.waitMs);
-    const version = pace.wantsProof ? state.config?.version : undefined;
-    try {
-      const news = await ask(
-        address,
-        {
-          life,
-          sequence,
-          waitMs: heldMs,
-          wantsProof: pace.wantsProof,
-          ...(version !== undefined && { configVersion: version }),
-        },
-        heldMs + ANSWER_MS,
-      );
-      if (news.configVersion === undefined)
-        return fault('stale', `${address} has read no configuration yet`);
-      // Relays that heard from each other would all wait for news that nobody asks the store for.
-      if (this.parts.isRelay && !news.isDirect)
-        return fault('stale', `${address} hears from another relay itself`);
-      if (news.provedAgoMs < STALE_MS) return Ok(news);
-      return fault('stale', `${address} had its last proof ${Math.round(news.provedAgoMs)} ms ago`);
-    } catch (err) {
-      return fault('reset', `${address}: ${String(err)}`);
-    }
-  }
-
-  /** The configuration beside some news: of the store where the relay has a newer one, which is too large to pass on. */
-  private async configFor(news: PublishedNews): Promise<Result<ConfigRead, ReadFault>> {
-    const own = this.parts.state.config?.version;
-    const theirs = news.configVersion;
-    if (own !== undefined && theirs !== undefined && theirs < own)
-      return fault('stale', `the relay has version ${theirs}, ${own} is in force here`);
-    const same: ConfigNews = { kind: 'same' };
-    if (own === theirs || (own !== undefined && !this.parts.wantsConfig()))
-      return Ok({ config: same, invalid: [] });
-    return this.parts.store.readConfig();
+    this.parts.log.info('published.avoided', { source: from.name, kind, detail, forMs: avoidedMs });
   }
 }
-
-function candidateOf(relay: string | undefined): Candidate {
-  return { relay, failures: 0, avoidedUntilMs: Number.NEGATIVE_INFINITY };
-}
-
-/** The relay held the question for so long after it was asked, and had its proof so long before it answered. */
-function provedAfterMs({ waitedMs, provedAgoMs }: PublishedNews): number {
-  return waitedMs - provedAgoMs;
-}
-
-function changesOf(news: PublishedNews): EndpointChange[] {
-  return [
-    ...news.written.map((told) => ({ kind: 'written' as const, endpoint: endpointFrom(told) })),
-    ...news.removed.map((id) => ({ kind: 'removed' as const, id: asId<EndpointId>(id) })),
-  ];
-}
--- a/src/daemon/start.ts
+++ b/src/daemon/start.ts
@@ -1,12 +1,11 @@
 /** Starts one daemon from checked settings, and stops it without cutting what runs. */
-import { createServer, type Server } from 'node:http';
+import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { connectEndpoint, startRank, type Rank } from '../agent/index.js';
 import { sleep } from '../core/clock/index.js';
 import { runFeed, type FeedUpdate } from '../core/config-feed/index.js';
 import type { FullSettings } from '../core/settings/index.js';
-import { buildRouter, CONNECT_MS, RPC_PATH, type DaemonCalls } from '../rpc/index.js';
+import { CONNECT_MS, serveRpc, type DaemonCalls } from '../rpc/index.js';
 import type { DaemonContext } from '../runtime/index.js';
 import { listen } from '../runtime/listen.js';
 import { createDaemonContext, type Leaving } from './context.js';
@@ -54,15 +53,12 @@
 }
 
 function createDaemonServer(ctx: DaemonContext, rank: Rank | undefined): Server {
-  const router = buildRouter({ ...baseCalls(ctx), ...(rank && { rank: rank.serve }) });
-  const rpc = createHTTPHandler({
-    router,
-    basePath: RPC_PATH,
-    maxBodySize: MAX_RPC_BYTES,
-    onError: ({ error, path }) =>
-      ctx.metrics.count('rpc_errors_total', { path: path ?? '', code: error.code }),
+  const calls = { ...baseCalls(ctx), ...(rank && { rank: rank.serve }) };
+  return serveRpc(calls, {
+    maxBytes: MAX_RPC_BYTES,
+    keepAliveMs: KEEP_ALIVE_MS,
+    onError: (path, code) => ctx.metrics.count('rpc_errors_total', { path, code }),
   });
-  return createServer({ requestTimeout: 0, keepAliveTimeout: KEEP_ALIVE_MS }, rpc);
 }
 
 function startOwnRank(ctx: DaemonContext): Rank | undefined {
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -20,7 +20,7 @@
 import { askRelay, createPeers } from '../rpc/peers.js';
 import { serveRpc } from '../rpc/serve.js';
 import { listen } from '../runtime/listen.js';
-import { addressOf, relaysFor } from '../runtime/relays.js';
+import { relayPlace } from '../runtime/relays.js';
 import { watchSettings } from '../runtime/settings-watch.js';
 import { STOP_CUT_MS, STOP_POLL_MS, STOP_SERVING_MS } from './consts.js';
 import { createContext, type GatewayContext } from './context.js';
@@ -82,13 +82,11 @@
     groupOf: (endpoint) => groups.groupOf(endpoint),
   });
   const gateway = createGateway(ctx);
-  const own = settings.control && addressOf(settings.control);
-  const isRelay = own !== undefined && settings.relays.includes(own);
+  const place = relayPlace(settings);
   const source = new RelayedSource({
     ...shared,
     store: parts.store,
-    relays: relaysFor(settings, own),
-    isRelay,
+    ...place,
     ask: askRelay(peers),
     pause: sleep,
     pace: ENTRY_RELAYED,
@@ -100,7 +98,7 @@
     isDirect: () => source.isDirect,
   });
   const onLearnt = (): void => relay.noteLearnt();
-  const pace = isRelay ? RELAY_PACE : ENTRY_PACE;
+  const pace = place.isRelay ? RELAY_PACE : ENTRY_PACE;
   void followPublished({ ...shared, source, pace, onLearnt }, ending.signal);
   void groups.run(ending.signal);
   setInterval(() => ctx.endpoints.prune(), PRUNE_MS).unref();
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -22,7 +22,7 @@
 import { askRelay, createPeers } from '../rpc/peers.js';
 import { CONNECT_MS } from '../rpc/consts.js';
 import { serveRpc } from '../rpc/serve.js';
-import { relaysFor } from '../runtime/relays.js';
+import { relayPlace } from '../runtime/relays.js';
 import type { InstanceSettings } from '../gateway/types.js';
 import { Askers } from './askers.js';
 import { changePauseMs, DIGEST_STALE_MS, OWN_PAUSE_MS } from './consts.js';
@@ -63,8 +63,7 @@
     ...shared,
     state,
     store: parts.store,
-    relays: relaysFor(settings, undefined),
-    isRelay: false,
+    ...relayPlace(settings),
     ask: askRelay(peers),
     pause: sleep,
     pace: AGENT_RELAYED,
--- a/src/runtime/relays.ts
+++ b/src/runtime/relays.ts
@@ -1,24 +1,26 @@
 /** Which entries a daemon hears from what is published. */
 import { rendezvousOrder } from '../core/membership/rendezvous.js';
-import type { InstanceSettings, ListenAddress } from '../gateway/types.js';
+import type { RelayedParts } from '../core/published/index.js';
+import type { InstanceSettings } from '../gateway/types.js';
 
 /**
- * An address as the settings write it.
- * @example addressOf({ host: '10.1.0.40', port: 8229 }) // '10.1.0.40:8229'
+ * The relays that a daemon asks, the first to be asked first, and whether it is one of those that the settings name. Each
+ * daemon has its own order, so that relays are asked alike, and what one of them served goes to the others alike when it is
+ * gone.
+ * @example new RelayedSource({ ...parts, ...relayPlace(settings) })
  */
-export function addressOf({ host, port }: ListenAddress): string {
-  return `${host}:${port}`;
-}
-
-/**
- * The relays to ask, besides the own address, the first to be asked first: each daemon has its own order, so that they are
- * asked alike, and what one of them served goes to the others alike when it is gone.
- * @example relaysFor(settings, '10.1.0.40:8229')
- */
-export function relaysFor(
-  { instance, relays }: Pick<InstanceSettings, 'instance' | 'relays'>,
-  own: string | undefined,
-): string[] {
+export function relayPlace({
+  instance,
+  control,
+  relays,
+}: Pick<InstanceSettings, 'instance' | 'control' | 'relays'>): Pick<
+  RelayedParts,
+  'relays' | 'isRelay'
+> {
+  const own = control && `${control.host}:${control.port}`;
   const others = relays.filter((relay) => relay !== own);
-  return rendezvousOrder(instance, others, (relay) => relay);
+  return {
+    relays: rendezvousOrder(instance, others, (relay) => relay),
+    isRelay: others.length < relays.length,
+  };
 }
