--- a/src/gateway/group-sight.ts
+++ b/src/gateway/group-sight.ts
@@ -22,8 +22,8 @@
 /** Age above which what was seen is not acted on any more, ms: a coordinator that is lost is replaced within 2 s. */
 const STALE_MS = 3000;
 /**
- * Age up to which what an agent told is news, ms: it is asked again then. Of a large group some agents hear each 0.3 s,
- * most only between two rounds, 1.2 s apart.
+ * Age up to which what an agent told is news, ms: it is asked again then. Agents of a large group hear each 0.25 s or more,
+ * those of a branch whose first agent is silent later.
  */
 const NEWS_MS = 500;
 
--- a/src/group/digest.ts
+++ b/src/group/digest.ts
@@ -8,8 +8,8 @@
 const STEP_WEIGHT = 0.4;
 
 /**
- * Streams of a whole group from the ranks of one look. What the others ran at the last look at all is up to two
- * seconds old, so each of them counts as one of those that were asked.
+ * Streams of a whole group from the ranks that answered one look. What the others ran at an earlier look is old, so each of
+ * them counts as one of those that answered.
  */
 function runningIn(replies: GroupReplies, asked: readonly RankReply[]): number {
   return (runningOf(asked) * replies.length) / Math.max(1, asked.length);
--- a/src/group/succession.ts
+++ b/src/group/succession.ts
@@ -50,9 +50,9 @@
   }
 
   /**
-   * Notes what another agent has heard of. A large group is not looked at whole while a round is under way, so an
-   * agent may hear nothing of a coordinator that others hear of: where it took over then, the rounds of both ended
-   * each other, and no map came into use for 8.5 s (large-group.test).
+   * Notes what another agent has heard of. An agent may hear nothing of a coordinator that others hear of, as behind a
+   * cut, or in a branch whose first agent is silent: where it took over then, the rounds of both ended each other, and no
+   * map came into use for 8.5 s (large-group.test).
    */
   noteReply(reply: RankReply): void {
     const { heard } = reply;
