--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -103,7 +103,8 @@
   private nextAsk(entry: SoakInstance): Ask {
     this.sequence += 1;
     const id = `q-${this.sequence}`;
-    const extra = [...this.deployment.config.extraRoutes];
+    const { extraRoutes, pastRoutes } = this.deployment.config;
+    const extra = [...extraRoutes, ...pastRoutes];
     const kind = pick(KINDS, this.random);
     const isExtra = kind === 'repeatable' && extra.length > 0 && this.random() < 0.5;
     const prefix = isExtra ? `/${pick(extra, this.random)}/` : PREFIX[kind];
--- a/bench/soak/check.ts
+++ b/bench/soak/check.ts
@@ -7,6 +7,8 @@
 
 /** Statuses that promise that a request has not run and never will. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
+/** Status of a request whose route is not known. */
+const NO_ROUTE = 404;
 /** Time after which a key that was taken away must not run, ms; `revoke-ms` of the boot file. */
 export const REVOKE_MS = 5000;
 /** Time after which an endpoint that leaves or a route that is gone gets nothing, ms. */
@@ -130,6 +132,18 @@
   );
 };
 
+/** A route that was added is served by entries that are bound by it. */
+const addedRoutesServe: PromiseCheck = (record) => {
+  const gone = new Map(record.withdrawals.map((w) => [w.name, w.atMs]));
+  return record.additions.flatMap(({ prefix, atMs }) =>
+    record.asks
+      .filter((ask) => ask.path.startsWith(prefix) && ask.end?.status === NO_ROUTE)
+      .filter((ask) => ask.sentAtMs > atMs + APPLY_MS && isBound(record, ask.entry, ask.sentAtMs))
+      .filter((ask) => (ask.end?.atMs ?? Infinity) < (gone.get(prefix) ?? Infinity))
+      .map((ask) => `${ask.id}: route ${prefix} was not known after it was added`),
+  );
+};
+
 /** A planned stop or a re-read of settings cuts nothing that the endpoint would have answered. */
 const plannedWorkCutsNothing: PromiseCheck = (record) => {
   const planned = record.disturbances.filter((d) => d.kind === 'stop' || d.kind === 'hup');
@@ -189,6 +203,7 @@
   refusalsAreTrue,
   keysEnd,
   withdrawnTakesNothing,
+  addedRoutesServe,
   plannedWorkCutsNothing,
   oneMapInEveryStep,
   groupsGoOn,
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -15,13 +15,15 @@
 import { startStore, type StoreFake } from '../../fakes/store/index.js';
 import { LoopbackProxy, type Address } from './proxy.js';
 import { Program } from './program.js';
-import type { Ask, Disturbance, Withdrawal } from './record.js';
+import type { Addition, Ask, Disturbance, Withdrawal } from './record.js';
 
 /** Ports; each instance has an address of its own. */
-const PORT = {
+export const PORT = {
   callers: 8227,
   ready: 8220,
   control: 8229,
+  /** Where others reach an entry's control address through a proxy. */
+  relayed: 8230,
   internal: 7340,
   app: 8228,
   engine: 8100,
@@ -33,6 +35,8 @@
 const STEP_MS = 30;
 /** Time of a plain request, ms. */
 const PLAIN_WORK_MS = 40;
+/** Time for which the store keeps idle connections, ms: long enough for a client to meet ones that fell silent. */
+const STORE_IDLE_MS = 65_000;
 /** Share of a group's orders that get no answer and are carried out seconds later. */
 const LATE_ORDER_SHARE = 0.03;
 
@@ -70,9 +74,12 @@
   readonly endpoints: readonly SoakEndpoint[];
   readonly entries: readonly SoakInstance[];
   readonly agents: readonly SoakInstance[];
+  /** Ways to the entries that tell others what is published. */
+  readonly relayLinks: readonly LoopbackProxy[];
   readonly asks: Ask[];
   readonly disturbances: Disturbance[];
   readonly withdrawals: Withdrawal[];
+  readonly additions: Addition[];
   /** Ms since the start. */
   readonly nowMs: () => number;
   publish(): void;
@@ -85,6 +92,8 @@
   version: number;
   readonly keys: Set<string>;
   readonly extraRoutes: Set<string>;
+  /** Routes that were taken away; callers go on asking for them. */
+  readonly pastRoutes: Set<string>;
 }
 
 /** Keys of the one organisation; `k-0` is never taken away. */
@@ -196,7 +205,7 @@
   const folder = mkdtempSync(join(tmpdir(), 'harrierglade-soak-'));
   const host = netOf();
   const time = new WallTime();
-  const store = await startStore();
+  const store = await startStore(STORE_IDLE_MS);
   const group = new RankGroup(time, random, {
     ranks: size.ranks,
     stepMs: STEP_MS,
@@ -204,7 +213,12 @@
     lateShare: () => LATE_ORDER_SHARE,
     checksFences: true,
   });
-  const config: SoakConfig = { version: 1, keys: new Set(KEYS), extraRoutes: new Set() };
+  const config: SoakConfig = {
+    version: 1,
+    keys: new Set(KEYS),
+    extraRoutes: new Set(),
+    pastRoutes: new Set(),
+  };
   const storeAddress = { host: store.host, port: store.port };
 
   async function startEndpoint(id: string, service: string, at: string): Promise<SoakEndpoint> {
@@ -234,10 +248,17 @@
     return { id, service, host: at, engine, proxy, faults };
   }
 
-  const relays = Array.from(
-    { length: Math.ceil(size.entries / ENTRIES_A_RELAY) },
-    (_, i) => `${host(FIRST_ENTRY + i)}:${PORT.control}`,
+  const relayHosts = Array.from({ length: Math.ceil(size.entries / ENTRIES_A_RELAY) }, (_, i) =>
+    host(FIRST_ENTRY + i),
   );
+  const relayLinks: LoopbackProxy[] = [];
+  for (const at of relayHosts)
+    relayLinks.push(
+      await LoopbackProxy.start({ host: at, port: PORT.relayed }, { host: at, port: PORT.control }),
+    );
+  /** Addresses of the relays as an instance is told them: its own, and the others' through their proxies. */
+  const relaysFor = (own: string): string[] =>
+    relayHosts.map((at) => `${at}:${at === own ? PORT.control : PORT.relayed}`);
 
   async function startInstance(
     name: string,
@@ -246,7 +267,12 @@
   ): Promise<SoakInstance> {
     const storeLink = await LoopbackProxy.start({ host: at, port: PORT.store }, storeAddress);
     const app = role === 'agent' ? { host: at, port: PORT.app } : undefined;
-    const program = new Program({ name, role, folder, bootText: bootText(name, at, app, relays) });
+    const program = new Program({
+      name,
+      role,
+      folder,
+      bootText: bootText(name, at, app, relaysFor(at)),
+    });
     program.start();
     return { name, host: at, program, storeLink };
   }
@@ -271,9 +297,11 @@
     endpoints,
     entries,
     agents,
+    relayLinks,
     asks: [],
     disturbances: [],
     withdrawals: [],
+    additions: [],
     nowMs,
     config,
     publish: () => {
@@ -284,6 +312,7 @@
       for (const { program } of [...entries, ...agents]) program.pause(false);
       await Promise.all([...entries, ...agents].map(({ program }) => program.kill()));
       for (const { storeLink } of [...entries, ...agents]) storeLink.close();
+      for (const link of relayLinks) link.close();
       for (const { proxy, engine } of endpoints) {
         proxy.close();
         engine.close();
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -2,7 +2,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { EndpointFault } from '../../fakes/platform-engine/index.js';
 import type { StoreMood } from '../../fakes/store/index.js';
-import { GRACE_S, KEYS, type Deployment, type SoakInstance } from './deployment.js';
+import {
+  GRACE_S,
+  KEYS,
+  PORT,
+  type Deployment,
+  type SoakEndpoint,
+  type SoakInstance,
+} from './deployment.js';
 import type { Program } from './program.js';
 import { WHOLE, type LinkState, type LoopbackProxy } from './proxy.js';
 
@@ -15,6 +22,48 @@
 /** Does one thing, and resolves when it is over. */
 type Fault = (parts: FaultParts) => Promise<void>;
 
+/** Publishes one more route. */
+export function addRoute({ config, publish, additions, nowMs }: Deployment): string {
+  const name = `extra-${config.version}`;
+  config.extraRoutes.add(name);
+  publish();
+  additions.push({ prefix: `/${name}/`, atMs: nowMs() });
+  return name;
+}
+
+/** Takes a route away. */
+export function removeRoute(
+  { config, publish, withdrawals, nowMs }: Deployment,
+  name: string,
+): void {
+  config.extraRoutes.delete(name);
+  config.pastRoutes.add(name);
+  publish();
+  withdrawals.push({ what: 'route', name: `/${name}/`, atMs: nowMs() });
+}
+
+/** A plain endpoint that others can do without, and that has not left yet. */
+export function nextLeaving({ endpoints, withdrawals }: Deployment): SoakEndpoint | undefined {
+  const left = new Set(withdrawals.map((w) => w.name));
+  const staying = endpoints.filter((e) => e.service === 'plain' && !left.has(e.id));
+  return staying.length < 2 ? undefined : staying[0];
+}
+
+/** Lets an endpoint say that it leaves; it serves on. */
+export function announceLeaving(
+  { store, withdrawals, nowMs }: Deployment,
+  { id, service, host }: SoakEndpoint,
+): void {
+  store.put(`servers/${id}`, {
+    service,
+    address: `${host}:${PORT.app}`,
+    zone: 'a',
+    slots: 8,
+    state: 'draining',
+  });
+  withdrawals.push({ what: 'endpoint', name: id, atMs: nowMs() });
+}
+
 function pick<T>(items: readonly T[], random: () => number): T {
   return items[Math.floor(random() * items.length)] as T;
 }
@@ -157,14 +206,9 @@
 };
 
 const configChanged: Fault = async ({ deployment, random }) => {
-  const { config } = deployment;
-  const name = `extra-${config.version}`;
-  config.extraRoutes.add(name);
-  deployment.publish();
+  const name = addRoute(deployment);
   await sleep(1500 + 1000 * random());
-  config.extraRoutes.delete(name);
-  deployment.publish();
-  deployment.withdrawals.push({ what: 'route', name: `/${name}/`, atMs: deployment.nowMs() });
+  removeRoute(deployment, name);
 };
 
 const keyTakenAway: Fault = async ({ deployment }) => {
@@ -178,19 +222,9 @@
 
 /** A plain endpoint announces that it leaves, serves on for a while, and is gone. */
 const endpointLeaves: Fault = async ({ deployment }) => {
-  const plain = deployment.endpoints.filter((e) => e.service === 'plain');
-  const left = new Set(deployment.withdrawals.map((w) => w.name));
-  const leaving = plain.filter((e) => !left.has(e.id));
-  const [first] = leaving;
-  if (!first || leaving.length < 2) return;
-  deployment.store.put(`servers/${first.id}`, {
-    service: first.service,
-    address: `${first.host}:8228`,
-    zone: 'a',
-    slots: 8,
-    state: 'draining',
-  });
-  deployment.withdrawals.push({ what: 'endpoint', name: first.id, atMs: deployment.nowMs() });
+  const first = nextLeaving(deployment);
+  if (!first) return;
+  announceLeaving(deployment, first);
   await sleep(2500);
   deployment.store.remove(`servers/${first.id}`);
 };
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -1,8 +1,8 @@
 #!/usr/bin/env node
 /** `npm run soak`: plays seeds one after the other, several side by side, and keeps the logs of those that fail. */
 import { rmSync } from 'node:fs';
-import { Command, InvalidArgumentError } from 'commander';
-import { USUAL_SIZE, soak, type SoakResult } from './run.js';
+import { Command, InvalidArgumentError, Option } from 'commander';
+import { PLAYS, USUAL_SIZE, soak, type SoakResult } from './run.js';
 import type { SoakSize } from './deployment.js';
 
 interface Options {
@@ -11,6 +11,8 @@
   readonly jobs: number;
   readonly entries: number;
   readonly ranks: number;
+  readonly plain: number;
+  readonly play: keyof typeof PLAYS;
 }
 
 /** Reads `7` or `1-50`. */
@@ -45,17 +47,24 @@
     .option('--seconds <n>', 'seconds of disturbances a seed', parseCount, 10)
     .option('--jobs <n>', 'seeds side by side', parseCount, 2)
     .option('--entries <n>', 'entries', parseCount, USUAL_SIZE.entries)
-    .option('--ranks <n>', 'model engines, each with an agent', parseCount, USUAL_SIZE.ranks);
+    .option('--ranks <n>', 'model engines, each with an agent', parseCount, USUAL_SIZE.ranks)
+    .option('--plain <n>', 'plain endpoints', parseCount, USUAL_SIZE.plain)
+    .addOption(
+      new Option('--play <name>', 'what is done to it')
+        .choices(Object.keys(PLAYS))
+        .default('faults'),
+    );
   program.parse();
   const options = program.opts<Options>();
-  const size: SoakSize = { ...USUAL_SIZE, entries: options.entries, ranks: options.ranks };
+  const { entries, ranks, plain } = options;
+  const size: SoakSize = { entries, ranks, plain };
   const left = [...options.seeds];
   let failed = 0;
   let notPlayed = 0;
   const play = async (): Promise<void> => {
     for (let seed = left.shift(); seed !== undefined; seed = left.shift()) {
       try {
-        const result = await soak(seed, options.seconds, size);
+        const result = await soak(seed, options.seconds, size, PLAYS[options.play]);
         report(result);
         if (result.violations.length > 0) failed += 1;
       } catch (err) {
--- a/bench/soak/record.ts
+++ b/bench/soak/record.ts
@@ -44,6 +44,14 @@
   readonly atMs: number;
 }
 
+/** A route that was added. */
+export interface Addition {
+  /** Its path prefix. */
+  readonly prefix: string;
+  /** When the store had taken it. */
+  readonly atMs: number;
+}
+
 /** One whole run. */
 export interface SoakRecord {
   readonly seed: number;
@@ -51,6 +59,7 @@
   readonly runs: readonly EndpointRun[];
   readonly disturbances: readonly Disturbance[];
   readonly withdrawals: readonly Withdrawal[];
+  readonly additions: readonly Addition[];
   /** Organisation by key; keys that never were one are missing. */
   readonly organisations: Readonly<Record<string, string>>;
   /** Steps that a group began with different maps. */
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -11,6 +11,7 @@
   type SoakSize,
 } from './deployment.js';
 import { disturb } from './faults.js';
+import { silenceWhileThingsChange } from './silence.js';
 import type { SoakRecord } from './record.js';
 
 /** The usual size: a few processes. */
@@ -42,6 +43,7 @@
     runs: deployment.endpoints.flatMap((endpoint) => endpoint.engine.runs),
     disturbances: deployment.disturbances,
     withdrawals: deployment.withdrawals,
+    additions: deployment.additions,
     organisations: Object.fromEntries(KEYS.map((key) => [key, ORGANISATION])),
     mixedSteps: deployment.group.mixed,
     longestHoldMs: deployment.group.longestHoldMs,
@@ -50,6 +52,12 @@
   };
 }
 
+/** What is done to a deployment until a time, ms since its start. */
+export type Play = (deployment: Deployment, random: () => number, untilMs: number) => Promise<void>;
+
+/** Plays by name. */
+export const PLAYS = { faults: disturb, silence: silenceWhileThingsChange } as const;
+
 /**
  * Plays one seed with `seconds` of disturbances.
  * @example (await soak(7, 8)).violations // []
@@ -58,6 +66,7 @@
   seed: number,
   seconds: number,
   size: SoakSize = USUAL_SIZE,
+  play: Play = disturb,
 ): Promise<SoakResult> {
   const deployment = await startDeployment(size, seededRandom(seed));
   const callers = new Callers(deployment, seededRandom(seed + 1_000_000));
@@ -65,7 +74,7 @@
     if (!(await callers.untilReady(READY_MS)))
       throw new Error(`entries are not ready after ${READY_MS} ms; logs in ${deployment.folder}`);
     const asking = callers.run();
-    await disturb(deployment, seededRandom(seed + 2_000_000), deployment.nowMs() + seconds * 1000);
+    await play(deployment, seededRandom(seed + 2_000_000), deployment.nowMs() + seconds * 1000);
     const calmFromMs = deployment.nowMs();
     await sleep(CALM_MS);
     callers.stop();
--- /dev/null
+++ b/bench/soak/silence.ts
@@ -0,0 +1,96 @@
+/**
+ * Open connections fall silent for good, without a reset, while new ones work; in the same seconds a route is taken away
+ * and an endpoint leaves. Only a time-out of whoever waits shows it.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Deployment } from './deployment.js';
+import { addRoute, announceLeaving, nextLeaving, removeRoute } from './faults.js';
+
+/** Time for a new route to be in force before it is taken away again, ms. */
+const SETTLE_MS = 2500;
+/** Longest further time that entries go without relays before the silence, ms: by then they ask the store alone. */
+const LONGEST_ALONE_MS = 5000;
+/** Longest time between the silence and the change, ms: entries are bound again 3 s after the silence. */
+const LATEST_CHANGE_MS = 2500;
+/** Time in which requests show what is in force, ms. */
+const SHOW_MS = 3000;
+
+/** Silences all open connections: to the store, between daemons, to endpoints. */
+function silence(deployment: Deployment): void {
+  const { entries, agents, relayLinks, endpoints, disturbances, nowMs } = deployment;
+  const instances = [...entries, ...agents];
+  const links = [
+    ...instances.map(({ storeLink }) => storeLink),
+    ...relayLinks,
+    ...endpoints.map(({ proxy }) => proxy),
+  ];
+  for (const link of links) link.silence();
+  const atMs = nowMs();
+  const targets = [...instances.map(({ name }) => name), ...endpoints.map(({ id }) => id)];
+  for (const target of targets)
+    disturbances.push({ kind: 'silence', target, fromMs: atMs, untilMs: atMs });
+}
+
+/**
+ * Lets the entries that tell others what is published stand still while `act` runs, so that the others ask the store.
+ */
+async function withoutRelays(deployment: Deployment, act: () => Promise<void>): Promise<void> {
+  const { entries, relayLinks, disturbances, nowMs } = deployment;
+  const relays = entries.slice(0, relayLinks.length);
+  const fromMs = nowMs();
+  const notes = relays.map(({ name }) => ({
+    kind: 'pause',
+    target: name,
+    fromMs,
+    untilMs: Number.POSITIVE_INFINITY,
+  }));
+  disturbances.push(...notes);
+  for (const { program } of relays) program.pause(true);
+  await act();
+  for (const { program } of relays) program.pause(false);
+  for (const note of notes) note.untilMs = nowMs();
+}
+
+/** Lets an endpoint leave: it says so, or its record only goes. */
+function leave(deployment: Deployment, saysSo: boolean): void {
+  const leaving = nextLeaving(deployment);
+  if (!leaving) return;
+  if (saysSo) return announceLeaving(deployment, leaving);
+  deployment.store.remove(`servers/${leaving.id}`);
+  deployment.withdrawals.push({ what: 'endpoint', name: leaving.id, atMs: deployment.nowMs() });
+}
+
+/** Silences all connections, and then a route is taken away and an endpoint leaves; requests show what is in force. */
+async function silenceAndChange(
+  deployment: Deployment,
+  random: () => number,
+  route: string,
+): Promise<void> {
+  silence(deployment);
+  await sleep(LATEST_CHANGE_MS * random());
+  removeRoute(deployment, route);
+  leave(deployment, random() < 0.5);
+  await sleep(SHOW_MS + 1000 * random());
+}
+
+/**
+ * Silences all connections again and again while things change, by turns with and without the entries that others hear from.
+ * @example await silenceWhileThingsChange(deployment, random, 20_000);
+ */
+export async function silenceWhileThingsChange(
+  deployment: Deployment,
+  random: () => number,
+  untilMs: number,
+): Promise<void> {
+  for (let turn = 0; deployment.nowMs() < untilMs; turn += 1) {
+    const route = addRoute(deployment);
+    await sleep(SETTLE_MS);
+    const act = (): Promise<void> => silenceAndChange(deployment, random, route);
+    if (turn % 2 === 0) await act();
+    else
+      await withoutRelays(deployment, async () => {
+        await sleep(SETTLE_MS + LONGEST_ALONE_MS * random());
+        await act();
+      });
+  }
+}
--- a/fakes/store/store.ts
+++ b/fakes/store/store.ts
@@ -35,11 +35,14 @@
   close(): void;
 }
 
+/** Time for which Node keeps an idle connection unless told otherwise, ms. */
+const NODE_IDLE_MS = 5000;
+
 /**
- * Starts a store.
+ * Starts a store, which keeps idle connections for `idleMs`.
  * @example const store = await startStore(); store.put('op/config', { version: 1 });
  */
-export async function startStore(): Promise<StoreFake> {
+export async function startStore(idleMs = NODE_IDLE_MS): Promise<StoreFake> {
   const items = new Map<string, Item>();
   let changes: Change[] = [];
   let revision = 1;
@@ -112,6 +115,7 @@
   }
 
   const served = await serveLoopback(serve);
+  served.server.keepAliveTimeout = idleMs;
   const fake: StoreFake = {
     url: served.url,
     host: '127.0.0.1',
--- a/test/soak/check.test.ts
+++ b/test/soak/check.test.ts
@@ -48,6 +48,7 @@
     runs: [run('a'), ...late.map(({ id }) => run(id, { startedAtMs: 30_010 }))],
     disturbances: [],
     withdrawals: [],
+    additions: [],
     organisations: { 'k-0': 'org-1', 'k-1': 'org-1' },
     mixedSteps: [],
     longestHoldMs: 40,
@@ -141,6 +142,20 @@
     },
     /ran at route \/extra-1\/ after it was withdrawn/,
   ],
+  [
+    'a route that was added and is not served',
+    {
+      asks: [
+        ask('x', {
+          path: '/extra-1/x',
+          sentAtMs: 4000,
+          end: end({ status: 404, isSigned: false }),
+        }),
+      ],
+      additions: [{ prefix: '/extra-1/', atMs: 1000 }],
+    },
+    /route \/extra-1\/ was not known after it was added/,
+  ],
   [
     'an endpoint that has left',
     {
