Sight: how long a call was waited for, from whom news came, and how long nothing was heard

A relay that does not answer in time is a time-out, no reset. No decision changes. Ran: test/core/published, test/platform/store-client, test/core/errors: passed.

--- a/src/core/errors/errors.ts
+++ b/src/core/errors/errors.ts
@@ -61,6 +61,15 @@
   };
 }
 
+/**
+ * Whether something was thrown because its time was over, also where it stands behind another error.
+ * @example isTimeout(AbortSignal.timeout(5).reason) // true, 5 ms later
+ */
+export function isTimeout(err: unknown): boolean {
+  if (!(err instanceof Error)) return false;
+  return err.name === 'TimeoutError' || isTimeout(err.cause);
+}
+
 /**
  * Text of anything thrown, for logs.
  * @example errorText(new Error('reset')) // 'reset'
--- a/src/core/published/follow.ts
+++ b/src/core/published/follow.ts
@@ -2,9 +2,10 @@
 import { sleep, type Clock } from '../clock/index.js';
 import type { Log } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
-import type { ListChange, PublishedState } from './published-state.js';
-import type { ConfigNews, PublishedSource, ReadFault } from './source.js';
-import type { PublishedConfig } from './types.js';
+import type { PublishedState } from './published-state.js';
+import { SourceLog } from './source-log.js';
+import type { PublishedSource, ReadFault } from './source.js';
+import { Taker } from './taker.js';
 
 /** How often the store is called. Each call is counted, a waiting one as one. */
 export interface FollowPace {
@@ -76,75 +77,6 @@
   readonly isLacking?: () => boolean;
 }
 
-/** Logs the store once when it is lost and once when it is back. */
-class StoreLog {
-  private lostAtMs: number | undefined;
-  /** When the last call that failed was made. */
-  failedAtMs = Number.NEGATIVE_INFINITY;
-
-  constructor(private readonly parts: FollowParts) {}
-
-  failed(fault: ReadFault, askedAtMs: number): void {
-    this.failedAtMs = askedAtMs;
-    this.parts.metrics.count('published_read_failures_total', { kind: fault.kind });
-    if (this.lostAtMs !== undefined) return;
-    this.lostAtMs = this.parts.clock.nowMs();
-    this.parts.log.warn('published.lost', { ...fault });
-  }
-
-  /** Time that the store was lost, ms; 0 when it was not. */
-  worked(): number {
-    if (this.lostAtMs === undefined) return 0;
-    const awayMs = this.parts.clock.nowMs() - this.lostAtMs;
-    this.lostAtMs = undefined;
-    this.parts.log.info('published.regained', { awayMs: Math.round(awayMs) });
-    return awayMs;
-  }
-}
-
-/** Takes what was read into the state, and logs what it changes. */
-class Taker {
-  /** Whether the configuration in force is the newest one that is published. */
-  private isNewest = false;
-
-  constructor(private readonly parts: FollowParts) {}
-
-  /** Takes what was learnt at some time after `askedAtMs`; only the newest one is a proof. */
-  config(news: ConfigNews, askedAtMs: number): void {
-    if (news.kind !== 'same') this.isNewest = news.kind === 'read';
-    if (news.kind === 'read') this.offer(news.config, askedAtMs);
-    else if (this.isNewest) this.parts.state.proveConfig(askedAtMs);
-  }
-
-  private offer(config: PublishedConfig, askedAtMs: number): void {
-    const { state, log, metrics, clock } = this.parts;
-    const before = state.config?.version;
-    if (!state.offerConfig(config, askedAtMs)) {
-      metrics.count('config_older_total');
-      log.warn('config.older', { version: config.version, inForce: before });
-    } else if (config.version !== before) {
-      const readMs = Math.round(clock.nowMs() - askedAtMs);
-      log.info('config.inForce', { version: config.version, before, readMs });
-    }
-  }
-
-  list(change: ListChange): void {
-    const { log } = this.parts;
-    for (const endpoint of change.joined)
-      log.info('endpoint.joined', {
-        endpoint: endpoint.id,
-        service: endpoint.service,
-        address: endpoint.address,
-      });
-    for (const endpoint of change.leaving) log.info('endpoint.leaving', { endpoint });
-    for (const endpoint of change.gone) log.info('endpoint.gone', { endpoint });
-  }
-
-  invalid(records: readonly string[]): void {
-    for (const detail of records) this.parts.log.warn('published.invalid', { detail });
-  }
-}
-
 /**
  * How long the next watch may wait, ms: an answer that came early with a change proves no more than when
  * it was asked for, so the watch after it has to prove the rest soon.
@@ -163,7 +95,7 @@
 
 /** The store as it is read and watched, and as it fails. */
 class Follower {
-  private readonly storeLog: StoreLog;
+  private readonly sourceLog: SourceLog;
   private readonly taker: Taker;
   /** Revision from which changes are watched; undefined when everything has to be read. */
   private revision: number | undefined;
@@ -176,8 +108,8 @@
     private readonly parts: FollowParts,
     private readonly signal: AbortSignal,
   ) {
-    this.storeLog = new StoreLog(parts);
-    this.taker = new Taker(parts);
+    this.sourceLog = new SourceLog(parts);
+    this.taker = new Taker(parts, this.sourceLog);
   }
 
   async run(): Promise<void> {
@@ -197,7 +129,7 @@
     this.taker.list(state.offerList(read.val.endpoints, keepsMissing));
     this.taker.invalid(read.val.invalid);
     this.revision = read.val.revision;
-    this.parts.onLearnt?.();
+    this.noteLearnt();
     if (this.parts.isLacking?.()) await sleep(this.parts.pace.changePauseMs, this.signal);
   }
 
@@ -220,13 +152,18 @@
     this.taker.list(state.applyChanges(endpoints, keepsMissing));
     this.taker.invalid(invalid);
     this.revision = revision;
-    this.parts.onLearnt?.();
+    this.noteLearnt();
     if (!isQuiet) await sleep(pace.changePauseMs, this.signal);
   }
 
+  private noteLearnt(): void {
+    this.sourceLog.heard();
+    this.parts.onLearnt?.();
+  }
+
   private async failed(fault: ReadFault, askedAtMs: number): Promise<void> {
     const { pace, random } = this.parts;
-    this.storeLog.failed(fault, askedAtMs);
+    this.sourceLog.failed(fault, askedAtMs);
     const pauseMs = Math.min(LONGEST_PAUSE_MS, pace.failedPauseMs * PAUSE_GROWTH ** this.failures);
     this.failures += 1;
     await sleep(pauseMs * (0.8 + 0.4 * random()), this.signal);
@@ -235,8 +172,8 @@
   /** Notes a call that worked; whether endpoints that are missing are kept. */
   private worked(): boolean {
     this.failures = 0;
-    if (this.storeLog.worked() >= AWAY_MS) {
-      this.graceUntilMs = this.storeLog.failedAtMs + RETURN_GRACE_MS;
+    if (this.sourceLog.worked() >= AWAY_MS) {
+      this.graceUntilMs = this.sourceLog.failedAtMs + RETURN_GRACE_MS;
       void this.endGrace();
     }
     const keepsMissing = this.parts.clock.nowMs() < this.graceUntilMs;
--- a/src/core/published/one-relay.ts
+++ b/src/core/published/one-relay.ts
@@ -1,5 +1,5 @@
 /** The published state as one relay tells it. A proof keeps the age that it had there, so that it never counts for younger. */
-import { errorText } from '../errors/index.js';
+import { errorText, isTimeout } from '../errors/index.js';
 import { asId, type EndpointId } from '../ids/index.js';
 import { Err, Ok, type Result } from '../result/index.js';
 import type { PublishedAsk, PublishedNews } from '../../generated/messages.types.js';
@@ -73,8 +73,9 @@
 export class OneRelay implements PublishedSource {
   private told = NOTHING;
 
+  /** Its address is its name. */
   constructor(
-    private readonly address: string,
+    readonly name: string,
     private readonly parts: OneRelayParts,
   ) {}
 
@@ -119,15 +120,15 @@
       ...(configVersion !== undefined && { configVersion }),
     };
     try {
-      return Ok(await ask(this.address, question, waitMs + ANSWER_MS));
+      return Ok(await ask(this.name, question, waitMs + ANSWER_MS));
     } catch (err) {
-      return fault('reset', `${this.address}: ${errorText(err)}`);
+      return fault(isTimeout(err) ? 'timeout' : 'reset', `${this.name}: ${errorText(err)}`);
     }
   }
 
   /** Why news is of no use here, as of its age or its way. */
   private uselessness(news: PublishedNews): Result<never, ReadFault> | undefined {
-    const { address, parts } = this;
+    const { name: address, parts } = this;
     const { configVersion: theirs, provedAgoMs } = news;
     if (theirs === undefined) return fault('stale', `${address} has read no configuration yet`);
     // Relays that heard from each other would all wait for news that nobody asks the store for.
@@ -144,7 +145,7 @@
   /** Whoever asks for changes and is told all cannot tell what went meanwhile. */
   private gap(told: Told, news: PublishedNews): Result<never, ReadFault> | undefined {
     if (told === NOTHING || !news.isWhole) return undefined;
-    return fault('missing', `${this.address} no longer knows what was told`);
+    return fault('missing', `${this.name} no longer knows what was told`);
   }
 
   /** The configuration beside some news: of the store where the relay has a newer one, which is too large to pass on. */
--- a/src/core/published/relayed-source.ts
+++ b/src/core/published/relayed-source.ts
@@ -27,15 +27,13 @@
 
 /** Where something may be read. */
 interface Candidate {
-  /** Its address, or `store`. */
-  readonly name: string;
   readonly source: PublishedSource;
   failures: number;
   avoidedUntilMs: number;
 }
 
-function candidateOf(name: string, source: PublishedSource): Candidate {
-  return { name, source, failures: 0, avoidedUntilMs: Number.NEGATIVE_INFINITY };
+function candidateOf(source: PublishedSource): Candidate {
+  return { source, failures: 0, avoidedUntilMs: Number.NEGATIVE_INFINITY };
 }
 
 /** Reads from the first source of several that has fresh news. */
@@ -46,8 +44,13 @@
   private current: Candidate | undefined;
 
   constructor(private readonly parts: RelayedParts) {
-    this.store = candidateOf('store', parts.store);
-    this.relays = parts.relays.map((address) => candidateOf(address, new OneRelay(address, parts)));
+    this.store = candidateOf(parts.store);
+    this.relays = parts.relays.map((address) => candidateOf(new OneRelay(address, parts)));
+  }
+
+  /** Where was read last. */
+  get name(): string {
+    return (this.current ?? this.store).source.name;
   }
 
   /** Whether what is held comes from the store itself. */
@@ -122,6 +125,11 @@
     const avoidedMs = Math.min(AVOIDED_MS.most, AVOIDED_MS.first * growth);
     from.failures += 1;
     from.avoidedUntilMs = this.parts.clock.nowMs() + avoidedMs;
-    this.parts.log.info('published.avoided', { source: from.name, kind, detail, forMs: avoidedMs });
+    this.parts.log.info('published.avoided', {
+      source: from.source.name,
+      kind,
+      detail,
+      forMs: avoidedMs,
+    });
   }
 }
--- a/src/core/published/source.ts
+++ b/src/core/published/source.ts
@@ -61,6 +61,8 @@
 
 /** Reads what operators and endpoints publish. Each answer is the newest state, never a stale one. */
 export interface PublishedSource {
+  /** What is read, for the log: `store`, or the address of a relay. */
+  readonly name: string;
   readAll(): Promise<Result<PublishedRead, ReadFault>>;
   /** Changes after a revision, as soon as there are some, or none after `waitMs`. */
   watch(revision: number, waitMs: number): Promise<Result<Watched, ReadFault>>;
--- a/test/core/errors/errors.test.ts
+++ b/test/core/errors/errors.test.ts
@@ -3,6 +3,7 @@
 import {
   ERROR_KINDS,
   HarriergladeError,
+  isTimeout,
   notRun,
   toProblem,
   unknown,
@@ -27,3 +28,13 @@
   assert.deepEqual([problem.status, problem.outcome, problem.retryAfterS], [429, 'not-run', 7]);
   assert.equal(toProblem(unknown('answer-lost')).outcome, 'unknown');
 });
+
+test('an error that stands for a time-out is known as one, however it was wrapped', async () => {
+  const signal = AbortSignal.timeout(1);
+  await new Promise((done) => signal.addEventListener('abort', done));
+  const { reason } = signal as { reason: Error };
+  assert.equal(isTimeout(reason), true);
+  assert.equal(isTimeout(new Error('the call failed', { cause: reason })), true);
+  assert.equal(isTimeout(new Error('reset', { cause: new Error('closed') })), false);
+  assert.equal(isTimeout('TimeoutError'), false);
+});
--- a/test/core/published/published-state.test.ts
+++ b/test/core/published/published-state.test.ts
@@ -169,6 +169,7 @@
 
 /** A source whose answers a test sets; a watch answers what is queued, or nothing after its wait. */
 class SourceFake implements PublishedSource {
+  readonly name = 'store';
   all: Result<PublishedRead, ReadFault> = Ok({
     config: { kind: 'read', config: version(1) },
     endpoints: [],
--- /dev/null
+++ b/test/core/published/source-log.test.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { silentLog, type LogFields } from '../../../src/core/logging/index.js';
+import { Metrics } from '../../../src/core/metrics/index.js';
+import { SourceLog } from '../../../src/core/published/source-log.js';
+
+test('a loss is told once, with the time that was waited and for how long nothing had been heard', () => {
+  const lines: (readonly [string, LogFields | undefined])[] = [];
+  const note = (event: string, fields?: LogFields): void => void lines.push([event, fields]);
+  const metrics = new Metrics();
+  let nowMs = 1000;
+  const log = new SourceLog({
+    source: { name: 'store' },
+    clock: { nowMs: () => nowMs, wallMs: () => nowMs },
+    log: { ...silentLog, info: note, warn: note },
+    metrics,
+  });
+  assert.equal(log.worked(), 0);
+  log.heard();
+  nowMs = 4200;
+  log.failed({ kind: 'timeout', detail: 'silent' }, 1000);
+  nowMs = 5000;
+  log.failed({ kind: 'timeout', detail: 'silent' }, 4200);
+  nowMs = 5100;
+  assert.equal(log.worked(), 900);
+  log.heard();
+  const [lost, regained] = lines;
+  assert.deepEqual(lost, [
+    'published.lost',
+    { source: 'store', kind: 'timeout', detail: 'silent', waitedMs: 3200, heardAgoMs: 3200 },
+  ]);
+  assert.deepEqual(regained, [
+    'published.regained',
+    { source: 'store', awayMs: 900, failures: 2, heardAgoMs: 4100 },
+  ]);
+  assert.equal(lines.length, 2);
+  assert.equal(metrics.value('published_read_failures_total', { kind: 'timeout' }), 2);
+  assert.ok(metrics.quantile('published_silence_us', 1) >= 4_100_000);
+});
