--- a/test/core/published/relayed-source.test.ts
+++ b/test/core/published/relayed-source.test.ts
@@ -247,3 +247,27 @@
   assert.ok(tookMs > 900 && tookMs < 2000, `${tookMs} ms`);
   assert.ok(news.provedAgoMs >= 1195);
 });
+
+/**
+ * Story: where the store turned an entry away, it learnt nothing any more from relays that were well: neither the
+ * configuration nor which endpoints left, for as long as it was turned away.
+ * Cause: news that named a newer configuration was thrown away whole when that could not be read, and the relay was avoided.
+ * Evidence: 40 of 40 daemons before three relays knew nothing after 10 s (docs/incidents); this test on that code.
+ */
+test('which endpoints leave is known in time also where a newer configuration cannot be read', async () => {
+  await follow(
+    2,
+    1,
+    async (fleet) => {
+      (fleet.own.get('e0') as StoreFake).isAway = true;
+      fleet.store.version = 2;
+      fleet.store.endpoints = [{ ...A, isLeaving: true }];
+      fleet.store.change();
+      await pause(IN_FORCE_MS);
+      const { state } = fleet.daemons.get('e0') as Daemon;
+      assert.equal(state.takesWork(A.id), false);
+      assert.equal(state.config?.version, 1, 'what cannot be read is not in force');
+    },
+    ['e0'],
+  );
+});
--- /dev/null
+++ b/test/soak/silent-fleet.ts
@@ -0,0 +1,192 @@
+/** Followers of the published state before a store and relays whose open connections can be silenced, all in this process. */
+import { once, setMaxListeners } from 'node:events';
+import { createServer, type AddressInfo, type Server } from 'node:net';
+import { setTimeout as wait } from 'node:timers/promises';
+import { LoopbackProxy, type Address } from '../../bench/soak/proxy.js';
+import { startStore, type StoreFake } from '../../fakes/store/index.js';
+import { connectStore } from '../../platform/store-client.js';
+import { sleep, systemClock } from '../../src/core/clock/index.js';
+import { asId } from '../../src/core/ids/index.js';
+import { silentLog } from '../../src/core/logging/index.js';
+import { Metrics } from '../../src/core/metrics/index.js';
+import {
+  ENTRY_PACE,
+  ENTRY_RELAYED,
+  followPublished,
+  PublishedRelay,
+  PublishedState,
+  RELAY_PACE,
+  RelayedSource,
+  type FollowParts,
+} from '../../src/core/published/index.js';
+import { askRelay, createPeers } from '../../src/rpc/peers.js';
+import { serveRpc } from '../../src/rpc/serve.js';
+import { Agent } from 'undici';
+import { until } from '../fixtures/until.js';
+
+const HOST = '127.0.0.1';
+/** Time for which the store keeps idle connections, ms: a client may hold some that fell silent. */
+const STORE_IDLE_MS = 65_000;
+
+/** Endpoints whose leaving is watched: one says that it leaves, of the other only the record goes. */
+const LEAVES = { saysSo: 'says-so', isGone: 'is-gone' } as const;
+
+/** What is published, by version. */
+function configDocument(version: number): object {
+  return { version, routes: [], services: [{ name: 's-1' }], limits: {} };
+}
+
+function endpointRecord(state: 'ready' | 'draining'): object {
+  return { service: 's-1', address: '10.0.0.1:80', zone: 'a', slots: 6, state };
+}
+
+/** A port where nothing listens. */
+async function freePort(): Promise<number> {
+  const probe = createServer().listen(0, HOST);
+  await once(probe, 'listening');
+  const { port } = probe.address() as AddressInfo;
+  await new Promise((resolve) => probe.close(resolve));
+  return port;
+}
+
+/** A fleet of daemons that follow what is published. */
+export class SilentFleet {
+  readonly states: PublishedState[] = [];
+  private readonly proxies: LoopbackProxy[] = [];
+  private readonly servers: Server[] = [];
+  private readonly following: Promise<void>[] = [];
+  private readonly ending = new AbortController();
+  private relays: readonly { readonly address: string; readonly control: Address }[] = [];
+
+  private constructor(private readonly store: StoreFake) {
+    // Each daemon listens to the one end of the fleet.
+    setMaxListeners(0, this.ending.signal);
+  }
+
+  /** Starts a fleet without daemons; its store holds a first configuration and two endpoints. */
+  static async start(): Promise<SilentFleet> {
+    const store = await startStore(STORE_IDLE_MS);
+    store.put('op/config', configDocument(1));
+    for (const id of Object.values(LEAVES)) store.put(`servers/${id}`, endpointRecord('ready'));
+    return new SilentFleet(store);
+  }
+
+  /** Silences every open connection of the fleet, for good and without a reset; new ones work. */
+  silence(): void {
+    for (const proxy of this.proxies) proxy.silence();
+  }
+
+  /** Publishes the second version, and lets both endpoints leave. */
+  change(): void {
+    this.store.put('op/config', configDocument(2));
+    this.store.put(`servers/${LEAVES.saysSo}`, endpointRecord('draining'));
+    this.store.remove(`servers/${LEAVES.isGone}`);
+  }
+
+  /** How many daemons have taken a first configuration. */
+  get started(): number {
+    return this.states.filter((state) => state.config !== undefined).length;
+  }
+
+  /** What the daemons that are not told otherwise by now act on wrongly, in words. */
+  wrong(): string[] {
+    return this.states.flatMap((state, i) => [
+      ...(state.config?.version === 2 ? [] : [`daemon ${i}: configuration`]),
+      ...Object.values(LEAVES)
+        .filter((id) => state.takesWork(asId(id)))
+        .map((id) => `daemon ${i}: endpoint ${id}`),
+    ]);
+  }
+
+  /** Starts a daemon that asks the store alone. */
+  async followStore(pace = ENTRY_PACE): Promise<void> {
+    const state = new PublishedState();
+    this.states.push(state);
+    this.follow({ state, source: connectStore(await this.storeUrl()), pace });
+  }
+
+  /** Names the relays that daemons started from now on hear from. */
+  async nameRelays(count: number): Promise<void> {
+    this.relays = await Promise.all(
+      Array.from({ length: count }, async () => {
+        const control = { host: HOST, port: await freePort() };
+        const port = await freePort();
+        this.proxies.push(await LoopbackProxy.start({ host: HOST, port }, control));
+        return { address: `${HOST}:${port}`, control };
+      }),
+    );
+  }
+
+  /** Starts a daemon that hears from the relays; with `at` it is that relay itself. */
+  async followRelays(at?: number): Promise<void> {
+    const state = new PublishedState();
+    this.states.push(state);
+    const peers = createPeers(new Agent({ connect: { timeout: 500 } }));
+    const shared = { state, clock: systemClock, log: silentLog };
+    const isRelay = at !== undefined;
+    const source = new RelayedSource({
+      ...shared,
+      store: connectStore(await this.storeUrl()),
+      relays: this.relays.filter((_, i) => i !== at).map(({ address }) => address),
+      isRelay,
+      ask: askRelay(peers),
+      pause: sleep,
+      pace: ENTRY_RELAYED,
+      wantsConfig: () => true,
+    });
+    const relay = new PublishedRelay({
+      ...shared,
+      life: asId(`life-${this.states.length}`),
+      isDirect: () => source.isDirect,
+    });
+    if (isRelay) {
+      const server = serveRpc({ published: (ask) => relay.answer(ask) });
+      this.servers.push(server.listen(this.relays[at]?.control.port, HOST));
+    }
+    const pace = isRelay ? RELAY_PACE : ENTRY_PACE;
+    this.follow({ state, source, pace, onLearnt: () => relay.noteLearnt() });
+  }
+
+  /** A way of one daemon to the store that can be silenced. */
+  private async storeUrl(): Promise<string> {
+    const port = await freePort();
+    const target = { host: this.store.host, port: this.store.port };
+    this.proxies.push(await LoopbackProxy.start({ host: HOST, port }, target));
+    return `http://${HOST}:${port}`;
+  }
+
+  private follow(parts: Pick<FollowParts, 'state' | 'source' | 'pace' | 'onLearnt'>): void {
+    const metrics = new Metrics();
+    const rest = { clock: systemClock, log: silentLog, metrics, random: Math.random };
+    this.following.push(followPublished({ ...parts, ...rest }, this.ending.signal));
+  }
+
+  /** Ends everything. */
+  async close(): Promise<void> {
+    this.ending.abort();
+    for (const proxy of this.proxies) proxy.close();
+    for (const server of this.servers) server.close();
+    this.store.close();
+    await Promise.all(this.following);
+  }
+}
+
+/** After its connections fell silent a daemon is bound again by what is published from so long on, ms. */
+const CONTACT_MS = 3000;
+/** Time within which a change must be in force, ms. */
+const APPLY_MS = 2000;
+
+/**
+ * Silences a fleet, changes what is published `afterMs` later, and tells who acts wrongly once the time for it is over.
+ * @example assert.deepEqual(await wrongAfterSilence(fleet, 500), []);
+ */
+export async function wrongAfterSilence(fleet: SilentFleet, afterMs: number): Promise<string[]> {
+  await until('all daemons know what is published', () => fleet.started === fleet.states.length);
+  const silencedAtMs = systemClock.nowMs();
+  fleet.silence();
+  await wait(afterMs);
+  fleet.change();
+  const dueMs = Math.max(silencedAtMs + CONTACT_MS, systemClock.nowMs() + APPLY_MS);
+  await wait(dueMs - systemClock.nowMs());
+  return fleet.wrong();
+}
