--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -11,7 +11,7 @@
   type SoakSize,
 } from './deployment.js';
 import { disturb } from './faults.js';
-import { silenceWhileThingsChange } from './silence.js';
+import { silenceWhileThingsChange, silenceWithoutRelays } from './silence.js';
 import type { SoakRecord } from './record.js';
 
 /** The usual size: a few processes. */
@@ -56,7 +56,14 @@
 export type Play = (deployment: Deployment, random: () => number, untilMs: number) => Promise<void>;
 
 /** Plays by name. */
-export const PLAYS = { faults: disturb, silence: silenceWhileThingsChange } as const;
+export const PLAYS = {
+  faults: disturb,
+  silence: silenceWhileThingsChange,
+  'silence-without-relays': silenceWithoutRelays,
+} as const;
+
+/** The size for plays in which endpoints leave one after the other. */
+export const LEAVING_SIZE: SoakSize = { entries: 6, ranks: 3, plain: 9 };
 
 /**
  * Plays one seed with `seconds` of disturbances.
--- a/bench/soak/silence.ts
+++ b/bench/soak/silence.ts
@@ -74,7 +74,7 @@
 }
 
 /**
- * Silences all connections again and again while things change, by turns with and without the entries that others hear from.
+ * Silences all connections again and again while things change.
  * @example await silenceWhileThingsChange(deployment, random, 20_000);
  */
 export async function silenceWhileThingsChange(
@@ -82,15 +82,28 @@
   random: () => number,
   untilMs: number,
 ): Promise<void> {
-  for (let turn = 0; deployment.nowMs() < untilMs; turn += 1) {
+  while (deployment.nowMs() < untilMs) {
     const route = addRoute(deployment);
     await sleep(SETTLE_MS);
-    const act = (): Promise<void> => silenceAndChange(deployment, random, route);
-    if (turn % 2 === 0) await act();
-    else
-      await withoutRelays(deployment, async () => {
-        await sleep(SETTLE_MS + LONGEST_ALONE_MS * random());
-        await act();
-      });
+    await silenceAndChange(deployment, random, route);
+  }
+}
+
+/**
+ * The same while the entries that others hear from stand still, so that the others ask the store.
+ * @example await silenceWithoutRelays(deployment, random, 20_000);
+ */
+export async function silenceWithoutRelays(
+  deployment: Deployment,
+  random: () => number,
+  untilMs: number,
+): Promise<void> {
+  while (deployment.nowMs() < untilMs) {
+    const route = addRoute(deployment);
+    await sleep(SETTLE_MS);
+    await withoutRelays(deployment, async () => {
+      await sleep(SETTLE_MS + LONGEST_ALONE_MS * random());
+      await silenceAndChange(deployment, random, route);
+    });
   }
 }
