--- a/src/core/published/follow.ts
+++ b/src/core/published/follow.ts
@@ -60,7 +60,7 @@
   /** Revision from which changes are watched; undefined when everything has to be read. */
   private revision: number | undefined;
   /** Whether a newer configuration was told of that has yet to be read. */
-  private owesConfig = false;
+  private isConfigPending = false;
   /** Calls that failed since the last one that worked. */
   private failures = 0;
   /** Until then endpoints that are missing are kept. */
@@ -76,7 +76,7 @@
 
   async run(): Promise<void> {
     while (!this.signal.aborted) {
-      if (this.owesConfig) await this.readConfig();
+      if (this.isConfigPending) await this.readConfig();
       if (this.revision === undefined || this.parts.isLacking?.()) await this.readAll();
       else await this.watch(this.revision);
     }
@@ -93,7 +93,7 @@
     this.taker.invalid(read.val.invalid);
     this.revision = read.val.revision;
     this.noteLearnt();
-    if (this.parts.isLacking?.() && !this.owesConfig)
+    if (this.parts.isLacking?.() && !this.isConfigPending)
       await sleep(this.parts.pace.changePauseMs, this.signal);
   }
 
@@ -117,17 +117,17 @@
     this.taker.invalid(invalid);
     this.revision = revision;
     this.noteLearnt();
-    // What is owed is read first.
-    if (!isQuiet && !this.owesConfig) await sleep(pace.changePauseMs, this.signal);
+    // A pending configuration is read first.
+    if (!isQuiet && !this.isConfigPending) await sleep(pace.changePauseMs, this.signal);
   }
 
   private takeConfig(news: ConfigNews, provedAtMs: number): void {
-    if (news.kind !== 'same') this.owesConfig = news.kind === 'owed';
+    if (news.kind !== 'same') this.isConfigPending = news.kind === 'pending';
     this.taker.config(news, provedAtMs);
   }
 
   /**
-   * Reads the configuration that is owed. It is asked for on its own, so that which endpoints leave is known at once and
+   * Reads the pending configuration. It is asked for on its own, so that which endpoints leave is known at once and
    * whatever becomes of it: where the store turned a daemon away, that learnt nothing from relays that were well.
    */
   private async readConfig(): Promise<void> {
--- a/src/core/published/one-relay.ts
+++ b/src/core/published/one-relay.ts
@@ -173,7 +173,9 @@
   private configNews({ configVersion: theirs }: PublishedNews): ConfigNews {
     const own = this.parts.state.config?.version;
     const isWanted = own === undefined || (own !== theirs && this.parts.wantsConfig());
-    return isWanted && theirs !== undefined ? { kind: 'owed', version: theirs } : { kind: 'same' };
+    return isWanted && theirs !== undefined
+      ? { kind: 'pending', version: theirs }
+      : { kind: 'same' };
   }
 }
 
--- a/src/core/published/source.ts
+++ b/src/core/published/source.ts
@@ -22,7 +22,7 @@
   /** There is a newer one that cannot be taken: the one in force is not the newest any more. */
   | { readonly kind: 'unreadable' }
   /** There is a newer one, of this version, which has yet to be read. */
-  | { readonly kind: 'owed'; readonly version: number }
+  | { readonly kind: 'pending'; readonly version: number }
   /** It has not changed. */
   | { readonly kind: 'same' };
 
@@ -70,7 +70,7 @@
   readAll(): Promise<Result<PublishedRead, ReadFault>>;
   /** Changes after a revision, as soon as there are some, or none after `waitMs`. */
   watch(revision: number, waitMs: number): Promise<Result<Watched, ReadFault>>;
-  /** The configuration alone, after the news that one is owed. */
+  /** The configuration alone, after the news that a newer one is pending. */
   readConfig(): Promise<Result<ConfigRead, ReadFault>>;
 }
 
--- a/test/core/published/relay-fleet.ts
+++ b/test/core/published/relay-fleet.ts
@@ -181,9 +181,10 @@
 export async function readAll(daemon: Daemon, fleet: Fleet): Promise<void> {
   const askedAtMs = fleet.nowMs;
   const read = (await daemon.source.readAll()).unwrap();
-  const owed = read.config.kind === 'owed' ? (await daemon.source.readConfig()).unwrap() : read;
+  const pending =
+    read.config.kind === 'pending' ? (await daemon.source.readConfig()).unwrap() : read;
   const provedAtMs = askedAtMs + (read.provedAfterMs ?? 0);
-  if (owed.config.kind === 'read') daemon.state.offerConfig(owed.config.config, provedAtMs);
+  if (pending.config.kind === 'read') daemon.state.offerConfig(pending.config.config, provedAtMs);
   else daemon.state.proveConfig(provedAtMs);
   daemon.state.offerList(read.endpoints, false);
   daemon.relay.noteLearnt();
