--- a/bench/soak/silence.ts
+++ b/bench/soak/silence.ts
@@ -73,37 +73,44 @@
   await sleep(SHOW_MS + 1000 * random());
 }
 
+/** Adds a route and lets it come into force, then acts with it, again and again. */
+async function withRoutes(
+  deployment: Deployment,
+  untilMs: number,
+  act: (route: string) => Promise<void>,
+): Promise<void> {
+  while (deployment.nowMs() < untilMs) {
+    const route = addRoute(deployment);
+    await sleep(SETTLE_MS);
+    await act(route);
+  }
+}
+
 /**
  * Silences all connections again and again while things change.
  * @example await silenceWhileThingsChange(deployment, random, 20_000);
  */
-export async function silenceWhileThingsChange(
+export function silenceWhileThingsChange(
   deployment: Deployment,
   random: () => number,
   untilMs: number,
 ): Promise<void> {
-  while (deployment.nowMs() < untilMs) {
-    const route = addRoute(deployment);
-    await sleep(SETTLE_MS);
-    await silenceAndChange(deployment, random, route);
-  }
+  return withRoutes(deployment, untilMs, (route) => silenceAndChange(deployment, random, route));
 }
 
 /**
  * The same while the entries that others hear from stand still, so that the others ask the store.
  * @example await silenceWithoutRelays(deployment, random, 20_000);
  */
-export async function silenceWithoutRelays(
+export function silenceWithoutRelays(
   deployment: Deployment,
   random: () => number,
   untilMs: number,
 ): Promise<void> {
-  while (deployment.nowMs() < untilMs) {
-    const route = addRoute(deployment);
-    await sleep(SETTLE_MS);
-    await withoutRelays(deployment, async () => {
+  return withRoutes(deployment, untilMs, (route) =>
+    withoutRelays(deployment, async () => {
       await sleep(SETTLE_MS + LONGEST_ALONE_MS * random());
       await silenceAndChange(deployment, random, route);
-    });
-  }
+    }),
+  );
 }
--- a/test/core/config-feed/feed.test.ts
+++ b/test/core/config-feed/feed.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
-import { runFeed } from '../../../src/core/config-feed/feed.js';
+import { runFeed, type FeedOptions } from '../../../src/core/config-feed/feed.js';
 import { FeedStore } from '../../../src/core/config-feed/index.js';
 import { seededRandom, systemClock } from '../../../src/core/clock/index.js';
 import { asId } from '../../../src/core/ids/index.js';
@@ -30,33 +30,41 @@
   ],
 };
 
-test('daemons compare versions with daemons, and never ask an endpoint', async () => {
+/** Options of a feed that knows the list, asks nobody in vain, and waits little. */
+function feedOptions(changes: Partial<FeedOptions>): FeedOptions {
   const metrics = new Metrics();
+  return {
+    self: asId('entry-1'),
+    dataCentre: 'a',
+    seeds: [],
+    watchMs: 20,
+    fallbackMs: 5,
+    startMs: 20,
+    store: new FeedStore(systemClock, silentLog, metrics),
+    view: () => buildInstanceView(LIST),
+    platform: {
+      watchConfig: () => wait(5).then(() => undefined),
+      watchList: () => wait(5).then(() => undefined),
+    },
+    watchPeer: () => Promise.resolve(undefined),
+    clock: systemClock,
+    random: seededRandom(3),
+    log: silentLog,
+    metrics,
+    ...changes,
+  };
+}
+
+test('daemons compare versions with daemons, and never ask an endpoint', async () => {
   const asked: string[] = [];
   const ending = new AbortController();
   const feed = runFeed(
-    {
-      self: asId('entry-1'),
-      dataCentre: 'a',
-      seeds: [],
-      watchMs: 20,
-      fallbackMs: 5,
-      startMs: 20,
-      store: new FeedStore(systemClock, silentLog, metrics),
-      view: () => buildInstanceView(LIST),
-      platform: {
-        watchConfig: () => wait(5).then(() => undefined),
-        watchList: () => wait(5).then(() => undefined),
-      },
+    feedOptions({
       watchPeer: (address) => {
         asked.push(address);
         return Promise.resolve(undefined);
       },
-      clock: systemClock,
-      random: seededRandom(3),
-      log: silentLog,
-      metrics,
-    },
+    }),
     ending.signal,
   );
   await feed.started;
@@ -77,24 +85,12 @@
     asked.push(systemClock.nowMs());
     return wait(20).then(() => Promise.reject(new DOMException('no answer', 'TimeoutError')));
   };
-  const metrics = new Metrics();
   const feed = runFeed(
-    {
-      self: asId('entry-1'),
-      dataCentre: 'a',
-      seeds: [],
-      watchMs: 20,
+    feedOptions({
       fallbackMs: 10_000,
       startMs: 1,
-      store: new FeedStore(systemClock, silentLog, metrics),
-      view: () => buildInstanceView(LIST),
       platform: { watchConfig: silent, watchList: silent },
-      watchPeer: () => Promise.resolve(undefined),
-      clock: systemClock,
-      random: seededRandom(3),
-      log: silentLog,
-      metrics,
-    },
+    }),
     ending.signal,
   );
   await feed.started;
