Read once more: one count of failures, one note of disturbances, one reading of a document

Behaviour as it was, assertions unchanged. Ran: test/core/published, test/platform, test/soak without the soak itself: 121 passed, 0 failed.

--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -68,17 +68,23 @@
   return items[Math.floor(random() * items.length)] as T;
 }
 
-/** Notes a disturbance for as long as something is done. */
-async function during(
-  { deployment }: FaultParts,
+/** Notes that targets are disturbed for as long as something is done. */
+export async function during(
+  { disturbances, nowMs }: Deployment,
   kind: string,
-  target: string,
-  act: () => Promise<void>,
+  targets: readonly string[],
+  act: () => Promise<void> | void,
 ): Promise<void> {
-  const note = { kind, target, fromMs: deployment.nowMs(), untilMs: Number.POSITIVE_INFINITY };
-  deployment.disturbances.push(note);
+  const fromMs = nowMs();
+  const notes = targets.map((target) => ({
+    kind,
+    target,
+    fromMs,
+    untilMs: Number.POSITIVE_INFINITY,
+  }));
+  disturbances.push(...notes);
   await act();
-  note.untilMs = deployment.nowMs();
+  for (const note of notes) note.untilMs = nowMs();
 }
 
 function anyInstance({ deployment, random }: FaultParts): SoakInstance {
@@ -94,7 +100,7 @@
   const { name, program } = anyInstance(parts);
   if (program.isClaimed) return;
   program.isClaimed = true;
-  await during(parts, kind, name, async () => {
+  await during(parts.deployment, kind, [name], async () => {
     await end(program);
     program.start();
     await sleep(1000);
@@ -113,7 +119,7 @@
 
 const paused: Fault = async (parts) => {
   const { name, program } = anyInstance(parts);
-  await during(parts, 'pause', name, async () => {
+  await during(parts.deployment, 'pause', [name], async () => {
     program.pause(true);
     await sleep(200 + 2500 * parts.random());
     program.pause(false);
@@ -122,7 +128,7 @@
 
 const settingsChanged: Fault = async (parts) => {
   const { name, program } = anyInstance(parts);
-  await during(parts, 'hup', name, async () => {
+  await during(parts.deployment, 'hup', [name], async () => {
     program.rewriteBoot(`changed at ${parts.deployment.nowMs()}`);
     if (parts.random() < 0.7) await program.hangUp();
     await sleep(200);
@@ -139,7 +145,7 @@
 async function harmLink(parts: FaultParts, target: string, link: LoopbackProxy): Promise<void> {
   const state = pick(LINK_STATES, parts.random);
   const what = state.cut.length > 0 ? `cut ${state.cut.join(' ')}` : 'delay';
-  await during(parts, what, target, async () => {
+  await during(parts.deployment, what, [target], async () => {
     link.set(state);
     await sleep(300 + 2500 * parts.random());
     if (parts.random() < 0.5) link.reset();
@@ -159,7 +165,7 @@
 
 const connectionsReset: Fault = async (parts) => {
   const { id, proxy } = pick(parts.deployment.endpoints, parts.random);
-  await during(parts, 'reset', id, async () => {
+  await during(parts.deployment, 'reset', [id], async () => {
     proxy.reset();
     await sleep(50);
   });
@@ -169,7 +175,7 @@
 
 const storeAway: Fault = async (parts) => {
   const { store } = parts.deployment;
-  await during(parts, 'store', 'store', async () => {
+  await during(parts.deployment, 'store', ['store'], async () => {
     store.mood = pick(STORE_MOODS, parts.random);
     await sleep(300 + 3000 * parts.random());
     store.mood = 'well';
@@ -192,7 +198,7 @@
 
 const endpointFails: Fault = async (parts) => {
   const { id, faults } = pick(parts.deployment.endpoints, parts.random);
-  await during(parts, 'endpoint', id, async () => {
+  await during(parts.deployment, 'endpoint', [id], async () => {
     for (let i = 0; i < 6; i += 1) faults.push(pick(ENDPOINT_FAULTS, parts.random));
     await sleep(1000);
     faults.length = 0;
--- a/bench/soak/silence.ts
+++ b/bench/soak/silence.ts
@@ -4,7 +4,7 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Deployment } from './deployment.js';
-import { addRoute, announceLeaving, nextLeaving, removeRoute } from './faults.js';
+import { addRoute, announceLeaving, during, nextLeaving, removeRoute } from './faults.js';
 
 /** Time for a new route to be in force before it is taken away again, ms. */
 const SETTLE_MS = 2500;
@@ -16,39 +16,31 @@
 const SHOW_MS = 3000;
 
 /** Silences all open connections: to the store, between daemons, to endpoints. */
-function silence(deployment: Deployment): void {
-  const { entries, agents, relayLinks, endpoints, disturbances, nowMs } = deployment;
+function silence(deployment: Deployment): Promise<void> {
+  const { entries, agents, relayLinks, endpoints } = deployment;
   const instances = [...entries, ...agents];
   const links = [
     ...instances.map(({ storeLink }) => storeLink),
     ...relayLinks,
     ...endpoints.map(({ proxy }) => proxy),
   ];
-  for (const link of links) link.silence();
-  const atMs = nowMs();
   const targets = [...instances.map(({ name }) => name), ...endpoints.map(({ id }) => id)];
-  for (const target of targets)
-    disturbances.push({ kind: 'silence', target, fromMs: atMs, untilMs: atMs });
+  return during(deployment, 'silence', targets, () => {
+    for (const link of links) link.silence();
+  });
 }
 
 /**
  * Lets the entries that tell others what is published stand still while `act` runs, so that the others ask the store.
  */
-async function withoutRelays(deployment: Deployment, act: () => Promise<void>): Promise<void> {
-  const { entries, relayLinks, disturbances, nowMs } = deployment;
-  const relays = entries.slice(0, relayLinks.length);
-  const fromMs = nowMs();
-  const notes = relays.map(({ name }) => ({
-    kind: 'pause',
-    target: name,
-    fromMs,
-    untilMs: Number.POSITIVE_INFINITY,
-  }));
-  disturbances.push(...notes);
-  for (const { program } of relays) program.pause(true);
-  await act();
-  for (const { program } of relays) program.pause(false);
-  for (const note of notes) note.untilMs = nowMs();
+function withoutRelays(deployment: Deployment, act: () => Promise<void>): Promise<void> {
+  const relays = deployment.entries.slice(0, deployment.relayLinks.length);
+  const names = relays.map(({ name }) => name);
+  return during(deployment, 'pause', names, async () => {
+    for (const { program } of relays) program.pause(true);
+    await act();
+    for (const { program } of relays) program.pause(false);
+  });
 }
 
 /** Lets an endpoint leave: it says so, or its record only goes. */
@@ -66,7 +58,7 @@
   random: () => number,
   route: string,
 ): Promise<void> {
-  silence(deployment);
+  await silence(deployment);
   await sleep(LATEST_CHANGE_MS * random());
   removeRoute(deployment, route);
   leave(deployment, random() < 0.5);
--- a/src/core/published/follow.ts
+++ b/src/core/published/follow.ts
@@ -61,8 +61,6 @@
   private revision: number | undefined;
   /** Whether a newer configuration was told of that has yet to be read. */
   private isConfigPending = false;
-  /** Calls that failed since the last one that worked. */
-  private failures = 0;
   /** Until then endpoints that are missing are kept. */
   private graceUntilMs = Number.NEGATIVE_INFINITY;
 
@@ -101,7 +99,7 @@
     const { clock, pace, source, state } = this.parts;
     const askedAtMs = clock.nowMs();
     // After a failure the question is where we stand now, not what comes next.
-    const waitMs = this.failures > 0 ? 0 : waitFor(pace, state.proofAgeMs(askedAtMs));
+    const waitMs = this.sourceLog.failures > 0 ? 0 : waitFor(pace, state.proofAgeMs(askedAtMs));
     const watched = await source.watch(from, waitMs);
     if (watched.err) return this.failed(watched.val, askedAtMs);
     if (watched.val.kind === 'forgotten') {
@@ -151,18 +149,16 @@
 
   private async failed(fault: ReadFault, askedAtMs: number): Promise<void> {
     const { pace, random } = this.parts;
+    const before = this.sourceLog.failures;
     this.sourceLog.failed(fault, askedAtMs);
-    const isFirst = this.failures === 0;
-    const pauseMs = Math.min(LONGEST_PAUSE_MS, pace.failedPauseMs * PAUSE_GROWTH ** this.failures);
-    this.failures += 1;
     // A call without an answer has taken its time, and may be its connection's fault alone: the next one has a new one.
-    if (isFirst && fault.kind === 'timeout') return;
+    if (before === 0 && fault.kind === 'timeout') return;
+    const pauseMs = Math.min(LONGEST_PAUSE_MS, pace.failedPauseMs * PAUSE_GROWTH ** before);
     await sleep(pauseMs * (0.8 + 0.4 * random()), this.signal);
   }
 
   /** Notes a call that worked; whether endpoints that are missing are kept. */
   private worked(): boolean {
-    this.failures = 0;
     if (this.sourceLog.worked() >= AWAY_MS) {
       this.graceUntilMs = this.sourceLog.failedAtMs + RETURN_GRACE_MS;
       void this.endGrace();
@@ -176,7 +172,7 @@
     const { clock } = this.parts;
     await sleep(Math.ceil(Math.max(0, this.graceUntilMs - clock.nowMs())) + 1, this.signal);
     // While the store is away again nothing can be written to it; the next call that works decides.
-    if (this.failures === 0 && clock.nowMs() >= this.graceUntilMs) this.dropMissing();
+    if (this.sourceLog.failures === 0 && clock.nowMs() >= this.graceUntilMs) this.dropMissing();
   }
 
   private dropMissing(): void {
--- a/src/core/published/one-relay.ts
+++ b/src/core/published/one-relay.ts
@@ -113,8 +113,8 @@
     if (useless) return useless;
     if (news.document === undefined)
       return fault('missing', `${this.name} has no document to pass on`);
-    const provedAfterMs = news.waitedMs - news.provedAgoMs;
-    return Ok({ ...this.parts.store.decodeConfig(news.document), provedAfterMs });
+    const read = this.parts.store.decodeConfig(news.document);
+    return Ok({ ...read, provedAfterMs: provedAfterMs(news) });
   }
 
   private async hear(told: Told, waitMs: number): Promise<Result<Heard, ReadFault>> {
@@ -124,9 +124,8 @@
     const useless = this.uselessness(news) ?? this.gap(told, news);
     if (useless) return useless;
     this.told = { life: news.life, sequence: news.sequence };
-    // It held the question for so long after it was asked, and had its proof so long before it answered.
-    const provedAfterMs = news.waitedMs - news.provedAgoMs;
-    return Ok({ config: this.configNews(news), invalid: [], news, provedAfterMs });
+    const config = this.configNews(news);
+    return Ok({ config, invalid: [], news, provedAfterMs: provedAfterMs(news) });
   }
 
   private async ask(told: Question, waitMs: number): Promise<Result<PublishedNews, ReadFault>> {
@@ -149,17 +148,17 @@
 
   /** Why news is of no use here, as of its age or its way. */
   private uselessness(news: PublishedNews): Result<never, ReadFault> | undefined {
-    const { name: address, parts } = this;
+    const { name, parts } = this;
     const { configVersion: theirs, provedAgoMs } = news;
-    if (theirs === undefined) return fault('stale', `${address} has read no configuration yet`);
+    if (theirs === undefined) return fault('stale', `${name} has read no configuration yet`);
     // Relays that heard from each other would all wait for news that nobody asks the store for.
     if (parts.isRelay && !news.isDirect)
-      return fault('stale', `${address} hears from another relay itself`);
+      return fault('stale', `${name} hears from another relay itself`);
     if (provedAgoMs >= STALE_MS)
-      return fault('stale', `${address} had its last proof ${Math.round(provedAgoMs)} ms ago`);
+      return fault('stale', `${name} had its last proof ${Math.round(provedAgoMs)} ms ago`);
     const own = parts.state.config?.version;
     if (own !== undefined && theirs < own)
-      return fault('stale', `${address} has version ${theirs}, ${own} is in force here`);
+      return fault('stale', `${name} has version ${theirs}, ${own} is in force here`);
     return undefined;
   }
 
@@ -173,12 +172,15 @@
   private configNews({ configVersion: theirs }: PublishedNews): ConfigNews {
     const own = this.parts.state.config?.version;
     const isWanted = own === undefined || (own !== theirs && this.parts.wantsConfig());
-    return isWanted && theirs !== undefined
-      ? { kind: 'pending', version: theirs }
-      : { kind: 'same' };
+    return isWanted && theirs !== undefined ? { kind: 'pending' } : { kind: 'same' };
   }
 }
 
+/** A relay held the question for so long after it was asked, and had its proof so long before it answered. */
+function provedAfterMs({ waitedMs, provedAgoMs }: PublishedNews): number {
+  return waitedMs - provedAgoMs;
+}
+
 function changesOf(news: PublishedNews): EndpointChange[] {
   return [
     ...news.written.map((told) => ({ kind: 'written' as const, endpoint: endpointFrom(told) })),
--- a/src/core/published/source-log.ts
+++ b/src/core/published/source-log.ts
@@ -17,13 +17,18 @@
 /** One line when the source is lost, one when it is back. */
 export class SourceLog {
   private lostAtMs: number | undefined;
-  private failures = 0;
+  private failuresInRow = 0;
   private heardAtMs: number | undefined;
   /** When the last call that failed was made. */
   failedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly parts: SourceLogParts) {}
 
+  /** Calls that failed since the last one that worked. */
+  get failures(): number {
+    return this.failuresInRow;
+  }
+
   /** Time since something was heard last, ms; undefined before the first time. */
   heardAgoMs(): number | undefined {
     if (this.heardAtMs === undefined) return undefined;
@@ -43,7 +48,7 @@
   failed(fault: ReadFault, askedAtMs: number): void {
     const { clock, log, metrics, source } = this.parts;
     this.failedAtMs = askedAtMs;
-    this.failures += 1;
+    this.failuresInRow += 1;
     metrics.count('published_read_failures_total', { kind: fault.kind });
     if (this.lostAtMs !== undefined) return;
     this.lostAtMs = clock.nowMs();
@@ -72,11 +77,11 @@
     log.info('published.regained', {
       source: source.name,
       awayMs: Math.round(awayMs),
-      failures: this.failures,
+      failures: this.failuresInRow,
       heardAgoMs: this.heardAgoMs(),
     });
     this.lostAtMs = undefined;
-    this.failures = 0;
+    this.failuresInRow = 0;
     return awayMs;
   }
 }
--- a/src/core/published/source.ts
+++ b/src/core/published/source.ts
@@ -21,8 +21,8 @@
   | { readonly kind: 'read'; readonly config: PublishedConfig }
   /** There is a newer one that cannot be taken: the one in force is not the newest any more. */
   | { readonly kind: 'unreadable' }
-  /** There is a newer one, of this version, which has yet to be read. */
-  | { readonly kind: 'pending'; readonly version: number }
+  /** There is a newer one, which has yet to be read. */
+  | { readonly kind: 'pending' }
   /** It has not changed. */
   | { readonly kind: 'same' };
 
--- a/test/core/published/published-state.test.ts
+++ b/test/core/published/published-state.test.ts
@@ -349,7 +349,7 @@
 test('who lacks a configuration that is pending reads it at once, without the pause after a change', async () => {
   const source = new SourceFake();
   const { config, ...read } = source.all.unwrap();
-  source.all = Ok({ ...read, config: { kind: 'pending', version: 1 } });
+  source.all = Ok({ ...read, config: { kind: 'pending' } });
   source.readConfig = () => Promise.resolve(Ok({ config, invalid: [] }));
   const state = new PublishedState();
   const ending = new AbortController();
