Calls between daemons: a time-out that comes through trpc as a plain abort shows a silence as well

Cause: KeptConnections gives up the connections to a place after a time-out, and trpc makes a signal of its own that aborts without a reason, so that for calls between daemons it never did; a relay that did not answer was logged as a reset.

--- a/src/core/errors/errors.ts
+++ b/src/core/errors/errors.ts
@@ -74,6 +74,15 @@
   return err.name === 'TimeoutError' || TIMEOUT_CODES.has(code ?? '') || isTimeout(err.cause);
 }
 
+/**
+ * Whether a call was ended by whoever made it: its time was over, or its signal aborted without a reason of its own.
+ * @example isGivenUp(AbortSignal.abort().reason) // true
+ */
+export function isGivenUp(err: unknown): boolean {
+  if (!(err instanceof Error)) return false;
+  return err.name === 'AbortError' || isTimeout(err) || isGivenUp(err.cause);
+}
+
 /**
  * Text of anything thrown, for logs.
  * @example errorText(new Error('reset')) // 'reset'
--- a/src/core/published/one-relay.ts
+++ b/src/core/published/one-relay.ts
@@ -1,5 +1,5 @@
 /** The published state as one relay tells it. A proof keeps the age that it had there, so that it never counts for younger. */
-import { errorText, isTimeout } from '../errors/index.js';
+import { errorText, isGivenUp } from '../errors/index.js';
 import { asId, type EndpointId } from '../ids/index.js';
 import { Err, Ok, type Result } from '../result/index.js';
 import type { PublishedAsk, PublishedNews } from '../../generated/messages.types.js';
@@ -142,7 +142,7 @@
       const answerMs = told.wantsDocument ? DOCUMENT_MS : ANSWER_MS;
       return Ok(await ask(this.name, question, waitMs + answerMs));
     } catch (err) {
-      return fault(isTimeout(err) ? 'timeout' : 'reset', `${this.name}: ${errorText(err)}`);
+      return fault(isGivenUp(err) ? 'timeout' : 'reset', `${this.name}: ${errorText(err)}`);
     }
   }
 
--- a/src/rpc/peers.ts
+++ b/src/rpc/peers.ts
@@ -1,6 +1,7 @@
 /** Clients of other daemons, one for each address, all over the same kept connections. */
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
 import type { Dispatcher } from 'undici';
+import { isGivenUp } from '../core/errors/index.js';
 import type { AskRelay } from '../core/published/index.js';
 import type { KeptConnections } from '../runtime/kept-connections.js';
 import { RPC_PATH } from './consts.js';
@@ -49,10 +50,13 @@
       body: init.body ?? null,
       signal: init.signal ?? null,
     };
-    return connections.call(call, async ({ statusCode, body }) => {
+    const read = async ({ statusCode, body }: Dispatcher.ResponseData): Promise<object> => {
       const data = await body.json();
       return { ok: statusCode < 400, status: statusCode, json: () => Promise.resolve(data) };
-    });
+    };
+    // trpc passes a time-out on as a plain abort. Calls are else ended with the task that made them, where new connections
+    // cost little.
+    return connections.call(call, read, isGivenUp);
   };
 }
 
--- a/src/runtime/kept-connections.ts
+++ b/src/runtime/kept-connections.ts
@@ -16,16 +16,21 @@
   constructor(private readonly options: Pool.Options) {}
 
   /**
-   * Makes a call and reads its answer; rejects where it is not read to its end in time.
+   * Makes a call and reads its answer; rejects where it is not read to its end in time. Which errors show that no answer came
+   * depends on who made the signal.
    * @example const text = await connections.call({ origin, path, method: 'GET', signal }, (res) => res.body.text());
    */
-  async call<T>(call: Call, read: (res: Dispatcher.ResponseData) => Promise<T>): Promise<T> {
+  async call<T>(
+    call: Call,
+    read: (res: Dispatcher.ResponseData) => Promise<T>,
+    isSilence: (err: unknown) => boolean = isTimeout,
+  ): Promise<T> {
     const kept = this.at(call.origin);
     const pool = kept.current;
     try {
       return await read(await pool.request(call));
     } catch (err) {
-      if (isTimeout(err)) kept.giveUp(pool);
+      if (isSilence(err)) kept.giveUp(pool);
       throw err;
     }
   }
--- a/test/core/errors/errors.test.ts
+++ b/test/core/errors/errors.test.ts
@@ -3,6 +3,7 @@
 import {
   ERROR_KINDS,
   HarriergladeError,
+  isGivenUp,
   isTimeout,
   notRun,
   toProblem,
@@ -38,3 +39,11 @@
   assert.equal(isTimeout(new Error('reset', { cause: new Error('closed') })), false);
   assert.equal(isTimeout('TimeoutError'), false);
 });
+
+test('an error of a signal that was aborted, with or without a reason, is known as given up', () => {
+  const plain = new Error('the call failed', { cause: AbortSignal.abort().reason });
+  assert.equal(isGivenUp(plain), true);
+  assert.equal(isTimeout(plain), false);
+  assert.equal(isGivenUp(new DOMException('late', 'TimeoutError')), true);
+  assert.equal(isGivenUp(new Error('reset')), false);
+});
