--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -31,10 +31,10 @@
 }
 
 function report(result: SoakResult): void {
-  const { seed, asks, answered, disturbances, violations, folder } = result;
+  const { seed, asks, answered, disturbances, violations, longestOwnPauseMs, folder } = result;
   const verdict = violations.length === 0 ? 'clean' : `${violations.length} violations, ${folder}`;
   process.stdout.write(
-    `seed ${seed}: ${asks} asked, ${answered} answered, ${disturbances} disturbances: ${verdict}\n`,
+    `seed ${seed}: ${asks} asked, ${answered} answered, ${disturbances} disturbances, own pause ${longestOwnPauseMs} ms: ${verdict}\n`,
   );
   for (const violation of violations) process.stdout.write(`  ${violation}\n`);
   if (violations.length === 0) rmSync(folder, { recursive: true });
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -1,4 +1,5 @@
 /** One soak run: starts a deployment, lets callers ask while it is disturbed, and checks what was seen. */
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { seededRandom } from '../../src/core/clock/index.js';
 import { Callers } from './callers.js';
@@ -14,6 +15,7 @@
 import { silenceWhileThingsChange, silenceWithoutRelays } from './silence.js';
 import type { SoakRecord } from './record.js';
 
+const NS_PER_MS = 1e6;
 /** The usual size: a few processes. */
 export const USUAL_SIZE: SoakSize = { entries: 3, ranks: 3, plain: 3 };
 
@@ -31,6 +33,8 @@
   readonly answered: number;
   readonly disturbances: number;
   readonly violations: readonly string[];
+  /** Longest time for which the soak's own process stood still, ms: its store, proxies and callers did as well. */
+  readonly longestOwnPauseMs: number;
   /** Where the logs and boot files lie. */
   readonly folder: string;
 }
@@ -75,6 +79,8 @@
   size: SoakSize = USUAL_SIZE,
   play: Play = disturb,
 ): Promise<SoakResult> {
+  const ownPauses = monitorEventLoopDelay();
+  ownPauses.enable();
   const deployment = await startDeployment(size, seededRandom(seed));
   const callers = new Callers(deployment, seededRandom(seed + 1_000_000));
   try {
@@ -94,9 +100,11 @@
       answered: record.asks.filter((ask) => ask.end?.isComplete).length,
       disturbances: record.disturbances.length,
       violations: violationsOf(record),
+      longestOwnPauseMs: Math.round(ownPauses.max / NS_PER_MS),
       folder: deployment.folder,
     };
   } finally {
+    ownPauses.disable();
     callers.close();
     await deployment.close();
   }
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -9,8 +9,9 @@
 const SECONDS = 6;
 
 async function isClean(seed: number): Promise<void> {
-  const { violations, asks, answered, folder } = await soak(seed, SECONDS);
-  assert.deepEqual(violations, [], `seed ${seed}, logs in ${folder}`);
+  const { violations, asks, answered, longestOwnPauseMs, folder } = await soak(seed, SECONDS);
+  const where = `seed ${seed}, own pause ${longestOwnPauseMs} ms, logs in ${folder}`;
+  assert.deepEqual(violations, [], where);
   assert.ok(answered > asks / 3, `${answered} of ${asks} answered`);
   rmSync(folder, { recursive: true });
 }
