--- a/fakes/store/store.ts
+++ b/fakes/store/store.ts
@@ -16,6 +16,13 @@
   readonly value?: string;
 }
 
+/** All that a store held at a moment. */
+export interface StoreCopy {
+  readonly items: ReadonlyMap<string, Item>;
+  readonly changes: readonly Change[];
+  readonly revision: number;
+}
+
 /** A running stand-in. */
 export interface StoreFake {
   readonly url: string;
@@ -32,6 +39,13 @@
   remove(key: string): void;
   /** Forgets the history and cuts all waits. */
   compact(): void;
+  /** All that it holds now. */
+  copy(): StoreCopy;
+  /**
+   * Comes back from a copy, in a new era: what was written since is gone, its revisions are given out again, and all waits
+   * are cut.
+   */
+  restore(copy: StoreCopy): void;
   close(): void;
 }
 
@@ -43,15 +57,16 @@
  * @example const store = await startStore(); store.put('op/config', { version: 1 });
  */
 export async function startStore(idleMs = NODE_IDLE_MS): Promise<StoreFake> {
-  const items = new Map<string, Item>();
+  let items = new Map<string, Item>();
   let changes: Change[] = [];
   let revision = 1;
+  let era = 1;
   let forgottenUpTo = 0;
   const calls = new Map<string, number>();
-  const waiting = new Set<() => void>();
+  const waiting = new Map<() => void, ServerResponse>();
 
   const wake = (): void => {
-    for (const look of [...waiting]) look();
+    for (const look of [...waiting.keys()]) look();
   };
 
   function range(prefix: string, after: string | undefined): object {
@@ -74,8 +89,9 @@
       clearTimeout(timer);
       waiting.delete(look);
     };
+    res.on('close', () => end());
     const look = (timedOut = false): void => {
-      if (after < forgottenUpTo) {
+      if (after < forgottenUpTo || after > revision) {
         end();
         return sendJson(res, 410, {});
       }
@@ -85,13 +101,14 @@
       sendJson(res, 200, { events, 'as-of': revision });
     };
     const timer = setTimeout(() => look(true), waitMs);
-    waiting.add(look);
+    waiting.set(look, res);
     look();
   }
 
   async function serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const url = new URL(req.url ?? '/', 'http://store');
     calls.set(url.pathname, (calls.get(url.pathname) ?? 0) + 1);
+    res.setHeader('store-era', era);
     if (fake.mood === 'busy') return sendJson(res, 503, {});
     if (fake.mood === 'reset') return void req.socket.resetAndDestroy();
     if (fake.mood === 'silent') return;
@@ -142,6 +159,14 @@
       changes = [];
       wake();
     },
+    copy: () => ({ items: new Map(items), changes: [...changes], revision }),
+    restore: (copy) => {
+      era += 1;
+      items = new Map(copy.items);
+      changes = [...copy.changes];
+      revision = copy.revision;
+      for (const res of waiting.values()) res.destroy();
+    },
     close: () => closeServer(served.server),
   };
   return fake;
