--- a/src/core/published/follow.ts
+++ b/src/core/published/follow.ts
@@ -5,7 +5,7 @@
 import type { FollowPace } from './pace.js';
 import type { PublishedState } from './published-state.js';
 import { SourceLog } from './source-log.js';
-import type { ConfigNews, PublishedSource, ReadFault } from './source.js';
+import type { ConfigNews, PublishedSource, ReadFault, ReadTime } from './source.js';
 import { Taker } from './taker.js';
 
 /** Factor by which the pause grows from one failure to the next. */
@@ -21,6 +21,11 @@
  * 2 s later, and what is sent last is on its way for a while.
  */
 export const RETURN_GRACE_MS = 1900;
+/**
+ * Time after which an endpoint that is gone no longer stands in the list that an older copy of the store held, ms: its record
+ * lapses after three heartbeats of 1.2 s, and the news is on its way for a while.
+ */
+const COPY_LAPSE_MS = 4500;
 
 /** What following needs. */
 export interface FollowParts {
@@ -38,11 +43,11 @@
 }
 
 /**
- * How long the next watch may wait, ms: an answer that came early with a change proves no more than when
- * it was asked for, so the watch after it has to prove the rest soon.
+ * How long the next watch may wait, ms: an answer that came early with a change tells of no later time than when
+ * it was asked for, so the watch after it has to tell the rest soon.
  */
-function waitFor(pace: FollowPace, proofAgeMs: number): number {
-  return Math.max(pace.leastWaitMs, Math.floor(pace.waitMs - proofAgeMs));
+function waitFor(pace: FollowPace, heardAgeMs: number): number {
+  return Math.max(pace.leastWaitMs, Math.floor(pace.waitMs - heardAgeMs));
 }
 
 /**
@@ -85,8 +90,8 @@
     const askedAtMs = clock.nowMs();
     const read = await source.readAll();
     if (read.err) return this.failed(read.val, askedAtMs);
-    const keepsMissing = this.worked();
-    this.takeConfig(read.val.config, askedAtMs + (read.val.provedAfterMs ?? 0));
+    const keepsMissing = this.worked(read.val);
+    this.takeConfig(read.val.config, askedAtMs, read.val);
     this.taker.list(state.offerList(read.val.endpoints, keepsMissing));
     this.taker.invalid(read.val.invalid);
     this.revision = read.val.revision;
@@ -99,18 +104,19 @@
     const { clock, pace, source, state } = this.parts;
     const askedAtMs = clock.nowMs();
     // After a failure the question is where we stand now, not what comes next.
-    const waitMs = this.sourceLog.failures > 0 ? 0 : waitFor(pace, state.proofAgeMs(askedAtMs));
+    const waitMs = this.sourceLog.failures > 0 ? 0 : waitFor(pace, state.heardAgeMs(askedAtMs));
     const watched = await source.watch(from, waitMs);
     if (watched.err) return this.failed(watched.val, askedAtMs);
-    if (watched.val.kind === 'forgotten') {
+    // In another era the revision that was asked from means something else: what was written before it is not told.
+    if (watched.val.kind === 'forgotten' || this.isOfOtherEra(watched.val)) {
       this.revision = undefined;
       return;
     }
     const { config, endpoints, invalid, revision } = watched.val;
-    const keepsMissing = this.worked();
+    const keepsMissing = this.worked(watched.val);
     const isQuiet = config.kind === 'same' && endpoints.length === 0;
     const heldForMs = isQuiet ? heldMs(waitMs, clock.nowMs() - askedAtMs) : 0;
-    this.takeConfig(config, askedAtMs + (watched.val.provedAfterMs ?? heldForMs));
+    this.takeConfig(config, askedAtMs, { provedAfterMs: heldForMs, ...watched.val });
     this.taker.list(state.applyChanges(endpoints, keepsMissing));
     this.taker.invalid(invalid);
     this.revision = revision;
@@ -119,9 +125,15 @@
     if (!isQuiet && !this.isConfigPending) await sleep(pace.changePauseMs, this.signal);
   }
 
-  private takeConfig(news: ConfigNews, provedAtMs: number): void {
+  private isOfOtherEra({ era = 0 }: ReadTime): boolean {
+    return era !== this.parts.state.era;
+  }
+
+  private takeConfig(news: ConfigNews, askedAtMs: number, time: ReadTime): void {
+    const { provedAfterMs = 0, heardAfterMs = provedAfterMs } = time;
     if (news.kind !== 'same') this.isConfigPending = news.kind === 'pending';
-    this.taker.config(news, provedAtMs);
+    this.parts.state.noteHeard(askedAtMs + heardAfterMs);
+    this.taker.config(news, askedAtMs + provedAfterMs);
   }
 
   /**
@@ -134,8 +146,10 @@
     const read = await source.readConfig();
     if (read.err) {
       this.sourceLog.unread(read.val, askedAtMs);
+    } else if (this.isOfOtherEra(read.val)) {
+      this.revision = undefined;
     } else {
-      this.takeConfig(read.val.config, askedAtMs + (read.val.provedAfterMs ?? 0));
+      this.takeConfig(read.val.config, askedAtMs, read.val);
       this.taker.invalid(read.val.invalid);
       this.noteLearnt();
     }
@@ -158,16 +172,44 @@
   }
 
   /** Notes a call that worked; whether endpoints that are missing are kept. */
-  private worked(): boolean {
-    if (this.sourceLog.worked() >= AWAY_MS) {
-      this.graceUntilMs = this.sourceLog.failedAtMs + RETURN_GRACE_MS;
-      void this.endGrace();
-    }
+  private worked({ era = 0 }: ReadTime): boolean {
+    const { clock, state } = this.parts;
+    const awayMs = this.sourceLog.worked();
+    const before = state.era;
+    if (state.enterEra(era, clock.nowMs())) this.restored(before);
+    else if (awayMs >= AWAY_MS) this.keepMissingUntil(this.sourceLog.failedAtMs + RETURN_GRACE_MS);
     const keepsMissing = this.parts.clock.nowMs() < this.graceUntilMs;
     if (!keepsMissing) this.dropMissing();
     return keepsMissing;
   }
 
+  /** The store has come back from an older copy: what that lacks is missing and not gone, and who is gone may stand in it. */
+  private restored(before: number): void {
+    const { clock, log, metrics, source, state } = this.parts;
+    metrics.count('store_restored_total');
+    log.warn('published.restored', {
+      source: source.name,
+      era: state.era,
+      before,
+      heardAgoMs: this.sourceLog.heardAgoMs(),
+    });
+    this.keepMissingUntil(clock.nowMs() + RETURN_GRACE_MS);
+    void this.trustListAgain(state.era);
+  }
+
+  private async trustListAgain(era: number): Promise<void> {
+    const { state, onLearnt } = this.parts;
+    await sleep(COPY_LAPSE_MS, this.signal);
+    if (this.signal.aborted || state.era !== era) return;
+    state.trustList();
+    onLearnt?.();
+  }
+
+  private keepMissingUntil(untilMs: number): void {
+    this.graceUntilMs = untilMs;
+    void this.endGrace();
+  }
+
   private async endGrace(): Promise<void> {
     const { clock } = this.parts;
     await sleep(Math.ceil(Math.max(0, this.graceUntilMs - clock.nowMs())) + 1, this.signal);
--- a/src/core/published/one-relay.ts
+++ b/src/core/published/one-relay.ts
@@ -13,6 +13,7 @@
   PublishedSource,
   PublishedStore,
   ReadFault,
+  ReadTime,
   Watched,
 } from './source.js';
 
@@ -71,7 +72,6 @@
 /** What was heard of a relay, with the configuration that it tells of. */
 interface Heard extends ConfigRead {
   readonly news: PublishedNews;
-  readonly provedAfterMs: number;
 }
 
 function fault(kind: ReadFault['kind'], detail: string): Result<never, ReadFault> {
@@ -81,6 +81,7 @@
 /** Reads from the relay at an address. */
 export class OneRelay implements PublishedSource {
   private told = NOTHING;
+  private newestTold: number | undefined;
 
   /** Its address is its name. */
   constructor(
@@ -88,6 +89,11 @@
     private readonly parts: OneRelayParts,
   ) {}
 
+  /** The newest version of the configuration that it told of. */
+  get toldVersion(): number | undefined {
+    return this.newestTold;
+  }
+
   /** All that the relay holds. */
   async readAll(): Promise<Result<PublishedRead, ReadFault>> {
     const heard = await this.hear(NOTHING, 0);
@@ -114,7 +120,7 @@
     if (news.document === undefined)
       return fault('missing', `${this.name} has no document to pass on`);
     const read = this.parts.store.decodeConfig(news.document);
-    return Ok({ ...read, provedAfterMs: provedAfterMs(news) });
+    return Ok({ ...read, ...timeOf(news) });
   }
 
   private async hear(told: Told, waitMs: number): Promise<Result<Heard, ReadFault>> {
@@ -124,8 +130,9 @@
     const useless = this.uselessness(news) ?? this.gap(told, news);
     if (useless) return useless;
     this.told = { life: news.life, sequence: news.sequence };
+    this.newestTold = news.configVersion;
     const config = this.configNews(news);
-    return Ok({ config, invalid: [], news, provedAfterMs: provedAfterMs(news) });
+    return Ok({ config, invalid: [], news, ...timeOf(news) });
   }
 
   private async ask(told: Question, waitMs: number): Promise<Result<PublishedNews, ReadFault>> {
@@ -149,13 +156,16 @@
   /** Why news is of no use here, as of its age or its way. */
   private uselessness(news: PublishedNews): Result<never, ReadFault> | undefined {
     const { name, parts } = this;
-    const { configVersion: theirs, provedAgoMs } = news;
+    const { configVersion: theirs, heardAgoMs, era } = news;
     if (theirs === undefined) return fault('stale', `${name} has read no configuration yet`);
     // Relays that heard from each other would all wait for news that nobody asks the store for.
     if (parts.isRelay && !news.isDirect)
       return fault('stale', `${name} hears from another relay itself`);
-    if (provedAgoMs >= STALE_MS)
-      return fault('stale', `${name} had its last proof ${Math.round(provedAgoMs)} ms ago`);
+    if (heardAgoMs >= STALE_MS)
+      return fault('stale', `${name} heard from the store ${Math.round(heardAgoMs)} ms ago`);
+    // What it knows of the time after the store came back is nothing yet.
+    if (era < parts.state.era)
+      return fault('stale', `${name} is in era ${era} of the store, this is ${parts.state.era}`);
     const own = parts.state.config?.version;
     if (own !== undefined && theirs < own)
       return fault('stale', `${name} has version ${theirs}, ${own} is in force here`);
@@ -177,8 +187,8 @@
 }
 
 /** A relay held the question for so long after it was asked, and had its proof so long before it answered. */
-function provedAfterMs({ waitedMs, provedAgoMs }: PublishedNews): number {
-  return waitedMs - provedAgoMs;
+function timeOf({ waitedMs, provedAgoMs, heardAgoMs, era }: PublishedNews): ReadTime {
+  return { era, provedAfterMs: waitedMs - provedAgoMs, heardAfterMs: waitedMs - heardAgoMs };
 }
 
 function changesOf(news: PublishedNews): EndpointChange[] {
--- a/src/core/published/published-state.ts
+++ b/src/core/published/published-state.ts
@@ -4,6 +4,7 @@
  * no new work, whatever is read later; a later process may have its id.
  */
 import type { EndpointId } from '../ids/index.js';
+import { LeftEndpoints } from './left-endpoints.js';
 import type { EndpointChange } from './source.js';
 import type { PublishedConfig, PublishedEndpoint, ServiceId } from './types.js';
 
@@ -16,13 +17,23 @@
 
 const NO_CHANGE: ListChange = { joined: [], leaving: [], gone: [] };
 
+/**
+ * Time in which operators and endpoints write again what the store has lost, ms, as its operators state it for endpoints. What is
+ * read by then may lack a newer configuration, so it proves nothing: a key that was taken away just before the loss
+ * would be honoured for 3.5 s from the first read on, 5.1 s and more after it was taken away (store-copy.test).
+ */
+export const REWRITE_MS = 2000;
+
 /** Published state of one daemon. Times are monotonic ms. */
 export class PublishedState {
   private current: PublishedConfig | undefined;
   private provedAtMs = Number.NEGATIVE_INFINITY;
+  private heardAtMs = Number.NEGATIVE_INFINITY;
+  private currentEra: number | undefined;
+  /** From then on what is read proves something. */
+  private provesFromMs = Number.NEGATIVE_INFINITY;
   private endpoints = new Map<EndpointId, PublishedEndpoint>();
-  /** Endpoints that were seen leaving, by the start of their process; one that is only missing may be listed again. */
-  private readonly left = new Map<EndpointId, number>();
+  private readonly left = new LeftEndpoints();
   /** Endpoints that are no longer listed and still kept. */
   private readonly missing = new Set<EndpointId>();
 
@@ -41,6 +52,40 @@
     return nowMs - this.provedAtMs;
   }
 
+  /** Time since the store was heard last, by way of relays or not, ms; infinite before the first time. */
+  heardAgeMs(nowMs: number): number {
+    return nowMs - this.heardAtMs;
+  }
+
+  /** Notes that the store was heard at some time after `askedAtMs`, also where that proves nothing. */
+  noteHeard(askedAtMs: number): void {
+    this.heardAtMs = Math.max(this.heardAtMs, askedAtMs);
+  }
+
+  /** The era of the store in which all this was read; 0 before anything was. */
+  get era(): number {
+    return this.currentEra ?? 0;
+  }
+
+  /**
+   * Takes the era in which something was read. True where it is another one than before: the store has come back from an
+   * older copy, what it has lost is yet to be written again, and its revisions mean something else than they did.
+   * @example if (state.enterEra(read.era, clock.nowMs())) keepMissing();
+   */
+  enterEra(era: number, nowMs: number): boolean {
+    const isOther = this.currentEra !== undefined && era !== this.currentEra;
+    this.currentEra = era;
+    if (!isOther) return false;
+    this.provesFromMs = nowMs + REWRITE_MS;
+    this.left.distrustList();
+    return true;
+  }
+
+  /** Takes the list for what it says again; to be called when those who are gone can no longer stand in it. */
+  trustList(): void {
+    this.left.trustList();
+  }
+
   /**
    * Takes a configuration that was the newest at some time after `askedAtMs`; false when it is older
    * than the one in force, which then proves nothing.
@@ -49,13 +94,18 @@
   offerConfig(config: PublishedConfig, askedAtMs: number): boolean {
     if (this.current && config.version < this.current.version) return false;
     if (!this.current || config.version > this.current.version) this.current = config;
-    this.provedAtMs = Math.max(this.provedAtMs, askedAtMs);
+    this.prove(askedAtMs);
     return true;
   }
 
   /** Notes that the configuration in force was still the newest at some time after `askedAtMs`. */
   proveConfig(askedAtMs: number): void {
-    if (this.current) this.provedAtMs = Math.max(this.provedAtMs, askedAtMs);
+    if (this.current) this.prove(askedAtMs);
+  }
+
+  private prove(atMs: number): void {
+    this.noteHeard(atMs);
+    if (atMs >= this.provesFromMs) this.provedAtMs = Math.max(this.provedAtMs, atMs);
   }
 
   /** Whether an endpoint takes new work. */
@@ -70,9 +120,19 @@
       if (endpoint.service === service && !this.hasLeft(endpoint)) yield endpoint;
   }
 
-  private hasLeft({ id, startedAtMs }: PublishedEndpoint): boolean {
-    const leftAtMs = this.left.get(id);
-    return leftAtMs !== undefined && startedAtMs <= leftAtMs;
+  private hasLeft(endpoint: PublishedEndpoint): boolean {
+    return this.left.isLeaving(endpoint) || this.left.isGone(endpoint);
+  }
+
+  /** The list with all that is known of it, for others, who may know less: what leaves is marked, what was gone is left out. */
+  listToTell(): Map<EndpointId, PublishedEndpoint> {
+    const told = new Map<EndpointId, PublishedEndpoint>();
+    for (const [id, endpoint] of this.endpoints) {
+      if (this.left.isGone(endpoint)) continue;
+      const isLeaving = endpoint.isLeaving || this.left.isLeaving(endpoint);
+      told.set(id, isLeaving === endpoint.isLeaving ? endpoint : { ...endpoint, isLeaving });
+    }
+    return told;
   }
 
   /**
@@ -84,8 +144,10 @@
     const next = new Map(listed.map((endpoint) => [endpoint.id, endpoint]));
     const gone = keepsMissing ? this.keepMissing(next) : this.missingFrom(next);
     const joined = listed.filter((e) => e.startedAtMs !== this.endpoints.get(e.id)?.startedAtMs);
-    const leaving = listed.filter((e) => e.isLeaving && !this.hasLeft(e));
-    for (const endpoint of leaving) this.left.set(endpoint.id, endpoint.startedAtMs);
+    const leaving = listed.filter((e) => e.isLeaving && !this.left.isLeaving(e));
+    for (const endpoint of leaving) this.left.noteLeaving(endpoint);
+    for (const endpoint of joined) this.left.noteListed(endpoint);
+    this.noteGone(gone);
     this.endpoints = next;
     return { joined, leaving: leaving.map((e) => e.id), gone };
   }
@@ -110,11 +172,19 @@
    */
   dropMissing(): ListChange {
     const gone = [...this.missing];
+    this.noteGone(gone);
     for (const id of gone) this.endpoints.delete(id);
     this.missing.clear();
     return { ...NO_CHANGE, gone };
   }
 
+  private noteGone(ids: readonly EndpointId[]): void {
+    for (const id of ids) {
+      const endpoint = this.endpoints.get(id);
+      if (endpoint) this.left.noteGone(endpoint);
+    }
+  }
+
   private missingFrom(next: ReadonlyMap<EndpointId, PublishedEndpoint>): EndpointId[] {
     this.missing.clear();
     return [...this.endpoints.keys()].filter((id) => !next.has(id));
--- a/src/core/published/relay.ts
+++ b/src/core/published/relay.ts
@@ -1,6 +1,6 @@
 /**
  * What an entry that follows the store tells other daemons, so that they need not ask the store themselves: how the list of
- * endpoints changed, which version of the configuration is the newest, and when that was proved last.
+ * endpoints changed, which version of the configuration is the newest, when that was proved last, and in which era of the store.
  *
  * 228 daemons that each kept a waiting call at the store made 10,782 calls in 73 s of the heaviest day of a large
  * deployment; each call is counted against a rate that grows more slowly than the fleet.
@@ -36,8 +36,8 @@
 }
 
 /**
- * Age of a proof from which a relay is of no use, ms. It has a new one each 0.7 s. What it does not tell of has to be in force
- * 2 s after it was published, so that whoever hears from it must ask elsewhere well before.
+ * Time without word of the store from which a relay is of no use, ms. It hears from it each 0.7 s. What it does not tell of has
+ * to be in force 2 s after it was published, so that whoever hears from it must ask elsewhere well before.
  */
 export const STALE_MS = 1200;
 
@@ -58,11 +58,11 @@
 
   /** Takes what has been learnt since, and tells those who wait. */
   noteLearnt(): void {
-    const { list } = this.parts.state;
+    const list = this.parts.state.listToTell();
     for (const endpoint of list.values())
       if (!isAlike(endpoint, this.told.get(endpoint.id))) this.note({ id: endpoint.id, endpoint });
     for (const id of this.told.keys()) if (!list.has(id)) this.note({ id, endpoint: undefined });
-    this.told = new Map(list);
+    this.told = list;
     for (const wake of [...this.waiting]) wake();
   }
 
@@ -73,7 +73,7 @@
   }
 
   /**
-   * Answers as soon as there is news, when the wait is over, or when the proof is no use any more.
+   * Answers as soon as there is news, when the wait is over, or when what is known is no use any more.
    * @example await relay.answer({ life: '', sequence: 0, waitMs: 0, wantsProof: true })
    */
   async answer(ask: PublishedAsk): Promise<PublishedNews> {
@@ -81,7 +81,7 @@
     const askedAtMs = clock.nowMs();
     while (!this.hasNews(ask)) {
       const heldMs = clock.nowMs() - askedAtMs;
-      const freshMs = STALE_MS - this.parts.state.proofAgeMs(clock.nowMs());
+      const freshMs = STALE_MS - this.parts.state.heardAgeMs(clock.nowMs());
       const leftMs = Math.min(ask.waitMs - heldMs, freshMs);
       const isLearnt = leftMs > 0 && (await this.nextLearnt(leftMs));
       if (!isLearnt || ask.wantsProof) break;
@@ -120,7 +120,7 @@
     const version = state.config?.version;
     const follows = this.follows(ask);
     const changes = follows ? this.changesSince(ask.sequence) : this.told;
-    const provedAgoMs = state.proofAgeMs(clock.nowMs());
+    const nowMs = clock.nowMs();
     return {
       life,
       sequence: this.sequence,
@@ -129,8 +129,10 @@
       removed: [...changes].flatMap(([id, endpoint]) => (endpoint ? [] : [id])),
       ...(version !== undefined && { configVersion: version }),
       ...(ask.wantsDocument && state.config?.document && { document: state.config.document }),
-      // What was never proved is older than anything that is acted on.
-      provedAgoMs: Math.min(provedAgoMs, Number.MAX_SAFE_INTEGER),
+      era: state.era,
+      // What was never proved or heard is older than anything that is acted on.
+      provedAgoMs: Math.min(state.proofAgeMs(nowMs), Number.MAX_SAFE_INTEGER),
+      heardAgoMs: Math.min(state.heardAgeMs(nowMs), Number.MAX_SAFE_INTEGER),
       isDirect: this.parts.isDirect(),
       waitedMs,
     };
--- a/src/core/published/relayed-source.ts
+++ b/src/core/published/relayed-source.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../clock/index.js';
 import type { Log } from '../logging/index.js';
 import { Err, Ok, type Result } from '../result/index.js';
+import { readBeside } from './first-read.js';
 import { OneRelay, type OneRelayParts } from './one-relay.js';
 import type { ConfigRead, PublishedRead, PublishedSource, ReadFault, Watched } from './source.js';
 
@@ -39,13 +40,15 @@
 /** Reads from the first source of several that has fresh news. */
 export class RelayedSource implements PublishedSource {
   private readonly store: Candidate;
+  private readonly oneRelays: readonly OneRelay[];
   private readonly relays: readonly Candidate[];
   /** Where was read last. */
   private current: Candidate | undefined;
 
   constructor(private readonly parts: RelayedParts) {
     this.store = candidateOf(parts.store);
-    this.relays = parts.relays.map((address) => candidateOf(new OneRelay(address, parts)));
+    this.oneRelays = parts.relays.map((address) => new OneRelay(address, parts));
+    this.relays = this.oneRelays.map(candidateOf);
   }
 
   /** Where was read last. */
@@ -60,8 +63,8 @@
 
   /** Reads everything from the first source that has it. */
   async readAll(): Promise<Result<PublishedRead, ReadFault>> {
-    const first = this.current || this.parts.isRelay ? undefined : await this.readAtStart();
-    if (first) return first;
+    const first = this.current ? undefined : await this.readAtStart();
+    if (first?.ok) return first;
     let last: Result<PublishedRead, ReadFault> = Err({
       kind: 'missing',
       detail: 'no source was asked',
@@ -77,8 +80,14 @@
     return last;
   }
 
+  /** The first read; undefined or a fault where the sources are to be asked in turn. */
+  private readAtStart(): Promise<Result<PublishedRead, ReadFault> | undefined> {
+    if (!this.parts.isRelay) return this.readFromRelays();
+    return readBeside(() => this.readFrom(this.store), this.oneRelays);
+  }
+
   /** Reads everything from a relay that may have yet to start; undefined when none of them answers in time. */
-  private async readAtStart(): Promise<Result<PublishedRead, ReadFault> | undefined> {
+  private async readFromRelays(): Promise<Result<PublishedRead, ReadFault> | undefined> {
     const untilMs = this.parts.clock.nowMs() + START.withinMs;
     while (this.relays.length > 0 && this.parts.clock.nowMs() < untilMs) {
       for (const from of this.relays) {
@@ -117,14 +126,24 @@
   }
 
   /**
-   * The configuration that was told of: from the store, which every daemon of a fleet has its own way to, or else from where
-   * it was told of. Relays pass it on to those alone that the store turns away: it may take a megabyte.
+   * The configuration that was told of: from the store, which every daemon of a fleet has its own way to, or else from who
+   * told of it. Relays pass it on to those alone that the store turns away, or that it gives an older one, as it does when it
+   * has come back from a copy: it may take a megabyte.
    */
   async readConfig(): Promise<Result<ConfigRead, ReadFault>> {
     const read = await this.parts.store.readConfig();
-    const { current } = this;
-    if (read.ok || !current || current === this.store) return read;
-    return current.source.readConfig();
+    const teller = this.tellerOfNewer(read);
+    return teller ? teller.readConfig() : read;
+  }
+
+  /** The relay that knows a newer configuration than what was read; the current one before others. */
+  private tellerOfNewer(read: Result<ConfigRead, ReadFault>): OneRelay | undefined {
+    const news = read.ok ? read.val.config : undefined;
+    // One that cannot be read from the store cannot be read from a relay either.
+    if (news && news.kind !== 'read') return undefined;
+    const version = news?.config.version ?? 0;
+    const tellers = this.oneRelays.filter(({ toldVersion = 0 }) => toldVersion > version);
+    return tellers.find((relay) => relay === this.current?.source) ?? tellers[0];
   }
 
   /** Sources to be asked, in their order. The store is asked in any case, when no other is left. */
--- a/src/core/published/source.ts
+++ b/src/core/published/source.ts
@@ -26,40 +26,44 @@
   /** It has not changed. */
   | { readonly kind: 'same' };
 
+/** When and in which era of the store something was read. */
+export interface ReadTime {
+  /**
+   * Number of the store's era, which rises each time that it comes back from an older copy: revisions of one era mean nothing in
+   * another. 0 where left out.
+   */
+  readonly era?: number;
+  /** Time after asking at which all this was the newest, ms; negative where it was told by a relay. 0 where left out. */
+  readonly provedAfterMs?: number;
+  /** Time after asking at which the store was heard, ms, also where that proves nothing. `provedAfterMs` where left out. */
+  readonly heardAfterMs?: number;
+}
+
 /** Everything that is published, and the revision of the store from which changes are to be watched. */
-export interface PublishedRead {
+export interface PublishedRead extends ReadTime {
   readonly config: ConfigNews;
   readonly endpoints: readonly PublishedEndpoint[];
   readonly revision: number;
   /** Records that were left out, each with field, value and remedy. */
   readonly invalid: readonly string[];
-  /** Time after asking at which all this was the newest, ms; negative where it was told by a relay. 0 where left out. */
-  readonly provedAfterMs?: number;
 }
 
 /** The configuration alone. */
-export interface ConfigRead {
+export interface ConfigRead extends ReadTime {
   readonly config: ConfigNews;
   readonly invalid: readonly string[];
-  /** As in `PublishedRead`. */
-  readonly provedAfterMs?: number;
 }
 
 /** What came of watching for changes. */
 export type Watched =
-  | {
+  | (ReadTime & {
       readonly kind: 'changes';
       readonly config: ConfigNews;
       /** In the order in which they were made. */
       readonly endpoints: readonly EndpointChange[];
       readonly revision: number;
       readonly invalid: readonly string[];
-      /**
-       * Time after asking at which all this was the newest, ms, where the source can tell; negative where a relay had it
-       * from the store before.
-       */
-      readonly provedAfterMs?: number;
-    }
+    })
   /** The history since the revision is no longer known: everything has to be read again. */
   | { readonly kind: 'forgotten' };
 
--- a/src/core/published/taker.ts
+++ b/src/core/published/taker.ts
@@ -28,21 +28,25 @@
 
   /** Takes what was learnt at some time after `askedAtMs`; only the newest one is a proof. */
   config(news: ConfigNews, askedAtMs: number): void {
-    if (news.kind !== 'same') this.isNewest = news.kind === 'read';
-    if (news.kind === 'read') this.offer(news.config, askedAtMs);
+    if (news.kind === 'read') this.isNewest = this.offer(news.config, askedAtMs);
+    else if (news.kind !== 'same') this.isNewest = false;
     else if (this.isNewest) this.parts.state.proveConfig(askedAtMs);
   }
 
-  private offer(config: PublishedConfig, askedAtMs: number): void {
+  /** False where the configuration in force is newer: what the store holds then proves nothing of it. */
+  private offer(config: PublishedConfig, askedAtMs: number): boolean {
     const { state, log, metrics, clock } = this.parts;
     const before = state.config?.version;
     if (!state.offerConfig(config, askedAtMs)) {
       metrics.count('config_older_total');
       log.warn('config.older', { version: config.version, inForce: before });
-    } else if (config.version !== before) {
+      return false;
+    }
+    if (config.version !== before) {
       const readMs = Math.round(clock.nowMs() - askedAtMs);
       log.info('config.inForce', { version: config.version, before, readMs, ...this.origin() });
     }
+    return true;
   }
 
   /** Takes how the list of endpoints has changed. */
--- a/test/core/published/relay-fleet.ts
+++ b/test/core/published/relay-fleet.ts
@@ -39,6 +39,8 @@
   readonly name = 'store';
   endpoints: PublishedEndpoint[] = [A];
   version = 1;
+  /** Rises each time that it comes back from a copy. */
+  era = 0;
   isAway = false;
   /** How it turns callers away. */
   away = LOST;
@@ -75,13 +77,13 @@
   readonly readAll: PublishedStore['readAll'] = () => {
     this.calls.all += 1;
     if (this.isAway) return Promise.resolve(Err(this.away));
-    const { endpoints, revision } = this;
-    return Promise.resolve(Ok({ config: this.config(), endpoints, revision, invalid: [] }));
+    const { endpoints, revision, era } = this;
+    return Promise.resolve(Ok({ config: this.config(), endpoints, revision, invalid: [], era }));
   };
   readonly readConfig: PublishedStore['readConfig'] = () => {
     this.calls.config += 1;
     return Promise.resolve(
-      this.isAway ? Err(this.away) : Ok({ config: this.config(), invalid: [] }),
+      this.isAway ? Err(this.away) : Ok({ config: this.config(), invalid: [], era: this.era }),
     );
   };
   readonly watch: PublishedStore['watch'] = async (revision, waitMs) => {
@@ -103,6 +105,7 @@
       endpoints: isNew ? this.endpoints.map((e) => ({ kind: 'written', endpoint: e })) : [],
       revision: this.revision,
       invalid: [],
+      era: this.era,
     });
   };
 }
@@ -181,6 +184,7 @@
 export async function readAll(daemon: Daemon, fleet: Fleet): Promise<void> {
   const askedAtMs = fleet.nowMs;
   const read = (await daemon.source.readAll()).unwrap();
+  daemon.state.enterEra(read.era ?? 0, fleet.nowMs);
   const pending =
     read.config.kind === 'pending' ? (await daemon.source.readConfig()).unwrap() : read;
   const provedAtMs = askedAtMs + (read.provedAfterMs ?? 0);
--- a/test/core/published/relayed-source.test.ts
+++ b/test/core/published/relayed-source.test.ts
@@ -23,6 +23,7 @@
   startFleet,
   StoreFake,
   type Daemon,
+  type Fleet,
 } from './relay-fleet.js';
 
 test('the list is read from a relay, the configuration alone from the store', async () => {
@@ -42,7 +43,9 @@
     invalid: [],
     endpoints: [],
     revision: 0,
+    era: 0,
     provedAfterMs: -400,
+    heardAfterMs: -400,
   });
   assert.equal(fleet.store.total, 1);
 });
@@ -304,3 +307,40 @@
     ['e0'],
   );
 });
+
+/** Brings the store back from a copy that holds an older version and knows nothing of what left since. */
+function restore(fleet: Fleet, version: number): void {
+  fleet.store.era += 1;
+  fleet.store.version = version;
+  fleet.store.change();
+}
+
+test('a relay that has not heard yet that the store came back from a copy proves nothing', async () => {
+  const fleet = startFleet();
+  await readAll(fleet.start('relay', ['relay']), fleet);
+  const daemon = fleet.start('entry', ['relay']);
+  await readAll(daemon, fleet);
+  restore(fleet, 1);
+  daemon.state.enterEra(fleet.store.era, fleet.nowMs);
+  const watched = (await daemon.source.watch(0, 0)).unwrap();
+  assert.equal(watched.kind, 'forgotten');
+  assert.match(fleet.events.join(), /"kind":"stale".*era 0 of the store/);
+});
+
+test('who starts as the store comes back from a copy hears from others what the copy lacks', async () => {
+  const fleet = startFleet();
+  fleet.store.hasDocument = true;
+  fleet.store.version = 2;
+  fleet.store.endpoints = [{ ...A, isLeaving: true }, B];
+  const relays = ['r1', 'r2'];
+  await readAll(fleet.start('r1', relays), fleet);
+  restore(fleet, 1);
+  fleet.store.endpoints = [A, B];
+  await readAll(fleet.daemons.get('r1') as Daemon, fleet);
+  for (const name of ['r2', 'entry']) {
+    const daemon = fleet.start(name, relays);
+    await readAll(daemon, fleet);
+    assert.equal(daemon.state.config?.version, 2, name);
+    assert.deepEqual([daemon.state.takesWork(A.id), daemon.state.takesWork(B.id)], [false, true]);
+  }
+});
