--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -42,6 +42,16 @@
   withdrawals.push({ what: 'route', name: `/${name}/`, atMs: nowMs() });
 }
 
+/** Takes a key away; false where too few would be left. */
+export function takeKey({ config, publish, withdrawals, nowMs }: Deployment): boolean {
+  const key = KEYS.slice(1).find((k) => config.keys.has(k));
+  if (key === undefined || config.keys.size <= 2) return false;
+  config.keys.delete(key);
+  publish();
+  withdrawals.push({ what: 'key', name: key, atMs: nowMs() });
+  return true;
+}
+
 /** A plain endpoint that others can do without, and that has not left yet. */
 export function nextLeaving({ endpoints, withdrawals }: Deployment): SoakEndpoint | undefined {
   const left = new Set(withdrawals.map((w) => w.name));
@@ -218,12 +228,7 @@
 };
 
 const keyTakenAway: Fault = async ({ deployment }) => {
-  const key = KEYS.slice(1).find((k) => deployment.config.keys.has(k));
-  if (key === undefined || deployment.config.keys.size <= 2) return;
-  deployment.config.keys.delete(key);
-  deployment.publish();
-  deployment.withdrawals.push({ what: 'key', name: key, atMs: deployment.nowMs() });
-  await sleep(50);
+  if (takeKey(deployment)) await sleep(50);
 };
 
 /** A plain endpoint announces that it leaves, serves on for a while, and is gone. */
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -11,6 +11,7 @@
   type Deployment,
   type SoakSize,
 } from './deployment.js';
+import { comeBackFromCopies } from './copies.js';
 import { disturb } from './faults.js';
 import { silenceWhileThingsChange, silenceWithoutRelays } from './silence.js';
 import type { SoakRecord } from './record.js';
@@ -64,6 +65,7 @@
   faults: disturb,
   silence: silenceWhileThingsChange,
   'silence-without-relays': silenceWithoutRelays,
+  copies: comeBackFromCopies,
 } as const;
 
 /** The size for plays in which endpoints leave one after the other. */
