--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -6,6 +6,7 @@
   publishedConfig,
   publishedEndpoints,
 } from '../caller-api/index.js';
+import { SuspensionClock } from '../core/clock/index.js';
 import { asId } from '../core/ids/index.js';
 import { PublishedState, type CallerLimits } from '../core/published/index.js';
 import { createContext, createGateway, type Gateway } from '../gateway/index.js';
@@ -78,6 +79,7 @@
     callers,
     state,
     clock,
+    ageClock: new SuspensionClock(clock),
     random: ctx.random,
     log: decisions.watch(ctx.log),
     metrics,
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,4 +1,5 @@
 /** What the parts of one gateway share. */
+import type { Clock } from '../core/clock/index.js';
 import type { EngineInfo, PublishedEndpoint, ServiceId } from '../core/published/index.js';
 import { RetryBudget } from '../core/retry/index.js';
 import { KEY_PROOF_MARGIN_MS, RETRY_SHARERS, RETRY_SHARE_USED } from './consts.js';
@@ -12,6 +13,8 @@
 /** What a gateway is made from. */
 export interface GatewayParts extends EndpointParts {
   readonly settings: GatewaySettings;
+  /** Clock of all ages and deadlines that a promise rests on. */
+  readonly ageClock: Clock;
   /** Retries allowed for each request, by all entries together; asked for at each request. */
   readonly retryShare: () => number;
   readonly callers: CallerInterface;
@@ -48,7 +51,7 @@
  * @example const ctx = createContext(parts);
  */
 export function createContext(parts: GatewayParts): GatewayContext {
-  const { settings, state, clock } = parts;
+  const { settings, state, ageClock } = parts;
   const services = new Map<ServiceId, ServiceState>();
   const makeService = (id: ServiceId): ServiceState => {
     const engine = (): EngineInfo | undefined => state.config?.services.get(id)?.engine;
@@ -62,7 +65,7 @@
       groups:
         engine() &&
         new ServiceGroups({
-          clock,
+          clock: ageClock,
           dataCentre: parts.dataCentre,
           engine,
           endpoints: () => state.workingOf(id),
@@ -74,7 +77,8 @@
   return {
     ...parts,
     endpoints: new Endpoints(parts),
-    keysProved: () => state.proofAgeMs(clock.nowMs()) <= settings.keyProofMs - KEY_PROOF_MARGIN_MS,
+    keysProved: () =>
+      state.proofAgeMs(ageClock.nowMs()) <= settings.keyProofMs - KEY_PROOF_MARGIN_MS,
     serviceOf: (id) => {
       const known = services.get(id);
       if (known) return known;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -42,7 +42,7 @@
  * @example const gateway = createGateway(ctx); gateway.server.listen(8227, '10.1.0.40');
  */
 export function createGateway(ctx: GatewayContext): Gateway {
-  const { callers, clock, state, log, metrics, settings } = ctx;
+  const { callers, clock, ageClock, state, log, metrics, settings } = ctx;
   let running = 0;
   let stoppingAtMs: number | undefined;
 
@@ -59,13 +59,13 @@
   }
 
   function proofOld(): Result<never, Refusal> {
-    const ageMs = Math.round(state.proofAgeMs(clock.nowMs()));
+    const ageMs = Math.round(state.proofAgeMs(ageClock.nowMs()));
     return refusal('proof-old', `the configuration was proved ${ageMs} ms ago`, ELSEWHERE_RETRY_S);
   }
 
   /** Whether something may have been added that this entry should know by now: it cannot say that there is none. */
   function mayLackNews(): boolean {
-    return state.proofAgeMs(clock.nowMs()) > settings.configApplyMs;
+    return state.proofAgeMs(ageClock.nowMs()) > settings.configApplyMs;
   }
 
   /** Names the organisation of a request; a key counts only while the configuration is proved fresh. */
@@ -120,7 +120,7 @@
       organisation: req?.organisation?.id,
       service: note.service || undefined,
       config: state.config?.version,
-      proofMs: Math.round(state.proofAgeMs(clock.nowMs())),
+      proofMs: Math.round(state.proofAgeMs(ageClock.nowMs())),
       tries: note.tries.join(',') || undefined,
       returning: note.isReturning || undefined,
       queuedMs: Math.round(note.queuedMs) || undefined,
@@ -168,6 +168,7 @@
       if (!res.writableFinished) gone.abort();
     });
     const allowedMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
+    const heldUntilMs = ageClock.nowMs() + allowedMs;
     const bodyMs = Math.min(settings.bodyMs ?? allowedMs, allowedMs);
     const body = await readBody(req, config.limits.bodyBytes, bodyMs);
     const request: GatewayRequest = {
@@ -179,7 +180,7 @@
       organisation,
       body: body.ok ? body.val : Buffer.alloc(0),
       arrivedAtMs,
-      untilMs: arrivedAtMs + allowedMs,
+      leftMs: () => heldUntilMs - ageClock.nowMs(),
       gone: gone.signal,
     };
     if (body.err) {
@@ -222,7 +223,7 @@
           if (request.res.headersSent) resolve({ kind: 'cut', detail });
           else resolve({ kind: 'refused', refusal: { reason: 'time-over', detail } });
         },
-        request.untilMs - FINAL_ANSWER_MS / 2 - clock.nowMs(),
+        request.leftMs() - FINAL_ANSWER_MS / 2,
       );
     });
     try {
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -1,6 +1,6 @@
 /** One gateway process: starts its parts, follows the published state, stops when told to. */
 import { createServer } from 'node:http';
-import { sleep, systemClock } from '../core/clock/index.js';
+import { sleep, SuspensionClock, systemClock } from '../core/clock/index.js';
 import type { HarriergladeError } from '../core/errors/index.js';
 import { newIncarnation } from '../core/ids/index.js';
 import { createLog, type Log } from '../core/logging/index.js';
@@ -18,6 +18,7 @@
 import type { Result } from '../core/result/index.js';
 import { askRelay, createPeers } from '../rpc/peers.js';
 import { serveRpc } from '../rpc/serve.js';
+import { noteStep } from '../runtime/clock-steps.js';
 import { KeptConnections } from '../runtime/kept-connections.js';
 import { listen } from '../runtime/listen.js';
 import { relayPlace } from '../runtime/relays.js';
@@ -58,11 +59,14 @@
   const metrics = new Metrics();
   const state = new PublishedState();
   const { dataCentre } = settings;
-  const shared = { state, clock: systemClock, random: Math.random, log, metrics, dataCentre };
+  const ageClock = new SuspensionClock(systemClock, noteStep(log, metrics));
+  const shared = { state, random: Math.random, log, metrics, dataCentre, clock: systemClock };
+  /** Parts that hold what others told: it grows old also while the machine is suspended. */
+  const known = { ...shared, clock: ageClock };
   const ending = new AbortController();
   const peers = createPeers(new KeptConnections({ connect: { timeout: PEER_CONNECT_MS } }));
   const groups = new GroupSight({
-    ...shared,
+    ...known,
     port: settings.internalPort,
     ask: (address, sends, withinMs) =>
       peers
@@ -73,6 +77,7 @@
   });
   const ctx: GatewayContext = createContext({
     ...shared,
+    ageClock,
     settings: settings.gateway,
     retryShare: () => settings.retryShare,
     callers: parts.callers,
@@ -84,7 +89,7 @@
   const gateway = createGateway(ctx);
   const place = relayPlace(settings);
   const source = new RelayedSource({
-    ...shared,
+    ...known,
     store: parts.store,
     ...place,
     ask: askRelay(peers),
@@ -93,13 +98,13 @@
     wantsConfig: () => true,
   });
   const relay = new PublishedRelay({
-    ...shared,
+    ...known,
     life: newIncarnation(systemClock.wallMs()),
     isDirect: () => source.isDirect,
   });
   const onLearnt = (): void => relay.noteLearnt();
   const pace = place.isRelay ? RELAY_PACE : entryPace(settings.contactMs);
-  void followPublished({ ...shared, source, pace, onLearnt }, ending.signal);
+  void followPublished({ ...known, source, pace, onLearnt }, ending.signal);
   void groups.run(ending.signal);
   setInterval(() => ctx.endpoints.prune(), PRUNE_MS).unref();
   setInterval(() => logTurns(ctx), TURNS_LOG_MS).unref();
--- a/src/gateway/relay-stream.ts
+++ b/src/gateway/relay-stream.ts
@@ -31,8 +31,8 @@
   readonly nowMs: () => number;
   /** Longest time without an event, ms. */
   readonly silenceMs: number;
-  /** Monotonic time at which the stream is cut, whatever comes, ms. */
-  readonly untilMs: number;
+  /** Time after which the stream is cut, whatever comes, ms. */
+  readonly leftMs: () => number;
   /** Whether the stream had better go on at another endpoint; asked after each event. */
   readonly shouldMove: () => boolean;
   /** Called at the first event of each connection, with the time the stream had waited for it. */
@@ -71,8 +71,7 @@
   let silent = '';
   let first = true;
   const arm = (): NodeJS.Timeout => {
-    const leftMs = relay.untilMs - relay.nowMs();
-    const ms = Math.max(1, Math.min(relay.silenceMs, leftMs));
+    const ms = Math.max(1, Math.min(relay.silenceMs, relay.leftMs()));
     return setTimeout(() => {
       silent = `no event within ${Math.round(ms)} ms`;
       answer.dropSilent(ms);
--- a/src/gateway/serve-request.ts
+++ b/src/gateway/serve-request.ts
@@ -67,7 +67,7 @@
 }
 
 function leftMs(work: Work): number {
-  return work.request.untilMs - FINAL_ANSWER_MS - work.ctx.clock.nowMs();
+  return work.request.leftMs() - FINAL_ANSWER_MS;
 }
 
 /** A time to come back, s, anywhere in a range: those who were refused together are spread. */
@@ -111,7 +111,7 @@
   work.note.tries.push(`${target.endpoint.id}:${fault.kind}`);
   // What was given up by the caller or by us says nothing of the endpoint.
   if (work.request.gone.aborted || fault.kind === 'slow') return;
-  work.place?.turns.outage.noteBad(work.ctx.clock.nowMs());
+  work.place?.turns.outage.noteBad(work.ctx.ageClock.nowMs());
   work.ctx.endpoints.noteBad(target, fault.detail);
   work.ctx.metrics.count('attempt_faults_total', { service: work.service.id, kind: fault.kind });
   work.ctx.log.info('attempt.fault', {
@@ -179,7 +179,7 @@
       progress,
       nowMs: () => ctx.clock.nowMs(),
       silenceMs: STREAM_SILENCE_MS,
-      untilMs: request.untilMs - FINAL_ANSWER_MS,
+      leftMs: () => leftMs(work),
       shouldMove: () =>
         ctx.endpoints.isSlow(target) && mayTryAgain(work) && service.budget.canWithdraw(),
       onFirst: () => {
@@ -250,7 +250,7 @@
 function changeGroup(work: Work): void {
   const { ctx, place, service, tried } = work;
   const next = place && service.groups?.choose(tried, place.id);
-  if (!place || !next || next.turns.outage.isOut(ctx.clock.nowMs())) return;
+  if (!place || !next || next.turns.outage.isOut(ctx.ageClock.nowMs())) return;
   if (!next.turns.queue.takeNow(work.progress.events > 0)) return;
   place.turns.queue.release();
   work.place = next;
@@ -338,7 +338,7 @@
   const { turns } = chosen;
   const { route, gone } = request;
   if (route.gapMs !== undefined) turns.allowPauses(route.gapMs);
-  const askedAtMs = ctx.clock.nowMs();
+  const askedAtMs = ctx.ageClock.nowMs();
   const waitsMs = request.head.deadlineMs ?? DEFAULT_DEADLINE_MS;
   const isReturning = groups.callers.isReturning(route.id, waitsMs);
   note.isReturning = isReturning;
@@ -352,7 +352,7 @@
     leftMs: leftMs(work),
   });
   const got = await turns.queue.take(terms.order, terms.waitMs, gone);
-  note.queuedMs = ctx.clock.nowMs() - askedAtMs;
+  note.queuedMs = ctx.ageClock.nowMs() - askedAtMs;
   if (got) {
     work.place = chosen;
     return undefined;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -150,8 +150,8 @@
   readonly body: Buffer;
   /** Monotonic time at which it arrived, ms. */
   readonly arrivedAtMs: number;
-  /** Monotonic time until which it may be held, ms. */
-  readonly untilMs: number;
+  /** Time for which it may still be held, ms; time for which this machine was suspended counts. */
+  readonly leftMs: () => number;
   /** Aborts when the caller goes away. */
   readonly gone: AbortSignal;
 }
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -1,5 +1,5 @@
 /** One agent process, beside one rank's engine: serves the rank's orders and may coordinate the group. */
-import { sleep, systemClock } from '../core/clock/index.js';
+import { sleep, SuspensionClock, systemClock } from '../core/clock/index.js';
 import { RankGate, type RankOrder } from '../core/groups/index.js';
 import { newIncarnation } from '../core/ids/index.js';
 import { createLog, type Log } from '../core/logging/index.js';
@@ -15,6 +15,7 @@
 } from '../core/published/index.js';
 import { errorText, type HarriergladeError } from '../core/errors/index.js';
 import type { Result } from '../core/result/index.js';
+import { noteStep } from '../runtime/clock-steps.js';
 import { KeptConnections } from '../runtime/kept-connections.js';
 import { listen } from '../runtime/listen.js';
 import { watchSettings } from '../runtime/settings-watch.js';
@@ -56,11 +57,14 @@
   const metrics = new Metrics();
   const state = new PublishedState();
   const shared = { clock, random: Math.random, log, metrics };
+  const ageClock = new SuspensionClock(clock, noteStep(log, metrics));
+  /** Parts that hold what others told: it grows old also while the machine is suspended. */
+  const known = { ...shared, clock: ageClock };
   const ending = new AbortController();
   const group = new OwnGroup(state, ownEndpoint, settings.internalPort);
   const peers = createPeers(new KeptConnections({ connect: { timeout: CONNECT_MS } }));
   const source = new RelayedSource({
-    ...shared,
+    ...known,
     state,
     store: parts.store,
     ...relayPlace(settings),
@@ -71,7 +75,7 @@
   });
   void followPublished(
     {
-      ...shared,
+      ...known,
       state,
       source,
       pace: {
@@ -95,7 +99,7 @@
     return new RankGate(newIncarnation(clock.wallMs()), engine, () => 0);
   };
   const gate = gateAt(ownEndpoint.host, true);
-  const digest = new HeldDigest(clock);
+  const digest = new HeldDigest(ageClock);
   const askers = new Askers();
   const succession = new Succession({
     ...shared,
