--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -2,7 +2,12 @@
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { platformHeaders } from '../../platform/headers.js';
-import { seededRandom, SuspensionClock, systemClock, type Clock } from '../../src/core/clock/index.js';
+import {
+  seededRandom,
+  SuspensionClock,
+  systemClock,
+  type Clock,
+} from '../../src/core/clock/index.js';
 import { asId } from '../../src/core/ids/index.js';
 import { silentLog, type Log, type LogFields } from '../../src/core/logging/index.js';
 import { Metrics } from '../../src/core/metrics/index.js';
