--- /dev/null
+++ b/src/core/crashes/index.ts
@@ -0,0 +1,2 @@
+export * from './evidence.js';
+export * from './fingerprint.js';
--- a/src/core/errors/kinds.ts
+++ b/src/core/errors/kinds.ts
@@ -80,6 +80,13 @@
   stopping: kind(503, 'Entry is stopping', (f) => f, ELSEWHERE, 1),
   busy: kind(503, 'All places are taken', (f) => f, AGAIN_LATER, 1),
   outage: kind(503, 'No endpoint serves', (f) => f, AGAIN_LATER, 2),
+  'crashes-endpoints': kind(
+    503,
+    'Endpoints that began to run it crashed',
+    (f) => f,
+    'Do not send the same request again; change what it asks for, or tell the operators.',
+    300,
+  ),
   'no-endpoint': kind(503, 'No endpoint can take it', (f) => f, AGAIN_LATER, 2),
   'not-run': kind(503, 'No endpoint ran it', (f) => f, AGAIN_LATER, 1),
   'id-missing': kind(400, 'No request id', (f) => f, 'Send an id of its own with each request.'),
--- a/src/core/published/one-relay.ts
+++ b/src/core/published/one-relay.ts
@@ -1,4 +1,5 @@
 /** The published state as one relay tells it. A proof keeps the age that it had there, so that it never counts for younger. */
+import type { CrashEvidence } from '../crashes/index.js';
 import { errorText, isGivenUp } from '../errors/index.js';
 import { asId, type EndpointId } from '../ids/index.js';
 import { Err, Ok, type Result } from '../result/index.js';
@@ -59,6 +60,8 @@
   readonly pace: RelayedPace;
   /** Whether a newer configuration is wanted; the first one is in any case. */
   readonly wantsConfig: () => boolean;
+  /** Where what relays know of requests that crash endpoints is put together; left out where it is not wanted. */
+  readonly crashes?: CrashEvidence;
 }
 
 /** What a relay has told so far. */
@@ -82,6 +85,7 @@
 export class OneRelay implements PublishedSource {
   private told = NOTHING;
   private newestTold: number | undefined;
+  private crashesHeard = 0;
 
   /** Its address is its name. */
   constructor(
@@ -136,7 +140,7 @@
   }
 
   private async ask(told: Question, waitMs: number): Promise<Result<PublishedNews, ReadFault>> {
-    const { ask, pace, state } = this.parts;
+    const { ask, pace, state, crashes } = this.parts;
     const { wantsProof } = pace;
     const configVersion = wantsProof ? state.config?.version : undefined;
     const question: PublishedAsk = {
@@ -144,15 +148,24 @@
       waitMs,
       wantsProof,
       ...(configVersion !== undefined && { configVersion }),
+      ...(crashes && { crashesHeard: this.crashesHeard }),
     };
     try {
       const answerMs = told.wantsDocument ? DOCUMENT_MS : ANSWER_MS;
-      return Ok(await ask(this.name, question, waitMs + answerMs));
+      const news = await ask(this.name, question, waitMs + answerMs);
+      this.takeCrashes(news);
+      return Ok(news);
     } catch (err) {
       return fault(isGivenUp(err) ? 'timeout' : 'reset', `${this.name}: ${errorText(err)}`);
     }
   }
 
+  /** What is known of crashes counts whatever else of the news is of no use. */
+  private takeCrashes({ crashes, crashVersion = 0 }: PublishedNews): void {
+    if (crashes) this.parts.crashes?.take(crashes);
+    this.crashesHeard = crashVersion;
+  }
+
   /** Why news is of no use here, as of its age or its way. */
   private uselessness(news: PublishedNews): Result<never, ReadFault> | undefined {
     const { name, parts } = this;
--- a/src/core/published/relay.ts
+++ b/src/core/published/relay.ts
@@ -6,6 +6,7 @@
  * deployment; each call is counted against a rate that grows more slowly than the fleet.
  */
 import type { Clock } from '../clock/index.js';
+import type { CrashEvidence } from '../crashes/index.js';
 import { asId, type EndpointId, type Incarnation } from '../ids/index.js';
 import type {
   PublishedAsk,
@@ -18,6 +19,9 @@
 /** Changes kept for those who ask; whoever missed more is told the whole list. A release replaces 129 engines. */
 const MOST_CHANGES = 512;
 
+/** The part of an answer that tells of crashes. */
+type CrashFields = Pick<PublishedNews, 'crashVersion' | 'crashes'>;
+
 /** One change of the list. */
 interface Change {
   readonly id: EndpointId;
@@ -33,6 +37,8 @@
   readonly life: Incarnation;
   /** Whether this daemon hears from the store itself. */
   readonly isDirect: () => boolean;
+  /** What is known of requests that crash endpoints; passed on with the rest. */
+  readonly crashes?: CrashEvidence;
 }
 
 /**
@@ -63,6 +69,11 @@
       if (!isAlike(endpoint, this.told.get(endpoint.id))) this.note({ id: endpoint.id, endpoint });
     for (const id of this.told.keys()) if (!list.has(id)) this.note({ id, endpoint: undefined });
     this.told = list;
+    this.wake();
+  }
+
+  /** Tells those who wait for news or a proof how things stand. */
+  wake(): void {
     for (const wake of [...this.waiting]) wake();
   }
 
@@ -105,6 +116,7 @@
 
   private hasNews(ask: PublishedAsk): boolean {
     if (!this.follows(ask) || ask.sequence !== this.sequence) return true;
+    if (this.crashNews(ask).crashes) return true;
     const version = this.parts.state.config?.version;
     return ask.configVersion !== undefined && ask.configVersion !== version;
   }
@@ -115,6 +127,16 @@
     return this.sequence - sequence <= this.changes.length;
   }
 
+  /** What an asker has not heard of crashes; a version of another life of this daemon means nothing. */
+  private crashNews({ life, crashesHeard }: PublishedAsk): CrashFields {
+    const { crashes } = this.parts;
+    if (!crashes || crashesHeard === undefined) return {};
+    const { version } = crashes;
+    const heard = life === this.parts.life ? crashesHeard : 0;
+    if (heard >= version) return { crashVersion: version };
+    return { crashVersion: version, crashes: crashes.newsSince(heard) };
+  }
+
   private newsFor(ask: PublishedAsk, waitedMs: number): PublishedNews {
     const { state, clock, life } = this.parts;
     const version = state.config?.version;
@@ -135,6 +157,7 @@
       heardAgoMs: Math.min(state.heardAgeMs(nowMs), Number.MAX_SAFE_INTEGER),
       isDirect: this.parts.isDirect(),
       waitedMs,
+      ...this.crashNews(ask),
     };
   }
 
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -80,6 +80,8 @@
     state,
     clock,
     ageClock: new SuspensionClock(clock),
+    // Daemons of this interface have no relays; each keeps what it has seen itself.
+    tellCrashes: () => undefined,
     random: ctx.random,
     log: decisions.watch(ctx.log),
     metrics,
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -3,8 +3,10 @@
 import type { EngineInfo, PublishedEndpoint, ServiceId } from '../core/published/index.js';
 import { RetryBudget } from '../core/retry/index.js';
 import { KEY_PROOF_MARGIN_MS, RETRY_SHARERS, RETRY_SHARE_USED } from './consts.js';
+import { CrashWatch } from './crash-watch.js';
 import { Endpoints, type EndpointParts } from './endpoints.js';
 import type { GroupId } from '../core/ids/index.js';
+import type { CrashNews } from '../generated/messages.types.js';
 import type { GroupSize } from './group-sight.js';
 import { ServiceGroups } from './service-groups.js';
 import type { ServiceState } from './serve-request.js';
@@ -15,6 +17,8 @@
   readonly settings: GatewaySettings;
   /** Clock of all ages and deadlines that a promise rests on. */
   readonly ageClock: Clock;
+  /** Passes on to other entries which requests crashed endpoints here. */
+  readonly tellCrashes: (news: CrashNews) => void;
   /** Retries allowed for each request, by all entries together; asked for at each request. */
   readonly retryShare: () => number;
   readonly callers: CallerInterface;
@@ -28,6 +32,7 @@
 
 /** Shared by all requests of one gateway. */
 export interface GatewayContext extends GatewayParts {
+  readonly crashes: CrashWatch;
   readonly endpoints: Endpoints;
   readonly serviceOf: (id: ServiceId) => ServiceState;
   /** Whether the configuration is proved fresh enough to honour keys. */
@@ -77,6 +82,7 @@
   return {
     ...parts,
     endpoints: new Endpoints(parts),
+    crashes: new CrashWatch({ ...parts, clock: ageClock, tell: parts.tellCrashes }),
     keysProved: () =>
       state.proofAgeMs(ageClock.nowMs()) <= settings.keyProofMs - KEY_PROOF_MARGIN_MS,
     serviceOf: (id) => {
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -17,6 +17,7 @@
 } from '../core/published/index.js';
 import type { Result } from '../core/result/index.js';
 import { askRelay, createPeers } from '../rpc/peers.js';
+import type { DaemonCalls } from '../rpc/router.js';
 import { serveRpc } from '../rpc/serve.js';
 import { noteStep } from '../runtime/clock-steps.js';
 import { KeptConnections } from '../runtime/kept-connections.js';
@@ -25,6 +26,7 @@
 import { watchSettings } from '../runtime/settings-watch.js';
 import { STOP_CUT_MS, STOP_POLL_MS, STOP_SERVING_MS } from './consts.js';
 import { createContext, type GatewayContext } from './context.js';
+import { crashTeller } from './crash-watch.js';
 import { createGateway, type Gateway } from './gateway.js';
 import { GroupSight } from './group-sight.js';
 import type { CallerInterface, InstanceSettings } from './types.js';
@@ -34,6 +36,8 @@
 const METRICS_PATH = '/metrics';
 /** Time to open a connection to another daemon, ms. */
 const PEER_CONNECT_MS = 500;
+/** Time to tell another entry which request crashed an endpoint, ms. */
+const TELL_MS = 500;
 /** How often the places of this entry are logged, ms. */
 const TURNS_LOG_MS = 1000;
 /** How often endpoints that are gone are dropped, ms. */
@@ -65,6 +69,7 @@
   const known = { ...shared, clock: ageClock };
   const ending = new AbortController();
   const peers = createPeers(new KeptConnections({ connect: { timeout: PEER_CONNECT_MS } }));
+  const place = relayPlace(settings);
   const groups = new GroupSight({
     ...known,
     port: settings.internalPort,
@@ -78,6 +83,12 @@
   const ctx: GatewayContext = createContext({
     ...shared,
     ageClock,
+    tellCrashes: crashTeller(
+      place.relays,
+      (address, news) =>
+        peers.at(address).crashes.mutate(news, { signal: AbortSignal.timeout(TELL_MS) }),
+      log,
+    ),
     settings: settings.gateway,
     retryShare: () => settings.retryShare,
     callers: parts.callers,
@@ -87,7 +98,7 @@
     groupOf: (endpoint) => groups.groupOf(endpoint),
   });
   const gateway = createGateway(ctx);
-  const place = relayPlace(settings);
+  const crashes = ctx.crashes.evidence;
   const source = new RelayedSource({
     ...known,
     store: parts.store,
@@ -96,11 +107,13 @@
     pause: sleep,
     pace: ENTRY_RELAYED,
     wantsConfig: () => true,
+    crashes,
   });
   const relay = new PublishedRelay({
     ...known,
     life: newIncarnation(systemClock.wallMs()),
     isDirect: () => source.isDirect,
+    crashes,
   });
   const onLearnt = (): void => relay.noteLearnt();
   const pace = place.isRelay ? RELAY_PACE : entryPace(settings.contactMs);
@@ -112,7 +125,13 @@
   process.on('SIGTERM', () => {
     void stop(gateway, settings, log).then(() => process.exit(0));
   });
-  await openAddresses(parts, gateway, metrics, relay);
+  const calls: DaemonCalls = {
+    published: (ask) => relay.answer(ask),
+    crashes: (news) => {
+      if (crashes.take(news)) relay.wake();
+    },
+  };
+  await openAddresses(parts, gateway, metrics, calls);
   log.info('process.started', { settings: JSON.stringify(settings) });
 }
 
@@ -130,7 +149,7 @@
   parts: ProcessParts,
   gateway: Gateway,
   metrics: Metrics,
-  relay: PublishedRelay,
+  calls: DaemonCalls,
 ): Promise<void> {
   const { callers, control, ready: readyAddress, ip } = parts.settings;
   const ready = createServer((req, res) => {
@@ -142,7 +161,7 @@
     res.writeHead(found ? 200 : 404, { 'content-type': 'text/plain; version=0.0.4' });
     res.end(found ? metrics.print() : '');
   });
-  if (control) await listen(serveRpc({ published: (ask) => relay.answer(ask) }), control);
+  if (control) await listen(serveRpc(calls), control);
   if (callers) await listen(gateway.server, callers);
   if (readyAddress) await listen(ready, readyAddress);
   await listen(figures, { host: ip, port: METRICS_PORT });
--- a/src/gateway/serve-request.ts
+++ b/src/gateway/serve-request.ts
@@ -206,6 +206,7 @@
 async function tryOnce(work: Work, target: EndpointState): Promise<RequestEnd | undefined> {
   const { ctx, request, progress } = work;
   work.tried.add(target.endpoint.id);
+  const eventsBefore = progress.events;
   const sentAtMs = ctx.clock.nowMs();
   ctx.endpoints.noteSent(target);
   try {
@@ -219,19 +220,36 @@
     });
     if (sent.err) {
       noteFault(work, target, sent.val);
+      await ctx.crashes.noteFault(request, target.endpoint, sent.val);
       return undefined;
     }
-    if (request.route.kind === 'stream')
-      return await deliverStream(work, target, sent.val, sentAtMs);
-    const end = await deliverWhole(work, target, sent.val);
-    if (end?.kind === 'answered' && end.status < LEAST_FAILURE)
-      ctx.endpoints.noteGood(target, ctx.clock.nowMs() - sentAtMs);
+    const end = await deliver(work, target, sent.val, sentAtMs);
+    if (end?.kind === 'answered' && end.status < LEAST_FAILURE) ctx.crashes.noteGoodEnd(request);
+    // What has brought events was running well: another request that had just begun is to be suspected.
+    const hasBegun = progress.events > eventsBefore || request.route.kind !== 'stream';
+    if (!end && work.lastFault && !hasBegun)
+      await ctx.crashes.noteFault(request, target.endpoint, work.lastFault);
     return end;
   } finally {
     ctx.endpoints.noteEnded(target);
   }
 }
 
+/** Passes an answer on whose head has come. */
+async function deliver(
+  work: Work,
+  target: EndpointState,
+  answer: Answer,
+  sentAtMs: number,
+): Promise<RequestEnd | undefined> {
+  const { ctx, request } = work;
+  if (request.route.kind === 'stream') return deliverStream(work, target, answer, sentAtMs);
+  const end = await deliverWhole(work, target, answer);
+  if (end?.kind === 'answered' && end.status < LEAST_FAILURE)
+    ctx.endpoints.noteGood(target, ctx.clock.nowMs() - sentAtMs);
+  return end;
+}
+
 /** The best endpoint for the next attempt, in the group where the request has its place. */
 function chooseEndpoint(work: Work): EndpointState | undefined {
   const { ctx, place, service, tried } = work;
@@ -256,10 +274,17 @@
   work.place = next;
 }
 
+/** The answer to a request that crashes what runs it; whether one of these was in this try is not hidden. */
+function refuseCrashing(work: Work): RequestEnd {
+  if (work.mayHaveRun) return giveUp(work);
+  return refused('crashes-endpoints', 'endpoints that began to run the same request crashed');
+}
+
 async function runAttempts(work: Work): Promise<RequestEnd> {
   const { ctx, request, service } = work;
   service.budget.deposit();
   for (;;) {
+    if (ctx.crashes.isRefused(request)) return refuseCrashing(work);
     const target = chooseEndpoint(work);
     if (!target) return giveUp(work);
     if (!request.route.isPublic && !ctx.keysProved()) {
@@ -318,6 +343,8 @@
     lastFault: undefined,
     place: undefined,
   };
+  // It would wait for a place, and one who can be served would not get it.
+  if (ctx.crashes.isRefused(request)) return refuseCrashing(work);
   if (!service.groups) return runAttempts(work);
   const refusal = await takeTurn(work, service.groups);
   if (refusal) return refusal;
--- a/src/rpc/router.ts
+++ b/src/rpc/router.ts
@@ -4,6 +4,7 @@
 import type {
   BranchOrder,
   BranchReply,
+  CrashNews,
   FeedWatchInput,
   GroupAsk,
   GroupDigest,
@@ -15,6 +16,7 @@
 } from '../generated/messages.types.js';
 import {
   isBranchOrder,
+  isCrashNews,
   isFeedWatchInput,
   isGroupAsk,
   isPublishedAsk,
@@ -30,6 +32,8 @@
   branch?(order: BranchOrder): Promise<BranchReply>;
   /** What is published, as this daemon knows it; held until there is news. */
   published?(ask: PublishedAsk): Promise<PublishedNews>;
+  /** Takes what another entry saw of requests that crash endpoints. */
+  crashes?(news: CrashNews): void;
   /** The group as last seen; undefined before the first look. */
   group?(ask: GroupAsk): GroupDigest | undefined;
 }
@@ -75,6 +79,9 @@
     published: trpc.procedure
       .input(checked(isPublishedAsk))
       .query(({ input }) => required(calls.published)(input)),
+    crashes: trpc.procedure
+      .input(checked(isCrashNews))
+      .mutation(({ input }) => required(calls.crashes)(input)),
     branch: trpc.procedure
       .input(checked(isBranchOrder))
       .mutation(({ input }) => required(calls.branch)(input)),
--- a/test/core/published/relay-fleet.ts
+++ b/test/core/published/relay-fleet.ts
@@ -1,6 +1,7 @@
 /** Daemons that hear of what is published from each other, before a store that may turn some of them away. */
 import assert from 'node:assert/strict';
 import { systemClock, type Clock } from '../../../src/core/clock/index.js';
+import { CrashEvidence } from '../../../src/core/crashes/index.js';
 import { asId } from '../../../src/core/ids/index.js';
 import { silentLog } from '../../../src/core/logging/index.js';
 import { Metrics } from '../../../src/core/metrics/index.js';
@@ -114,6 +115,7 @@
   readonly state: PublishedState;
   readonly source: RelayedSource;
   readonly relay: PublishedRelay;
+  readonly crashes: CrashEvidence;
 }
 
 export interface Fleet {
@@ -140,7 +142,9 @@
     onPause: () => undefined,
     start: (name, relays, pace = ENTRY_RELAYED, clock = fleetClock) => {
       const state = new PublishedState();
+      const crashes = new CrashEvidence(clock);
       const relay = new PublishedRelay({
+        crashes,
         state,
         clock,
         life: asId(`life-${name}`),
@@ -151,6 +155,7 @@
         store,
         relays: relays.filter((other) => other !== name),
         isRelay: relays.includes(name),
+        crashes,
         state,
         clock,
         pace,
@@ -171,7 +176,7 @@
           return asked.relay.answer(ask);
         },
       });
-      const daemon = { state, source, relay };
+      const daemon = { state, source, relay, crashes };
       fleet.daemons.set(name, daemon);
       return daemon;
     },
--- a/test/core/published/relayed-source.test.ts
+++ b/test/core/published/relayed-source.test.ts
@@ -9,6 +9,8 @@
 import fc from 'fast-check';
 import { systemClock } from '../../../src/core/clock/index.js';
 import { AGENT_RELAYED, ENTRY_RELAYED, type ReadFault } from '../../../src/core/published/index.js';
+import { fingerprintOf } from '../../../src/core/crashes/index.js';
+import { asId, type EndpointId } from '../../../src/core/ids/index.js';
 import { until } from '../../fixtures/until.js';
 import { config, route } from '../../gateway/harness.js';
 import {
@@ -344,3 +346,19 @@
     assert.deepEqual([daemon.state.takesWork(A.id), daemon.state.takesWork(B.id)], [false, true]);
   }
 });
+
+test('what a relay knows of requests that crash endpoints is passed on once, and at once', async () => {
+  const fleet = startFleet();
+  const relay = fleet.start('relay', ['relay']);
+  await readAll(relay, fleet);
+  const daemon = fleet.start('entry', ['relay']);
+  await readAll(daemon, fleet);
+  const print = fingerprintOf({ path: '/x', caller: 'k', body: Buffer.from('') });
+  for (const id of ['a', 'b']) relay.crashes.noteCrash(print, asId<EndpointId>(id));
+  const watched = await daemon.source.watch(0, 60_000);
+  assert.ok(watched.ok, 'the question is not held while there is news');
+  assert.equal(daemon.crashes.isRefused(print), true);
+  const { version } = daemon.crashes;
+  await daemon.source.watch(0, 0);
+  assert.equal(daemon.crashes.version, version);
+});
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -137,6 +137,7 @@
   clock: Clock = systemClock,
   settings: GatewaySettings = SETTINGS,
   groups: Pick<GatewayParts, 'groupOf' | 'groupSize'> = UNSEEN,
+  tellCrashes: GatewayParts['tellCrashes'] = () => undefined,
 ): Promise<GatewayUnderTest> {
   const state = new PublishedState();
   if (cfg) state.offerConfig(cfg, clock.nowMs());
@@ -156,6 +157,7 @@
     dataCentre: asId('a'),
     sightOf: () => undefined,
     entriesKnown: () => 0,
+    tellCrashes,
     ...groups,
   });
   const gateway = createGateway(ctx);
