--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -15,6 +15,8 @@
 const LEAVING_SHARE = 0.03;
 /** Share of requests with a key that never was one. */
 const UNKNOWN_KEY_SHARE = 0.02;
+/** Share of requests that crash what runs them, while there are such. */
+const CRASHING_SHARE = 0.06;
 /** Connections that a caller keeps to one entry. */
 const CONNECTIONS = 16;
 
@@ -103,7 +105,10 @@
   private nextAsk(entry: SoakInstance): Ask {
     this.sequence += 1;
     const id = `q-${this.sequence}`;
-    const { extraRoutes, pastRoutes } = this.deployment.config;
+    const { crashingPaths, config } = this.deployment;
+    if (crashingPaths.length > 0 && this.random() < CRASHING_SHARE)
+      return this.crashingAsk(entry, id, pick(crashingPaths, this.random));
+    const { extraRoutes, pastRoutes } = config;
     const extra = [...extraRoutes, ...pastRoutes];
     const kind = pick(KINDS, this.random);
     const isExtra = kind === 'repeatable' && extra.length > 0 && this.random() < 0.5;
@@ -121,6 +126,22 @@
     };
   }
 
+  /** The same request as ever, but for its id. */
+  private crashingAsk(entry: SoakInstance, id: string, path: string): Ask {
+    const sentAtMs = this.deployment.nowMs();
+    const key = KEYS[0] ?? '';
+    return {
+      id,
+      kind: 'repeatable',
+      path,
+      body: path,
+      key,
+      entry: entry.name,
+      sentAtMs,
+      end: undefined,
+    };
+  }
+
   private agentOf(entry: SoakInstance): http.Agent {
     const known = this.agents.get(entry.name);
     if (known) return known;
--- a/bench/soak/check.ts
+++ b/bench/soak/check.ts
@@ -170,6 +170,28 @@
     .map((ask) => `${ask.id}: cut at ${ask.entry} by planned work`);
 };
 
+/** Runs that may follow the third fall by a request, once entries are bound by what they could know of it. */
+const MOST_RUNS_AFTER = 3;
+
+const crashingRequestsEnd: PromiseCheck = ({ falls, runs }) =>
+  [...new Set(falls.map(({ path }) => path))].flatMap((path) => {
+    const third = falls.filter((fall) => fall.path === path)[2];
+    if (!third) return [];
+    const boundFromMs = third.atMs + CONTACT_MS;
+    const late = runs.filter((run) => run.path === path && run.startedAtMs > boundFromMs);
+    return late.length > MOST_RUNS_AFTER
+      ? [`${path}: ran ${late.length} times after it had crashed three endpoints`]
+      : [];
+  });
+
+/** None but those that crash endpoints is refused as one that does. */
+const innocentAreNotRefused: PromiseCheck = ({ asks, falls }) => {
+  const crashing = new Set(falls.map(({ path }) => path));
+  return asks
+    .filter((ask) => ask.end?.body.includes('crashes-endpoints') && !crashing.has(ask.path))
+    .map((ask) => `${ask.id}: refused as one that crashes endpoints`);
+};
+
 const oneMapInEveryStep: PromiseCheck = ({ mixedSteps }) =>
   mixedSteps.map((step) => `step ${step} began with two maps`);
 
@@ -178,8 +200,14 @@
 
 const processesKeepRunning: PromiseCheck = ({ badEnds }) => [...badEnds];
 
-const serviceComesBack: PromiseCheck = ({ asks, calmFromMs, organisations, withdrawals }) => {
-  const gone = new Set(withdrawals.map((w) => w.name));
+const serviceComesBack: PromiseCheck = ({
+  asks,
+  calmFromMs,
+  organisations,
+  withdrawals,
+  falls,
+}) => {
+  const gone = new Set([...withdrawals.map((w) => w.name), ...falls.map(({ path }) => path)]);
   const late = asks.filter(
     (ask) =>
       ask.sentAtMs > calmFromMs + RECOVERY_MS &&
@@ -205,6 +233,8 @@
   withdrawnTakesNothing,
   addedRoutesServe,
   plannedWorkCutsNothing,
+  crashingRequestsEnd,
+  innocentAreNotRefused,
   oneMapInEveryStep,
   groupsGoOn,
   processesKeepRunning,
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -15,7 +15,7 @@
 import { startStore, type StoreFake } from '../../fakes/store/index.js';
 import { LoopbackProxy, type Address } from './proxy.js';
 import { Program } from './program.js';
-import type { Addition, Ask, Disturbance, Withdrawal } from './record.js';
+import type { Addition, Ask, Disturbance, Fall, Withdrawal } from './record.js';
 
 /** Ports; each instance has an address of its own. */
 export const PORT = {
@@ -37,6 +37,8 @@
 const PLAIN_WORK_MS = 40;
 /** Time for which the store keeps idle connections, ms: long enough for a client to meet ones that fell silent. */
 const STORE_IDLE_MS = 65_000;
+/** Time for which an endpoint that fell is away, ms. */
+export const FALLEN_MS = 700;
 /** Share of a group's orders that get no answer and are carried out seconds later. */
 const LATE_ORDER_SHARE = 0.03;
 
@@ -80,6 +82,9 @@
   readonly disturbances: Disturbance[];
   readonly withdrawals: Withdrawal[];
   readonly additions: Addition[];
+  readonly falls: Fall[];
+  /** Paths of requests that crash what runs them; callers send them among the others. */
+  readonly crashingPaths: string[];
   /** Ms since the start. */
   readonly nowMs: () => number;
   publish(): void;
@@ -220,10 +225,21 @@
     pastRoutes: new Set(),
   };
   const storeAddress = { host: store.host, port: store.port };
+  const falls: Fall[] = [];
+  const crashingPaths: string[] = [];
+  const disturbances: Disturbance[] = [];
 
   async function startEndpoint(id: string, service: string, at: string): Promise<SoakEndpoint> {
     const rank = service === 'model' ? group.calls(Number(id.split('-')[1])) : undefined;
     const faults: EndpointFault[] = [];
+    const fallsBy = (path: string): boolean => {
+      if (!crashingPaths.includes(path)) return false;
+      const atMs = nowMs();
+      falls.push({ path, atMs });
+      disturbances.push({ kind: 'fall', target: id, fromMs: atMs, untilMs: atMs + FALLEN_MS });
+      void proxy.fall(FALLEN_MS);
+      return true;
+    };
     const engine = await startPlatformEngine({
       id,
       host: at,
@@ -231,6 +247,7 @@
       workMs: PLAIN_WORK_MS,
       rank,
       step: () => group.step,
+      fallsBy,
       nextFault: () => faults.shift(),
       nowMs,
     });
@@ -299,9 +316,11 @@
     agents,
     relayLinks,
     asks: [],
-    disturbances: [],
+    disturbances,
     withdrawals: [],
     additions: [],
+    falls,
+    crashingPaths,
     nowMs,
     config,
     publish: () => {
--- a/bench/soak/proxy.ts
+++ b/bench/soak/proxy.ts
@@ -39,11 +39,13 @@
 /** One proxy. */
 export class LoopbackProxy {
   private state = WHOLE;
+  private isClosed = false;
   private readonly sockets = new Set<Socket>();
   private readonly silenced = new WeakSet<Socket>();
 
   private constructor(
     private readonly server: Server,
+    private readonly listen: Address,
     private readonly target: Address,
   ) {
     server.on('connection', (socket) => this.join(socket));
@@ -55,12 +57,29 @@
    */
   static async start(listen: Address, target: Address): Promise<LoopbackProxy> {
     const server = createServer();
-    const proxy = new LoopbackProxy(server, target);
-    await new Promise<void>((resolve, reject) => {
+    const proxy = new LoopbackProxy(server, listen, target);
+    await proxy.open();
+    return proxy;
+  }
+
+  private open(): Promise<void> {
+    const { server, listen } = this;
+    return new Promise((resolve, reject) => {
       server.once('error', reject);
-      server.listen(listen.port, listen.host, resolve);
+      server.listen(listen.port, listen.host, () => {
+        server.off('error', reject);
+        resolve();
+      });
     });
-    return proxy;
+  }
+
+  /** Resets every connection and refuses new ones for a while, as an instance whose process fell. */
+  async fall(awayMs: number): Promise<void> {
+    if (!this.server.listening) return;
+    this.server.close();
+    this.reset();
+    await sleep(awayMs);
+    if (!this.isClosed) await this.open();
   }
 
   /** From now on connections are treated so; pieces that are held up go on when the link is whole. */
@@ -80,6 +99,7 @@
 
   /** Ends the proxy and its connections. */
   close(): void {
+    this.isClosed = true;
     this.server.close();
     for (const socket of this.sockets) socket.destroy();
   }
--- a/bench/soak/record.ts
+++ b/bench/soak/record.ts
@@ -36,6 +36,12 @@
   untilMs: number;
 }
 
+/** An endpoint that fell by a request that it began to run. */
+export interface Fall {
+  readonly path: string;
+  readonly atMs: number;
+}
+
 /** A key, a route or an endpoint that was taken away. */
 export interface Withdrawal {
   readonly what: 'key' | 'route' | 'endpoint';
@@ -60,6 +66,7 @@
   readonly disturbances: readonly Disturbance[];
   readonly withdrawals: readonly Withdrawal[];
   readonly additions: readonly Addition[];
+  readonly falls: readonly Fall[];
   /** Organisation by key; keys that never were one are missing. */
   readonly organisations: Readonly<Record<string, string>>;
   /** Steps that a group began with different maps. */
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -12,6 +12,7 @@
   type SoakSize,
 } from './deployment.js';
 import { comeBackFromCopies } from './copies.js';
+import { crashEndpoints } from './crashing.js';
 import { disturb } from './faults.js';
 import { silenceWhileThingsChange, silenceWithoutRelays } from './silence.js';
 import type { SoakRecord } from './record.js';
@@ -49,6 +50,7 @@
     disturbances: deployment.disturbances,
     withdrawals: deployment.withdrawals,
     additions: deployment.additions,
+    falls: deployment.falls,
     organisations: Object.fromEntries(KEYS.map((key) => [key, ORGANISATION])),
     mixedSteps: deployment.group.mixed,
     longestHoldMs: deployment.group.longestHoldMs,
@@ -66,6 +68,7 @@
   silence: silenceWhileThingsChange,
   'silence-without-relays': silenceWithoutRelays,
   copies: comeBackFromCopies,
+  crashing: crashEndpoints,
 } as const;
 
 /** The size for plays in which endpoints leave one after the other. */
--- a/fakes/platform-engine/engine.ts
+++ b/fakes/platform-engine/engine.ts
@@ -32,6 +32,8 @@
   readonly rank: EngineCalls | undefined;
   /** The step that its group began last. */
   readonly step: () => number;
+  /** Told of each request that begins to run; true where the endpoint falls by it. */
+  readonly fallsBy?: (path: string) => boolean;
   /** What goes wrong with the next request; undefined when nothing does. */
   readonly nextFault: () => EndpointFault | undefined;
   readonly nowMs: () => number;
@@ -106,6 +108,7 @@
       organisation: oneHeader(req, 'x-tenant'),
       startedAtMs: options.nowMs(),
     });
+    if (options.fallsBy?.(req.url ?? '')) return;
     if (options.rank) return stream(req, res, fault === 'cut');
     await sleep(options.workMs);
     if (fault === 'cut') return void req.socket.resetAndDestroy();
--- a/test/soak/check.test.ts
+++ b/test/soak/check.test.ts
@@ -49,6 +49,7 @@
     disturbances: [],
     withdrawals: [],
     additions: [],
+    falls: [],
     organisations: { 'k-0': 'org-1', 'k-1': 'org-1' },
     mixedSteps: [],
     longestHoldMs: 40,
@@ -205,3 +206,28 @@
   };
   assert.deepEqual(violationsOf(record(harmed)), []);
 });
+
+test('a request that goes on running after it has crashed three endpoints is told', () => {
+  const path = '/again/crash';
+  const falls = [1000, 2000, 3000].map((atMs) => ({ path, atMs }));
+  const runs = (count: number, startedAtMs: number): EndpointRun[] =>
+    Array.from({ length: count }, (_, i) => run(`c-${i}`, { path, body: path, startedAtMs }));
+  const asks = Array.from({ length: 4 }, (_, i) =>
+    ask(`c-${i}`, { kind: 'repeatable', path, body: path, end: undefined }),
+  );
+  const violations = (startedAtMs: number, count: number): string[] =>
+    violationsOf(record({ asks, falls, runs: runs(count, startedAtMs) }));
+  assert.deepEqual(violations(6100, 4), [
+    `${path}: ran 4 times after it had crashed three endpoints`,
+  ]);
+  assert.deepEqual(violations(6100, 3), []);
+  assert.deepEqual(violations(5900, 4), [], 'entries were not bound yet');
+});
+
+test('another request that is refused as one that crashes endpoints is told', () => {
+  const refusal = end({ status: 503, body: '{"reason":"crashes-endpoints"}' });
+  const asks = [ask('b', { end: refusal })];
+  assert.deepEqual(violationsOf(record({ asks })), ['b: refused as one that crashes endpoints']);
+  const falls = [{ path: '/once/b', atMs: 500 }];
+  assert.deepEqual(violationsOf(record({ asks, falls })), []);
+});
