--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -14,6 +14,8 @@
 
 /** Retries that all entries together may make beyond their share, so that a quiet service has some. */
 const RETRY_EXTRA = 480;
+/** Time within which these, and the share of the requests in it, may be taken, ms. */
+const RETRY_WINDOW_MS = 10_000;
 /** Time that a caller may leave a connection idle, ms: longer than clients' own. */
 const IDLE_MS = 65_000;
 /** How often endpoints that are gone are dropped, ms. */
@@ -74,6 +76,7 @@
       bodyMs: settings.limits.bodyMs,
       parserHeaderBytes: settings.limits.headerBytes,
       retryExtra: RETRY_EXTRA,
+      retryWindowMs: RETRY_WINDOW_MS,
     },
     retryShare: () => body()?.policy.retryShare ?? 0,
     callers,
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -39,16 +39,16 @@
   readonly keysProved: () => boolean;
 }
 
-/** Retries that an entry may always take at once: a fault that it meets alone must not end its requests. */
-const LEAST_RETRY_BURST = 2;
+/** Retries that an entry may always take: a fault that it meets alone must not end its requests. */
+const LEAST_RETRY_EXTRA = 2;
 
 /**
- * This entry's part of the retries that all entries may take at once. Where it was a part for 48 entries whatever their
+ * This entry's part of the retries that all entries may take beyond the share of their requests. Where it was a part for 48 entries whatever their
  * number, 137 of them could take 1,279 of the 448 that a large deployment allows (retry.test).
- * @example retryBurst(448, 137) // 3.27
+ * @example retryExtra(448, 137) // 3.27
  */
-export function retryBurst(extra: number, entriesKnown: number): number {
-  return Math.max(LEAST_RETRY_BURST, extra / Math.max(RETRY_SHARERS, entriesKnown));
+export function retryExtra(extra: number, entriesKnown: number): number {
+  return Math.max(LEAST_RETRY_EXTRA, extra / Math.max(RETRY_SHARERS, entriesKnown));
 }
 
 /**
@@ -60,10 +60,12 @@
   const services = new Map<ServiceId, ServiceState>();
   const makeService = (id: ServiceId): ServiceState => {
     const engine = (): EngineInfo | undefined => state.config?.services.get(id)?.engine;
-    const budget = new RetryBudget(
-      () => parts.retryShare() * RETRY_SHARE_USED,
-      () => retryBurst(settings.retryExtra, parts.entriesKnown()),
-    );
+    const budget = new RetryBudget({
+      clock: ageClock,
+      windowMs: settings.retryWindowMs,
+      share: () => parts.retryShare() * RETRY_SHARE_USED,
+      extra: () => retryExtra(settings.retryExtra, parts.entriesKnown()),
+    });
     return {
       id,
       budget,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -123,6 +123,7 @@
       proofMs: Math.round(state.proofAgeMs(ageClock.nowMs())),
       tries: note.tries.join(',') || undefined,
       returning: note.isReturning || undefined,
+      waitsMs: req?.head.deadlineMs,
       queuedMs: Math.round(note.queuedMs) || undefined,
       targetMs: req?.route.targetMs,
       gapMs: req?.route.gapMs,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -33,6 +33,8 @@
   readonly parserHeaderBytes: number;
   /** Retries allowed beyond the share of first attempts, by all entries together. */
   readonly retryExtra: number;
+  /** Time within which these retries, and the share of its first attempts, may be taken. */
+  readonly retryWindowMs: number;
 }
 
 /** Settings of one process on an instance without a disk, whatever file they were read from. */
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -83,6 +83,7 @@
   configApplyMs: 2000,
   parserHeaderBytes: 64 * 1024,
   retryExtra: 480,
+  retryWindowMs: 10_000,
 };
 
 /** What a test asks for. */
--- a/test/platform/boot-file.test.ts
+++ b/test/platform/boot-file.test.ts
@@ -16,6 +16,7 @@
   assert.equal(settings.stopMs, 8000);
   assert.equal(settings.retryShare, 0.2);
   assert.equal(settings.gateway.retryExtra, 90);
+  assert.equal(settings.gateway.retryWindowMs, 10_000);
   assert.deepEqual([settings.relays, settings.control], [['127.0.0.1:8229'], undefined]);
   const control = bootText().replace('[listen]', '[listen]\ncontrol = "127.0.0.1:8229"');
   assert.deepEqual(decode(control).unwrap().control, { host: '127.0.0.1', port: 8229 });
