--- a/src/gateway/serve-request.ts
+++ b/src/gateway/serve-request.ts
@@ -367,10 +367,12 @@
   if (route.gapMs !== undefined) turns.allowPauses(route.gapMs);
   const askedAtMs = ctx.ageClock.nowMs();
   const waitsMs = request.head.deadlineMs ?? DEFAULT_DEADLINE_MS;
-  const isReturning = groups.callers.isReturning(route.id, waitsMs);
+  const isReturning = groups.callers.isReturning(route.id, waitsMs, askedAtMs);
   note.isReturning = isReturning;
-  if (turns.outage.refuses(askedAtMs))
+  if (turns.outage.refuses(askedAtMs)) {
+    groups.callers.noteRefused(askedAtMs);
     return refused('outage', 'no endpoint of the service serves', retryS(ctx, OUTAGE_RETRY_S));
+  }
   const priority = request.organisation?.priority ?? route.priority;
   const terms = turnTerms({
     isReturning,
@@ -385,5 +387,6 @@
     return undefined;
   }
   if (gone.aborted) return { kind: 'gone' };
+  groups.callers.noteRefused(ctx.ageClock.nowMs());
   return refused('busy', turns.describe(), retryS(ctx, BUSY_RETRY_S));
 }
