--- /dev/null
+++ b/src/gateway/attempts.ts
@@ -0,0 +1,123 @@
+/** The attempts of one request: which endpoint, for how long, and whether another one follows. */
+import { sendAttempt } from './attempt.js';
+import { ELSEWHERE_RETRY_S, SILENCE_FACTOR, STREAM_SILENCE_MS } from './consts.js';
+import { deliver, LEAST_FAILURE } from './deliver.js';
+import type { EndpointState } from './endpoints.js';
+import {
+  giveUp,
+  hasBudget,
+  leftMs,
+  mayTryAgain,
+  noteFault,
+  refused,
+  type RequestEnd,
+  type Work,
+} from './work.js';
+
+/** Time that the head of an answer may take, ms. */
+function silenceMs(work: Work): number {
+  const { route } = work.request;
+  const left = leftMs(work);
+  if (route.kind === 'once') return left;
+  if (route.kind === 'stream') return Math.min(left, STREAM_SILENCE_MS);
+  // The last attempt may use all the time that is left.
+  const isLast = work.tried.size >= route.maxAttempts;
+  return isLast ? left : Math.min(left, route.targetMs * SILENCE_FACTOR);
+}
+
+/** One attempt; undefined when another one may follow. */
+async function tryOnce(work: Work, target: EndpointState): Promise<RequestEnd | undefined> {
+  const { ctx, request, progress } = work;
+  work.tried.add(target.endpoint.id);
+  const eventsBefore = progress.events;
+  const sentAtMs = ctx.clock.nowMs();
+  ctx.endpoints.noteSent(target);
+  try {
+    const sent = await sendAttempt({
+      callers: ctx.callers,
+      request,
+      target,
+      leftMs: leftMs(work),
+      resumeAfter: progress.lastId,
+      silenceMs: silenceMs(work),
+    });
+    if (sent.err) {
+      noteFault(work, target, sent.val);
+      await ctx.crashes.noteFault(request, target.endpoint, sent.val);
+      return undefined;
+    }
+    const end = await deliver(work, target, sent.val, sentAtMs);
+    if (end?.kind === 'answered' && end.status < LEAST_FAILURE) ctx.crashes.noteGoodEnd(request);
+    // What has brought events was running well: another request that had just begun is to be suspected.
+    const hasBegun = progress.events > eventsBefore || request.route.kind !== 'stream';
+    if (!end && work.lastFault && !hasBegun)
+      await ctx.crashes.noteFault(request, target.endpoint, work.lastFault);
+    return end;
+  } finally {
+    ctx.endpoints.noteEnded(target);
+  }
+}
+
+/** The best endpoint for the next attempt, in the group where the request has its place. */
+function chooseEndpoint(work: Work): EndpointState | undefined {
+  const { ctx, place, service, tried } = work;
+  if (!place) return ctx.endpoints.choose(service.id, tried);
+  return ctx.endpoints.choose(
+    service.id,
+    tried,
+    (endpoint) => service.groups?.isIn(endpoint, place.id) ?? true,
+  );
+}
+
+/**
+ * After a fault goes on in another group, where one serves: ranks of one group fail together. A caller that
+ * has part of its stream would lose it, and goes on whether there is room or not.
+ */
+function changeGroup(work: Work): void {
+  const { ctx, place, service, tried } = work;
+  const next = place && service.groups?.choose(tried, place.id);
+  if (!place || !next || next.turns.outage.isOut(ctx.ageClock.nowMs())) return;
+  if (!next.turns.queue.takeNow(work.progress.events > 0)) return;
+  place.turns.queue.release();
+  work.place = next;
+}
+
+/** The answer to a request that crashes what runs it; whether one of these was in this try is not hidden. */
+export function refuseCrashing(work: Work): RequestEnd {
+  if (work.mayHaveRun) return giveUp(work);
+  return refused('crashes-endpoints', 'endpoints that began to run the same request crashed');
+}
+
+/**
+ * Tries one endpoint after the other, as far as the route and the budget of retries allow.
+ * @example const end = await runAttempts(work);
+ */
+export async function runAttempts(work: Work): Promise<RequestEnd> {
+  const { ctx, request, service } = work;
+  service.budget.deposit();
+  for (;;) {
+    if (ctx.crashes.isRefused(request)) return refuseCrashing(work);
+    const target = chooseEndpoint(work);
+    if (!target) return giveUp(work);
+    if (!request.route.isPublic && !ctx.keysProved()) {
+      // The wait for a turn or an earlier attempt may have outlasted the proof.
+      if (work.mayHaveRun) return giveUp(work);
+      return refused(
+        'proof-old',
+        'the proof lapsed before the request was sent',
+        ELSEWHERE_RETRY_S,
+      );
+    }
+    const end = await tryOnce(work, target);
+    if (end) return end;
+    if (request.gone.aborted) return { kind: 'gone' };
+    if (!mayTryAgain(work)) return giveUp(work);
+    if (!hasBudget(work)) return giveUp(work);
+    service.budget.withdraw();
+    changeGroup(work);
+    ctx.metrics.count('retries_total', {
+      service: service.id,
+      reason: work.lastFault?.kind ?? 'none',
+    });
+  }
+}
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -9,7 +9,7 @@
 import type { CrashNews } from '../generated/messages.types.js';
 import type { GroupSize } from './group-sight.js';
 import { ServiceGroups } from './service-groups.js';
-import type { ServiceState } from './serve-request.js';
+import type { ServiceState } from './service-state.js';
 import type { CallerInterface, GatewaySettings } from './types.js';
 
 /** What a gateway is made from. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,7 +17,8 @@
 } from './consts.js';
 import type { GatewayContext } from './context.js';
 import { refuse, type Refusal } from './refuse.js';
-import { serveRequest, type RequestEnd, type RequestNote } from './serve-request.js';
+import { serveRequest } from './serve-request.js';
+import type { RequestEnd, RequestNote } from './work.js';
 import type { CallerHead, GatewayRequest } from './types.js';
 
 /** The running gateway. */
--- /dev/null
+++ b/src/gateway/work.ts
@@ -0,0 +1,118 @@
+/** One request on its way: what has become of it so far, and what may still be done. */
+import type { EndpointId } from '../core/ids/index.js';
+import { BUSY_RETRY_S, FINAL_ANSWER_MS, LEAST_ATTEMPT_MS, OUTAGE_RETRY_S } from './consts.js';
+import type { GatewayContext } from './context.js';
+import type { EndpointState } from './endpoints.js';
+import type { Refusal } from './refuse.js';
+import type { StreamProgress } from './relay-stream.js';
+import type { GroupTurns } from './service-groups.js';
+import type { ServiceState } from './service-state.js';
+import type { AttemptFault, GatewayRequest } from './types.js';
+
+/** What became of one request, for its log line. */
+export interface RequestNote {
+  service: string;
+  /** Endpoints tried, in order, with what came of each. */
+  tries: string[];
+  queuedMs: number;
+  /** Whether its caller has been refused before. */
+  isReturning: boolean;
+  firstMs: number | undefined;
+  longestPauseMs: number | undefined;
+  events: number;
+}
+
+/** How a request ended: with an answer on its way, without a caller, or with a refusal to be written. */
+export type RequestEnd =
+  | { readonly kind: 'answered'; readonly status: number }
+  | { readonly kind: 'gone' }
+  /** The caller has part of a stream and its connection is closed, so that it cannot look whole. */
+  | { readonly kind: 'cut'; readonly detail: string }
+  | { readonly kind: 'refused'; readonly refusal: Refusal };
+
+/** One request on its way. */
+export interface Work {
+  readonly ctx: GatewayContext;
+  readonly request: GatewayRequest;
+  readonly service: ServiceState;
+  readonly note: RequestNote;
+  readonly tried: Set<EndpointId>;
+  readonly progress: StreamProgress;
+  /** Whether any attempt may have run. */
+  mayHaveRun: boolean;
+  lastFault: AttemptFault | undefined;
+  /** The group where this request holds a place. */
+  place: GroupTurns | undefined;
+}
+
+/** Time for which a request may still be held, ms, with room for its last answer. */
+export function leftMs(work: Work): number {
+  return work.request.leftMs() - FINAL_ANSWER_MS;
+}
+
+/** A time to come back, s, anywhere in a range: those who were refused together are spread. */
+export function retryS(
+  ctx: GatewayContext,
+  range: typeof BUSY_RETRY_S | typeof OUTAGE_RETRY_S,
+): number {
+  return range.least + ctx.random() * (range.most - range.least);
+}
+
+/** Whether another attempt is allowed after what has happened so far. */
+export function mayTryAgain(work: Work): boolean {
+  const { route } = work.request;
+  if (work.tried.size >= route.maxAttempts || leftMs(work) < LEAST_ATTEMPT_MS) return false;
+  if (!work.mayHaveRun) return true;
+  if (route.kind === 'once') return false;
+  return route.kind === 'repeatable' || route.resumable;
+}
+
+/** Whether the shared budget still pays for another attempt. */
+export function hasBudget(work: Work): boolean {
+  const has = work.service.budget.canWithdraw();
+  if (!has) work.ctx.metrics.count('retries_denied_total', { service: work.service.id });
+  return has;
+}
+
+/** The end of a request that was refused. */
+export function refused(
+  reason: Refusal['reason'],
+  detail: string,
+  retryAfterS?: number,
+  close = false,
+): RequestEnd {
+  return { kind: 'refused', refusal: { reason, detail, retryAfterS, close } };
+}
+
+/** The final answer when no attempt is left. */
+export function giveUp(work: Work): RequestEnd {
+  const detail = work.lastFault?.detail ?? 'no endpoint takes work';
+  if (work.progress.events > 0) return { kind: 'cut', detail };
+  if (work.mayHaveRun) {
+    const reason = work.lastFault?.kind === 'silent' ? 'time-over' : 'answer-lost';
+    return { kind: 'refused', refusal: { reason, detail } };
+  }
+  const reason = work.tried.size === 0 ? 'no-endpoint' : 'not-run';
+  // What no endpoint of a group took will hardly be taken by one a moment later.
+  const retryAfterS = retryS(work.ctx, work.service.groups ? OUTAGE_RETRY_S : BUSY_RETRY_S);
+  return { kind: 'refused', refusal: { reason, detail, retryAfterS } };
+}
+
+/** Notes an attempt that brought no answer. */
+export function noteFault(work: Work, target: EndpointState, fault: AttemptFault): void {
+  work.lastFault = fault;
+  if (fault.kind !== 'not-run') work.mayHaveRun = true;
+  work.note.tries.push(`${target.endpoint.id}:${fault.kind}`);
+  // What was given up by the caller or by us says nothing of the endpoint.
+  if (work.request.gone.aborted || fault.kind === 'slow') return;
+  work.place?.turns.outage.noteBad(work.ctx.ageClock.nowMs());
+  work.ctx.endpoints.noteBad(target, fault.detail);
+  work.ctx.metrics.count('attempt_faults_total', { service: work.service.id, kind: fault.kind });
+  work.ctx.log.info('attempt.fault', {
+    request: work.request.id,
+    endpoint: target.endpoint.id,
+    kind: fault.kind,
+    detail: fault.detail,
+    running: target.running,
+  });
+}
