Say in the log what endpoints ask for in their answers

Both interfaces read rest, leaving and limit now; each is logged with its request and counted by kind. A value that makes no sense is named and counts as not asked for. Nothing acts on it yet: no decision changes.

--- a/src/caller-api/consts.ts
+++ b/src/caller-api/consts.ts
@@ -16,6 +16,12 @@
   resumeAfter: 'last-event-id',
   /** Present when the endpoint says that the request has not run. */
   notRun: 'x-not-run',
+  /** Seconds for which an endpoint that answers 503 wants nothing from the entry that it answers. */
+  rest: 'retry-after',
+  /** `1` where the endpoint leaves. */
+  leaving: 'x-leaving',
+  /** Requests a second that the endpoint takes from all entries together. */
+  limit: 'x-limit',
 } as const;
 
 /** Paths that callers use. */
--- a/src/caller-api/headers.ts
+++ b/src/caller-api/headers.ts
@@ -1,5 +1,6 @@
 /** Reads and writes the headers of the product's own interface. */
 import type { IncomingHttpHeaders } from 'node:http';
+import { readAsks } from '../core/asks/index.js';
 import { keyHash } from '../core/config-feed/index.js';
 import type { AnswerHead, AttemptMeta, CallerHead } from '../gateway/index.js';
 import { CALLER_HEADER, ENDPOINT_HEADER, MAX_DEADLINE_MS, PRIORITY } from './consts.js';
@@ -72,6 +73,7 @@
  * @example readAnswer(200, res.headers).requestId
  */
 export function readAnswer(status: number, headers: IncomingHttpHeaders): AnswerHead {
+  const textOf = (name: string): string | undefined => headers[name]?.toString();
   const id = headers[ENDPOINT_HEADER.requestId];
   const type = headers['content-type'] ?? 'application/octet-stream';
   return {
@@ -80,6 +82,11 @@
     isSigned: true,
     isNotRun: headers[ENDPOINT_HEADER.notRun] !== undefined,
     isEncoded: headers['content-encoding'] !== undefined,
+    asks: readAsks(status, {
+      rest: textOf(ENDPOINT_HEADER.rest),
+      leaving: textOf(ENDPOINT_HEADER.leaving),
+      limit: textOf(ENDPOINT_HEADER.limit),
+    }),
     headers: {
       'content-type': type,
       ...(type.startsWith('text/event-stream') && { 'cache-control': 'no-cache' }),
--- /dev/null
+++ b/src/core/asks/index.ts
@@ -0,0 +1,2 @@
+export * from './read.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/gateway/asked.ts
@@ -0,0 +1,48 @@
+/** Notes what endpoints ask for in their answers. */
+import type { AnswerAsks, AskName } from '../core/asks/index.js';
+import type { EndpointState } from './endpoints.js';
+import type { AnswerHead } from './types.js';
+import type { Work } from './work.js';
+
+/** Status by which whatever listens at an address says that it is not the endpoint that was meant. */
+const MISDIRECTED = 421;
+
+/** Counts and logs what could not be read. */
+function noteUnreadable(work: Work, target: EndpointState, { unreadable }: AnswerAsks): void {
+  const { ctx, service, request } = work;
+  for (const what of unreadable) {
+    ctx.metrics.count('endpoint_asks_unreadable_total', { service: service.id, what });
+    ctx.log.info('endpoint.ask-unreadable', {
+      request: request.id,
+      endpoint: target.endpoint.id,
+      what,
+    });
+  }
+}
+
+/**
+ * Notes what the head of an answer asks for.
+ * @example noteAsks(work, target, head);
+ */
+export function noteAsks(work: Work, target: EndpointState, head: AnswerHead): void {
+  // It is another endpoint that speaks there.
+  if (head.status === MISDIRECTED) return;
+  const { ctx, service, request } = work;
+  const { restMs, isLeaving, limitPerS } = head.asks;
+  noteUnreadable(work, target, head.asks);
+  const asked: Readonly<Record<AskName, boolean>> = {
+    rest: restMs !== undefined,
+    leaving: isLeaving,
+    limit: limitPerS !== undefined,
+  };
+  const names = Object.entries(asked).flatMap(([what, isAsked]) => (isAsked ? [what] : []));
+  if (names.length === 0) return;
+  for (const what of names) ctx.metrics.count('endpoint_asks_total', { service: service.id, what });
+  ctx.log.info('endpoint.asked', {
+    request: request.id,
+    endpoint: target.endpoint.id,
+    asked: names.join(),
+    restMs,
+    limitPerS,
+  });
+}
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -27,6 +27,8 @@
   readonly resumeAfter: number | undefined;
   /** Time for the head of the answer, ms. */
   readonly silenceMs: number;
+  /** Called with each head that comes, before it is checked. */
+  readonly onHead: (head: AnswerHead) => void;
 }
 
 function fault(kind: AttemptFault['kind'], detail: string): Result<never, AttemptFault> {
@@ -94,6 +96,7 @@
     // A body that breaks off while nobody reads it must not end the process.
     res.body.on('error', () => undefined);
     const head = callers.readAnswer(res.statusCode, res.headers);
+    options.onHead(head);
     const wrong = checkHead(head, request, drop);
     if (!wrong) return Ok({ head, body: res.body, drop, dropSilent });
     await res.body.dump().catch(() => drop());
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -1,4 +1,5 @@
 /** The attempts of one request: which endpoint, for how long, and whether another one follows. */
+import { noteAsks } from './asked.js';
 import { sendAttempt } from './attempt.js';
 import { ELSEWHERE_RETRY_S, SILENCE_FACTOR, STREAM_SILENCE_MS } from './consts.js';
 import { deliver, LEAST_FAILURE } from './deliver.js';
@@ -40,6 +41,7 @@
       leftMs: leftMs(work),
       resumeAfter: progress.lastId,
       silenceMs: silenceMs(work),
+      onHead: (head) => noteAsks(work, target, head),
     });
     if (sent.err) {
       noteFault(work, target, sent.val);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -1,5 +1,6 @@
 /** Types of the gateway: the request path of an entry. */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
+import type { AnswerAsks } from '../core/asks/index.js';
 import type { InstanceId, OrganisationId } from '../core/ids/index.js';
 import type {
   DataCentreId,
@@ -98,6 +99,8 @@
   readonly isNotRun: boolean;
   /** Whether the body is encoded in a way that no caller asked for. */
   readonly isEncoded: boolean;
+  /** What the endpoint asks for. */
+  readonly asks: AnswerAsks;
   /** Headers to pass on. */
   readonly headers: Record<string, string | string[]>;
 }
