--- a/bench/soak/check.ts
+++ b/bench/soak/check.ts
@@ -2,6 +2,7 @@
  * Decides from the record of a run alone whether the promises were kept. Each promise is one function that
  * lists its violations in words; a run is clean when there are none.
  */
+import { asksAreHeeded } from './asks-check.js';
 import { eventData, plainAnswer, STREAM_EVENTS } from '../../fakes/platform-engine/index.js';
 import type { Ask, Disturbance, SoakRecord } from './record.js';
 
@@ -234,6 +235,7 @@
   addedRoutesServe,
   plannedWorkCutsNothing,
   crashingRequestsEnd,
+  asksAreHeeded,
   innocentAreNotRefused,
   oneMapInEveryStep,
   groupsGoOn,
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -7,15 +7,17 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import {
+  NO_ASKS,
   startPlatformEngine,
   type EndpointFault,
+  type EngineAsks,
   type PlatformEngine,
 } from '../../fakes/platform-engine/index.js';
 import { RankGroup, WallTime } from '../../fakes/rank-engine/index.js';
 import { startStore, type StoreFake } from '../../fakes/store/index.js';
 import { LoopbackProxy, type Address } from './proxy.js';
 import { Program } from './program.js';
-import type { Addition, Ask, Disturbance, Fall, Withdrawal } from './record.js';
+import type { Addition, Ask, Disturbance, Fall, Need, Withdrawal } from './record.js';
 
 /** Ports; each instance has an address of its own. */
 export const PORT = {
@@ -58,6 +60,8 @@
   readonly proxy: LoopbackProxy;
   /** What goes wrong with its next requests, oldest first. */
   readonly faults: EndpointFault[];
+  /** What it asks for in its answers now. */
+  asks: EngineAsks;
 }
 
 /** A program and its way to the store. */
@@ -83,6 +87,7 @@
   readonly withdrawals: Withdrawal[];
   readonly additions: Addition[];
   readonly falls: Fall[];
+  readonly needs: Need[];
   /** Paths of requests that crash what runs them; callers send them among the others. */
   readonly crashingPaths: string[];
   /** Ms since the start. */
@@ -240,6 +245,7 @@
       void proxy.fall(FALLEN_MS);
       return true;
     };
+    const asking: { asks: EngineAsks } = { asks: NO_ASKS };
     const engine = await startPlatformEngine({
       id,
       host: at,
@@ -249,6 +255,8 @@
       step: () => group.step,
       fallsBy,
       nextFault: () => faults.shift(),
+      asks: () => asking.asks,
+      random,
       nowMs,
     });
     const proxy = await LoopbackProxy.start(
@@ -262,7 +270,7 @@
       slots: 8,
       state: 'ready',
     });
-    return { id, service, host: at, engine, proxy, faults };
+    return Object.assign(asking, { id, service, host: at, engine, proxy, faults });
   }
 
   const relayHosts = Array.from({ length: Math.ceil(size.entries / ENTRIES_A_RELAY) }, (_, i) =>
@@ -320,6 +328,7 @@
     withdrawals: [],
     additions: [],
     falls,
+    needs: [],
     crashingPaths,
     nowMs,
     config,
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -17,6 +17,8 @@
 interface FaultParts {
   readonly deployment: Deployment;
   readonly random: () => number;
+  /** Instances that may be struck; any where left out. */
+  readonly among?: readonly SoakInstance[];
 }
 
 /** Does one thing, and resolves when it is over. */
@@ -97,8 +99,8 @@
   for (const note of notes) note.untilMs = nowMs();
 }
 
-function anyInstance({ deployment, random }: FaultParts): SoakInstance {
-  return pick([...deployment.entries, ...deployment.agents], random);
+function anyInstance({ deployment, random, among }: FaultParts): SoakInstance {
+  return pick(among ?? [...deployment.entries, ...deployment.agents], random);
 }
 
 /** Ends an instance in some way and starts it again; its start takes its time as well. */
@@ -278,3 +280,13 @@
   };
   await Promise.all(Array.from({ length: SERIES }, series));
 }
+
+const ENTRY_FAULTS: readonly Fault[] = [killed, stopped, paused, settingsChanged, storeLinkHarmed];
+
+/**
+ * Does one thing to an entry.
+ * @example await entryTrouble(deployment, random);
+ */
+export function entryTrouble(deployment: Deployment, random: () => number): Promise<void> {
+  return pick(ENTRY_FAULTS, random)({ deployment, random, among: deployment.entries });
+}
--- a/bench/soak/record.ts
+++ b/bench/soak/record.ts
@@ -1,5 +1,9 @@
 /** What one soak run saw from outside the system: the callers' and the endpoints' side, and what was done to it. */
-import type { EndpointRun } from '../../fakes/platform-engine/index.js';
+import type {
+  EndpointArrival,
+  EndpointAsked,
+  EndpointRun,
+} from '../../fakes/platform-engine/index.js';
 
 /** Kinds of request, as their routes say. */
 export type AskKind = 'once' | 'repeatable' | 'stream';
@@ -50,6 +54,14 @@
   readonly atMs: number;
 }
 
+/** A span in which an endpoint named a limit in its answers. */
+export interface Need {
+  readonly endpoint: string;
+  readonly limitPerS: number;
+  readonly fromMs: number;
+  untilMs: number;
+}
+
 /** A route that was added. */
 export interface Addition {
   /** Its path prefix. */
@@ -63,6 +75,10 @@
   readonly seed: number;
   readonly asks: readonly Ask[];
   readonly runs: readonly EndpointRun[];
+  /** All that came to endpoints, run or not, and the answers in which they asked for something. */
+  readonly arrivals: readonly EndpointArrival[];
+  readonly asked: readonly EndpointAsked[];
+  readonly needs: readonly Need[];
   readonly disturbances: readonly Disturbance[];
   readonly withdrawals: readonly Withdrawal[];
   readonly additions: readonly Addition[];
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -11,6 +11,7 @@
   type Deployment,
   type SoakSize,
 } from './deployment.js';
+import { askThings } from './asking.js';
 import { comeBackFromCopies } from './copies.js';
 import { crashEndpoints } from './crashing.js';
 import { disturb } from './faults.js';
@@ -47,6 +48,9 @@
     seed,
     asks: deployment.asks,
     runs: deployment.endpoints.flatMap((endpoint) => endpoint.engine.runs),
+    arrivals: deployment.endpoints.flatMap((endpoint) => endpoint.engine.arrivals),
+    asked: deployment.endpoints.flatMap((endpoint) => endpoint.engine.asked),
+    needs: deployment.needs,
     disturbances: deployment.disturbances,
     withdrawals: deployment.withdrawals,
     additions: deployment.additions,
@@ -69,6 +73,7 @@
   'silence-without-relays': silenceWithoutRelays,
   copies: comeBackFromCopies,
   crashing: crashEndpoints,
+  asking: askThings,
 } as const;
 
 /** The size for plays in which endpoints leave one after the other. */
--- a/fakes/platform-engine/engine.ts
+++ b/fakes/platform-engine/engine.ts
@@ -21,6 +21,40 @@
 /** Ways in which an endpoint fails a request; the last three concern whole answers only. */
 export type EndpointFault = 'full' | 'error' | 'cut' | 'crossed' | 'unsigned' | 'short';
 
+/** What an endpoint asks for in its answers. */
+export interface EngineAsks {
+  /** Rest that it asks for when it turns a request away for want of something, s. */
+  readonly restS: number;
+  /** Share of the requests that it turns away so. */
+  readonly restShare: number;
+  readonly isLeaving: boolean;
+  /** Requests a second that it takes from all entries together; undefined while it needs no limit. */
+  readonly limitPerS: number | undefined;
+}
+
+/** An endpoint that asks for nothing. */
+export const NO_ASKS: EngineAsks = {
+  restS: 0,
+  restShare: 0,
+  isLeaving: false,
+  limitPerS: undefined,
+};
+
+/** A request that came to an endpoint, whether it was run or not. */
+export interface EndpointArrival {
+  readonly endpoint: string;
+  readonly requestId: string;
+  readonly atMs: number;
+}
+
+/** An answer in which an endpoint asked for something. */
+export interface EndpointAsked extends EndpointArrival {
+  /** Rest that it asked for, ms. */
+  readonly restMs: number | undefined;
+  readonly isLeaving: boolean;
+  readonly limitPerS: number | undefined;
+}
+
 /** How an endpoint behaves. */
 export interface EndpointOptions {
   readonly id: string;
@@ -36,12 +70,16 @@
   readonly fallsBy?: (path: string) => boolean;
   /** What goes wrong with the next request; undefined when nothing does. */
   readonly nextFault: () => EndpointFault | undefined;
+  readonly asks?: () => EngineAsks;
+  readonly random?: () => number;
   readonly nowMs: () => number;
 }
 
 /** A running stand-in. */
 export interface PlatformEngine {
   readonly runs: readonly EndpointRun[];
+  readonly arrivals: readonly EndpointArrival[];
+  readonly asked: readonly EndpointAsked[];
   close(): void;
 }
 
@@ -72,9 +110,41 @@
  */
 export async function startPlatformEngine(options: EndpointOptions): Promise<PlatformEngine> {
   const runs: EndpointRun[] = [];
+  const arrivals: EndpointArrival[] = [];
+  const asked: EndpointAsked[] = [];
+
+  /** Headers of what the endpoint asks for; notes that it did. */
+  function askHeaders(requestId: string, restS?: number): Record<string, string> {
+    const { isLeaving, limitPerS } = options.asks?.() ?? NO_ASKS;
+    const headers = {
+      ...(restS !== undefined && { 'retry-after': String(restS) }),
+      ...(isLeaving && { 'server-leaving': '1' }),
+      ...(limitPerS !== undefined && { 'server-limit': String(limitPerS) }),
+    };
+    if (Object.keys(headers).length > 0)
+      asked.push({
+        endpoint: options.id,
+        requestId,
+        atMs: options.nowMs(),
+        restMs: restS === undefined ? undefined : restS * 1000,
+        isLeaving,
+        limitPerS,
+      });
+    return headers;
+  }
 
   function headOf(requestId: string, more: Record<string, string> = {}): Record<string, string> {
-    return { 'x-request-id': requestId, 'x-server-stamp': `stamp.${options.id}`, ...more };
+    const asks = askHeaders(requestId);
+    return { 'x-request-id': requestId, 'x-server-stamp': `stamp.${options.id}`, ...asks, ...more };
+  }
+
+  /** Turns a request away and asks for rest; false when there is no need to. */
+  function rests(requestId: string, res: ServerResponse): boolean {
+    const { restS, restShare } = options.asks?.() ?? NO_ASKS;
+    if (restShare === 0 || (options.random?.() ?? 0) >= restShare) return false;
+    const head = { 'x-request-id': requestId, 'x-not-executed': '1' };
+    res.writeHead(503, { ...head, ...askHeaders(requestId, restS) }).end();
+    return true;
   }
 
   async function stream(req: IncomingMessage, res: ServerResponse, isCut: boolean): Promise<void> {
@@ -95,7 +165,9 @@
   async function run(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const requestId = oneHeader(req, 'x-request-id');
     if (oneHeader(req, 'x-expect-instance') !== options.id)
-      return void res.writeHead(421, headOf(requestId)).end();
+      return void res.writeHead(421, { 'x-request-id': requestId }).end();
+    arrivals.push({ endpoint: options.id, requestId, atMs: options.nowMs() });
+    if (rests(requestId, res)) return;
     const fault = options.nextFault();
     if (fault === 'full')
       return void res.writeHead(503, headOf(requestId, { 'x-not-executed': '1' })).end();
@@ -138,5 +210,5 @@
     served.then((done) => (done ? undefined : run(req, res))).catch(() => req.socket.destroy());
   });
   await new Promise<void>((resolve) => server.listen(options.port, options.host, resolve));
-  return { runs, close: () => closeServer(server) };
+  return { runs, arrivals, asked, close: () => closeServer(server) };
 }
