Heed the rest that endpoints ask for

Callers got 503 after two tries at endpoints that had asked for rest, and such endpoints got more to turn away than they allow.

Cause: nothing read Retry-After of an endpoint's 503. It was one failure among others; ejection (0.75 to 1.25 s after three in a row, then a probe a second) knows nothing of what was asked, and where all endpoints were ejected the least bad one got the request.

Now each process of an endpoint has a rest of its own at each entry, aged by the clock that counts suspended time. The choice of an endpoint leaves it out, for first tries, retries, resumed streams and probes alike; what waits for a connection to it is held back and refused or tried elsewhere at once; a group all of whose ranks rest is left for another one, and nobody waits for a place there. After its time, and a spread of up to a fifth, one request at a time goes there until one is answered well. Where all rest, callers are refused at once with the time at which the first ends.

Ruled out: ejecting at the first 503, which has other pauses than those asked for; the two requests that may come within a rest by the rule, which help nobody. A 503 with a rest no longer counts towards ejection and outage: such an endpoint lives.

--- a/src/core/asks/index.ts
+++ b/src/core/asks/index.ts
@@ -1,2 +1,3 @@
 export * from './read.js';
+export * from './rest.js';
 export type * from './types.js';
--- a/src/core/errors/kinds.ts
+++ b/src/core/errors/kinds.ts
@@ -80,6 +80,7 @@
   stopping: kind(503, 'Entry is stopping', (f) => f, ELSEWHERE, 1),
   busy: kind(503, 'All places are taken', (f) => f, AGAIN_LATER, 1),
   outage: kind(503, 'No endpoint serves', (f) => f, AGAIN_LATER, 2),
+  resting: kind(503, 'Endpoints asked for rest', (f) => f, AGAIN_LATER, 2),
   'crashes-endpoints': kind(
     503,
     'Endpoints that began to run it crashed',
--- a/src/gateway/asked.ts
+++ b/src/gateway/asked.ts
@@ -30,6 +30,7 @@
   const { ctx, service, request } = work;
   const { restMs, isLeaving, limitPerS } = head.asks;
   noteUnreadable(work, target, head.asks);
+  if (restMs !== undefined) ctx.endpoints.noteRest(target, restMs);
   const asked: Readonly<Record<AskName, boolean>> = {
     rest: restMs !== undefined,
     leaving: isLeaving,
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -2,7 +2,7 @@
 import type { Dispatcher } from 'undici';
 import { errorText } from '../core/errors/index.js';
 import { Err, Ok, type Result } from '../core/result/index.js';
-import { wasNotSent } from './connect.js';
+import { wasNotSent, withStart } from './connect.js';
 import { SILENT_CONNECTION_MS } from './consts.js';
 import type { EndpointState } from './endpoints.js';
 import type { AnswerHead, AttemptFault, GatewayRequest, CallerInterface } from './types.js';
@@ -41,6 +41,9 @@
   request: GatewayRequest,
   drop: () => void,
 ): AttemptFault | undefined {
+  const { restMs } = head.asks;
+  if (head.isNotRun && restMs !== undefined)
+    return { kind: 'resting', detail: `endpoint answered ${head.status}, rest of ${restMs} ms` };
   if (head.isNotRun) return { kind: 'not-run', detail: `endpoint answered ${head.status}` };
   if (head.requestId !== undefined && head.requestId !== request.id) {
     drop();
@@ -79,8 +82,14 @@
     silent = true;
     dropSilent(options.silenceMs);
   }, options.silenceMs);
+  let isHeldBack = false;
+  const holdBack = (): void => {
+    isHeldBack = true;
+    drop();
+  };
+  target.waiting.add(holdBack);
   try {
-    const res = await pool.request({
+    const res = await withStart(pool, () => target.waiting.delete(holdBack)).request({
       method: request.req.method as Dispatcher.HttpMethod,
       path: pathOf(callers, request),
       headers: callers.writeAttempt(request.req.headers, {
@@ -103,8 +112,10 @@
     return Err(wrong);
   } catch (err) {
     if (silent) return fault('silent', `no answer within ${Math.round(options.silenceMs)} ms`);
+    if (isHeldBack) return fault('resting', 'the endpoint asked for rest before it was sent');
     return fault(wasNotSent(err) ? 'not-run' : 'broke', errorText(err));
   } finally {
+    target.waiting.delete(holdBack);
     clearTimeout(timer);
   }
 }
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -31,8 +31,7 @@
   const { ctx, request, progress } = work;
   work.tried.add(target.endpoint.id);
   const eventsBefore = progress.events;
-  const sentAtMs = ctx.clock.nowMs();
-  ctx.endpoints.noteSent(target);
+  const sentAtMs = ctx.endpoints.noteSent(target);
   try {
     const sent = await sendAttempt({
       callers: ctx.callers,
@@ -56,7 +55,7 @@
       await ctx.crashes.noteFault(request, target.endpoint, work.lastFault);
     return end;
   } finally {
-    ctx.endpoints.noteEnded(target);
+    ctx.endpoints.noteEnded(target, sentAtMs);
   }
 }
 
@@ -77,6 +76,8 @@
  */
 function changeGroup(work: Work): void {
   const { ctx, place, service, tried } = work;
+  // One rank that rests says nothing of the others.
+  if (work.lastFault?.kind === 'resting' && chooseEndpoint(work)) return;
   const next = place && service.groups?.choose(tried, place.id);
   if (!place || !next || next.turns.outage.isOut(ctx.ageClock.nowMs())) return;
   if (!next.turns.queue.takeNow(work.progress.events > 0)) return;
--- a/src/gateway/connect.ts
+++ b/src/gateway/connect.ts
@@ -1,6 +1,6 @@
 /** Connections to endpoints, and what a failed one proves. */
 import type { Socket } from 'node:net';
-import { buildConnector } from 'undici';
+import { buildConnector, type Dispatcher } from 'undici';
 import { CONNECT_MS } from './consts.js';
 
 /** Code that undici gives to a connection that broke under a request. */
@@ -45,6 +45,35 @@
     });
 }
 
+/** A handler that tells when its request is about to be written to a connection. */
+function tellingStart(
+  next: Dispatcher.DispatchHandler,
+  onStart: () => void,
+): Dispatcher.DispatchHandler {
+  return {
+    onRequestStart: (...args) => {
+      onStart();
+      return next.onRequestStart?.(...args);
+    },
+    onRequestUpgrade: (...args) => next.onRequestUpgrade?.(...args),
+    onResponseStart: (...args) => next.onResponseStart?.(...args),
+    onResponseData: (...args) => next.onResponseData?.(...args),
+    onResponseEnd: (...args) => next.onResponseEnd?.(...args),
+    onResponseError: (...args) => next.onResponseError?.(...args),
+  };
+}
+
+/**
+ * Connections that tell when a request goes out: until then it waits for one to be opened or to come free, and nothing of it has
+ * left this process.
+ * @example await withStart(pool, () => (isOut = true)).request(options);
+ */
+export function withStart(pool: Dispatcher, onStart: () => void): Dispatcher {
+  return pool.compose(
+    (dispatch) => (options, handler) => dispatch(options, tellingStart(handler, onStart)),
+  );
+}
+
 /** Connection errors at which no byte of a request has left. */
 const NOT_SENT_CODES = new Set([
   'ECONNREFUSED',
--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -45,6 +45,9 @@
  */
 export const OUTAGE_RETRY_S = { least: 2.1, most: 2.6 } as const;
 
+/** Time beyond the end of the first rest after which those who were refused for it may come back, s: spreads them. */
+export const REST_RETRY_SPREAD_S = 0.5;
+
 /** Retry-After where another entry can serve at once, s. */
 export const ELSEWHERE_RETRY_S = 0.05;
 
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -58,6 +58,8 @@
 export function createContext(parts: GatewayParts): GatewayContext {
   const { settings, state, ageClock } = parts;
   const services = new Map<ServiceId, ServiceState>();
+  // What endpoints ask for runs on while this machine is suspended.
+  const endpoints = new Endpoints({ ...parts, clock: ageClock });
   const makeService = (id: ServiceId): ServiceState => {
     const engine = (): EngineInfo | undefined => state.config?.services.get(id)?.engine;
     const budget = new RetryBudget({
@@ -78,12 +80,13 @@
           endpoints: () => state.workingOf(id),
           groupOf: parts.groupOf,
           sizeOf: parts.groupSize,
+          mayAsk: (endpoint) => endpoints.mayAsk(endpoint),
         }),
     };
   };
   return {
     ...parts,
-    endpoints: new Endpoints(parts),
+    endpoints,
     crashes: new CrashWatch({ ...parts, clock: ageClock, tell: parts.tellCrashes }),
     keysProved: () =>
       state.proofAgeMs(ageClock.nowMs()) <= settings.keyProofMs - KEY_PROOF_MARGIN_MS,
--- a/src/gateway/deliver.ts
+++ b/src/gateway/deliver.ts
@@ -58,7 +58,7 @@
       onFirst: () => {
         const nowMs = ctx.clock.nowMs();
         work.note.firstMs ??= nowMs - request.arrivedAtMs;
-        ctx.endpoints.noteGood(target, nowMs - sentAtMs);
+        ctx.endpoints.noteGood(target, sentAtMs);
         work.place?.turns.outage.noteGood();
       },
       onPause: (pauseMs) => work.place?.turns.notePause(pauseMs),
@@ -86,6 +86,6 @@
   if (request.route.kind === 'stream') return deliverStream(work, target, answer, sentAtMs);
   const end = await deliverWhole(work, target, answer);
   if (end?.kind === 'answered' && end.status < LEAST_FAILURE)
-    ctx.endpoints.noteGood(target, ctx.clock.nowMs() - sentAtMs);
+    ctx.endpoints.noteGood(target, sentAtMs);
   return end;
 }
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -1,4 +1,5 @@
 /** The endpoints as this entry has come to know them: connections, what runs there, how they fare. */
+import { Rest } from '../core/asks/index.js';
 import type { Clock } from '../core/clock/index.js';
 import type { EndpointId } from '../core/ids/index.js';
 import type { Log } from '../core/logging/index.js';
@@ -58,6 +59,9 @@
   readonly endpoint: PublishedEndpoint;
   readonly connections: FreshPool;
   readonly health: EndpointHealth;
+  readonly rest: Rest;
+  /** Holds each attempt back that waits for a connection and has not been sent. */
+  readonly waiting: Set<() => void>;
   running: number;
   /** Decayed share of attempts that failed, 0 to 1. */
   failureShare: number;
@@ -89,10 +93,13 @@
 
   constructor(private readonly parts: EndpointParts) {}
 
-  /** Drops endpoints that are gone, and earlier processes of others, once nothing runs there. */
+  /**
+   * Drops endpoints that are gone, and earlier processes of others, once nothing runs there. One that is to rest is kept: it may
+   * be missing from the list for a moment only.
+   */
   prune(): void {
     for (const [id, known] of this.byId) {
-      if (this.parts.state.list.has(id) || known.running > 0) continue;
+      if (this.parts.state.list.has(id) || known.running > 0 || this.isResting(known)) continue;
       this.byId.delete(id);
       known.connections.destroy();
     }
@@ -110,7 +117,8 @@
 
   /**
    * The best endpoint of a service for one more request; undefined when none takes work.
-   * Ejected ones are used only when no other is left; `mayTake` tells which ones come into question.
+   * Ejected ones are used only when no other is left, those that asked for rest not at all; `mayTake` tells which ones come into
+   * question.
    */
   choose(
     service: ServiceId,
@@ -123,6 +131,7 @@
     for (const endpoint of this.parts.state.workingOf(service)) {
       if (tried.has(endpoint.id) || !mayTake(endpoint)) continue;
       const known = this.stateOf(endpoint);
+      if (known.rest.opensAtMs(nowMs) > nowMs) continue;
       const score = this.score(known, nowMs);
       if (score < bestScore) {
         best = known;
@@ -132,6 +141,26 @@
     return best;
   }
 
+  /** Whether the time for which an endpoint asked for rest is not over. */
+  isResting(known: EndpointState): boolean {
+    return known.rest.isResting(this.parts.clock.nowMs());
+  }
+
+  /** Whether an endpoint may be sent a request now. */
+  mayAsk(endpoint: PublishedEndpoint): boolean {
+    const nowMs = this.parts.clock.nowMs();
+    return this.stateOf(endpoint).rest.opensAtMs(nowMs) <= nowMs;
+  }
+
+  /** Time until the first of a service's endpoints may be sent a request, ms; 0 where one may now, or where there is none. */
+  opensInMs(service: ServiceId): number {
+    const nowMs = this.parts.clock.nowMs();
+    const times = [...this.parts.state.workingOf(service)].map((endpoint) =>
+      this.stateOf(endpoint).rest.opensAtMs(nowMs),
+    );
+    return times.length === 0 ? 0 : Math.max(0, Math.min(...times) - nowMs);
+  }
+
   private score(known: EndpointState, nowMs: number): number {
     const sight = this.parts.sightOf(known.endpoint);
     // Ranks of a group answer in lock-step: their own pace, the way to them, and a queue tell them apart.
@@ -174,6 +203,8 @@
         bodyTimeout: 0,
       }),
       health: new EndpointHealth(),
+      rest: new Rest(),
+      waiting: new Set(),
       running: 0,
       failureShare: 0,
       answerMs: 0,
@@ -184,21 +215,33 @@
     return made;
   }
 
-  /** Notes that an attempt begins. */
-  noteSent(known: EndpointState): void {
+  /** Notes that an attempt begins, and when. */
+  noteSent(known: EndpointState): number {
+    const nowMs = this.parts.clock.nowMs();
     this.sequence += 1;
     known.lastSent = this.sequence;
     known.running += 1;
-    known.health.noteSent(this.parts.clock.nowMs());
+    known.health.noteSent(nowMs);
+    known.rest.noteSent(nowMs);
+    return nowMs;
   }
 
-  /** Notes that an attempt is over. */
-  noteEnded(known: EndpointState): void {
+  /** Notes that an attempt is over that began at a time. */
+  noteEnded(known: EndpointState, sentAtMs: number): void {
     known.running -= 1;
+    known.rest.noteEnded(sentAtMs);
+  }
+
+  /** Notes that an endpoint asked for rest, which holds for what waits for a connection to it as well. */
+  noteRest(known: EndpointState, restMs: number): void {
+    known.rest.note(restMs, this.parts.clock.nowMs(), this.parts.random);
+    for (const holdBack of [...known.waiting]) holdBack();
   }
 
-  /** Notes the first sign of a good answer. */
-  noteGood(known: EndpointState, tookMs: number): void {
+  /** Notes the first sign of a good answer to an attempt that began at a time. */
+  noteGood(known: EndpointState, sentAtMs: number): void {
+    const tookMs = this.parts.clock.nowMs() - sentAtMs;
+    known.rest.noteGood(sentAtMs);
     known.health.noteSuccess();
     known.failureShare *= 1 - FAILURE_WEIGHT;
     known.answerMs =
--- a/src/gateway/service-groups.ts
+++ b/src/gateway/service-groups.ts
@@ -22,6 +22,8 @@
   readonly endpoints: () => Iterable<PublishedEndpoint>;
   readonly groupOf: (endpoint: PublishedEndpoint) => GroupId | undefined;
   readonly sizeOf: (group: GroupId) => GroupSize | undefined;
+  /** Whether an endpoint may be sent a request now. */
+  readonly mayAsk: (endpoint: PublishedEndpoint) => boolean;
 }
 
 /** One group at this entry. */
@@ -67,7 +69,8 @@
   }
 
   /**
-   * The group for one more attempt; undefined when no other than `except` has an endpoint that was not tried.
+   * The group for one more attempt; undefined when no other than `except` has an endpoint that was not tried
+   * and may be asked.
    * Groups that serve go before those in an outage, those with a free place before full ones, near before far,
    * and then the one with most room.
    * @example const group = groups.choose(tried); await group?.turns.queue.take(0, 60, gone);
@@ -85,7 +88,8 @@
   private candidates(tried: ReadonlySet<EndpointId>, except?: GroupId): Iterable<Candidate> {
     const found = new Map<GroupId, Candidate>();
     for (const endpoint of this.parts.endpoints()) {
-      if (tried.has(endpoint.id)) continue;
+      // Nobody waits for a place in a group all of whose ranks asked for rest.
+      if (tried.has(endpoint.id) || !this.parts.mayAsk(endpoint)) continue;
       const id = this.groupOf(endpoint);
       if (id === except) continue;
       const isNear = endpoint.dataCentre === this.parts.dataCentre;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -165,6 +165,8 @@
 export type AttemptFault =
   /** The endpoint, or the lack of a connection, proves that the request has not run. */
   | { readonly kind: 'not-run'; readonly detail: string }
+  /** It has not run: the endpoint asks for rest, and either turned it away or was not sent it for that. */
+  | { readonly kind: 'resting'; readonly detail: string }
   /** It may have run. */
   | { readonly kind: 'broke'; readonly detail: string }
   /** No sign of an answer in the time given. */
--- a/src/gateway/work.ts
+++ b/src/gateway/work.ts
@@ -1,6 +1,12 @@
 /** One request on its way: what has become of it so far, and what may still be done. */
 import type { EndpointId } from '../core/ids/index.js';
-import { BUSY_RETRY_S, FINAL_ANSWER_MS, LEAST_ATTEMPT_MS, OUTAGE_RETRY_S } from './consts.js';
+import {
+  BUSY_RETRY_S,
+  FINAL_ANSWER_MS,
+  LEAST_ATTEMPT_MS,
+  OUTAGE_RETRY_S,
+  REST_RETRY_SPREAD_S,
+} from './consts.js';
 import type { GatewayContext } from './context.js';
 import type { EndpointState } from './endpoints.js';
 import type { Refusal } from './refuse.js';
@@ -9,6 +15,11 @@
 import type { ServiceState } from './service-state.js';
 import type { AttemptFault, GatewayRequest } from './types.js';
 
+const MS_PER_S = 1000;
+
+/** Faults that prove that the request has not run. */
+const NOT_RUN: ReadonlySet<AttemptFault['kind']> = new Set(['not-run', 'resting']);
+
 /** What became of one request, for its log line. */
 export interface RequestNote {
   service: string;
@@ -84,6 +95,13 @@
   return { kind: 'refused', refusal: { reason, detail, retryAfterS, close } };
 }
 
+/** The answer while all endpoints rest: whoever comes back after the first of them does not find it taken by all the others. */
+function refuseResting(work: Work, opensInMs: number): RequestEnd {
+  const afterS = opensInMs / MS_PER_S;
+  const detail = `all endpoints asked for rest, the first for ${afterS.toFixed(2)} s more`;
+  return refused('resting', detail, afterS + work.ctx.random() * REST_RETRY_SPREAD_S);
+}
+
 /** The final answer when no attempt is left. */
 export function giveUp(work: Work): RequestEnd {
   const detail = work.lastFault?.detail ?? 'no endpoint takes work';
@@ -92,6 +110,8 @@
     const reason = work.lastFault?.kind === 'silent' ? 'time-over' : 'answer-lost';
     return { kind: 'refused', refusal: { reason, detail } };
   }
+  const opensInMs = work.ctx.endpoints.opensInMs(work.service.id);
+  if (opensInMs > 0) return refuseResting(work, opensInMs);
   const reason = work.tried.size === 0 ? 'no-endpoint' : 'not-run';
   // What no endpoint of a group took will hardly be taken by one a moment later.
   const retryAfterS = retryS(work.ctx, work.service.groups ? OUTAGE_RETRY_S : BUSY_RETRY_S);
@@ -101,12 +121,15 @@
 /** Notes an attempt that brought no answer. */
 export function noteFault(work: Work, target: EndpointState, fault: AttemptFault): void {
   work.lastFault = fault;
-  if (fault.kind !== 'not-run') work.mayHaveRun = true;
+  if (!NOT_RUN.has(fault.kind)) work.mayHaveRun = true;
   work.note.tries.push(`${target.endpoint.id}:${fault.kind}`);
   // What was given up by the caller or by us says nothing of the endpoint.
   if (work.request.gone.aborted || fault.kind === 'slow') return;
-  work.place?.turns.outage.noteBad(work.ctx.ageClock.nowMs());
-  work.ctx.endpoints.noteBad(target, fault.detail);
+  // One that asks for rest lives, and what it asks for says when it may be asked again.
+  if (fault.kind !== 'resting') {
+    work.place?.turns.outage.noteBad(work.ctx.ageClock.nowMs());
+    work.ctx.endpoints.noteBad(target, fault.detail);
+  }
   work.ctx.metrics.count('attempt_faults_total', { service: work.service.id, kind: fault.kind });
   work.ctx.log.info('attempt.fault', {
     request: work.request.id,
--- a/test/gateway/asking-endpoint.ts
+++ b/test/gateway/asking-endpoint.ts
@@ -13,8 +13,10 @@
 
 /** What an endpoint answers: a status, and headers beside the usual ones. */
 export interface Behaviour {
-  readonly status?: 503;
+  readonly status?: 503 | 421;
   readonly headers: readonly string[];
+  /** Time until the answer, ms. */
+  readonly workMs?: number;
 }
 
 /** A running endpoint. */
@@ -46,7 +48,7 @@
   });
   const answer = (req: RawRequest, { status, headers }: Behaviour): void => {
     if (headers.length > 0) endpoint.asked.push(seen(req));
-    const line = status ? `${status} Service Unavailable` : '200 OK';
+    const line = status ? `${status} Turned Away` : '200 OK';
     const body = status ? '' : 'ok';
     const more = [...headers, ...(status ? ['X-Not-Executed: 1'] : [])];
     const head = answerHead(req, line, [...more, `Content-Length: ${body.length}`]);
@@ -56,7 +58,7 @@
     endpoint.arrivals.push(seen(req));
     const behaviour = endpoint.behaviour();
     if (behaviour.status) answer(req, behaviour);
-    else setTimeout(() => answer(req, behaviour), WORK_MS);
+    else setTimeout(() => answer(req, behaviour), behaviour.workMs ?? WORK_MS);
   });
   const endpoint: AskingEndpoint = {
     address: raw.address,
--- a/test/gateway/asks.test.ts
+++ b/test/gateway/asks.test.ts
@@ -1,8 +1,12 @@
 /**
  * Story: an endpoint said in its answers what it wanted of an entry, and got its requests all the same. Callers saw 503 after two
  * tries at endpoints that had asked for rest a moment before, while others would have served them; such endpoints, short of what
- * they need, got more to turn away. Whatever an endpoint asks for in its answers was read nowhere: rest (503 with a time), that it
- * leaves, a limit.
+ * they need, got more to turn away.
+ * Cause: whatever an endpoint asks for in its answers was read nowhere. A 503 was one failure among others: the third in a row left
+ * the endpoint out for 0.75 to 1.25 s, whatever rest it had asked for, a probe went there at the end of each such pause, and where
+ * all endpoints were left out the least bad one got the request all the same.
+ * Evidence: on the code before, endpoints that had asked for a rest of 2 s got 26 requests within it, in the first test; in the logs
+ * of the failure the third request within the rest was the probe at the end of such a pause.
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
@@ -29,6 +33,8 @@
 
 /** How often the configuration is proved to be the newest, ms. */
 const PROOF_MS = 500;
+/** Connections that one entry opens to an endpoint of the test's service. */
+const CONNECTIONS = 8;
 
 interface Played {
   readonly endpoints: readonly AskingEndpoint[];
@@ -84,6 +90,88 @@
   });
 });
 
+test('what waits for a connection to an endpoint that asks for rest is not sent, and refused at once', async () => {
+  await played({ endpoints: 1, entries: 1 }, async ({ endpoints: [only], gateways: [under] }) => {
+    assert.ok(only && under);
+    // The service's connections from one entry are all taken by requests that are answered late; one is turned away before.
+    let came = 0;
+    only.behaviour = () => {
+      came += 1;
+      return came === CONNECTIONS ? resting(2) : { headers: [], workMs: 700 };
+    };
+    const asking = Array.from({ length: CONNECTIONS + 4 }, (_, n) => under.ask(requestId('e', n)));
+    const got = await Promise.all(asking);
+    assert.equal(only.arrivals.length, CONNECTIONS);
+    const refused = got.filter(({ status }) => status === 503);
+    assert.equal(refused.length, 5);
+    for (const { body, tookMs } of refused) {
+      assert.match(body, /"reason":"resting"/);
+      assert.ok(tookMs < 300, `refused after ${tookMs} ms`);
+    }
+  });
+});
+
+test('a refusal while all endpoints rest tells when the first of them may be asked', async () => {
+  await played({ endpoints: 2, entries: 1 }, async ({ endpoints, gateways: [under] }) => {
+    for (const each of endpoints) each.behaviour = () => resting(1.5);
+    await under?.ask(requestId('e', 1));
+    const got = await under?.ask(requestId('e', 2));
+    assert.equal(got?.status, 503);
+    assert.ok((got?.tookMs ?? 1000) < 100);
+    const afterS = Number(got?.headers['retry-after']);
+    assert.ok(afterS >= 1.3 && afterS <= 2.3, `Retry-After ${afterS}`);
+    assert.equal(endpoints.flatMap((each) => each.arrivals).length, 2);
+  });
+});
+
+test('callers are served by an endpoint that does not rest, by their first try', async () => {
+  await played({ endpoints: 3, entries: 1 }, async ({ endpoints: [first], load }) => {
+    assert.ok(first);
+    first.behaviour = () => resting(2);
+    const got = await load(2, 60);
+    assert.deepEqual(
+      got.filter(({ status }) => status !== 200),
+      [],
+    );
+    assert.equal(first.arrivals.length, 1);
+  });
+});
+
+test('the rest of one process is not that of the next one at its address', async () => {
+  await played({ endpoints: 1, entries: 1 }, async ({ endpoints: [only], gateways: [under] }) => {
+    assert.ok(only && under);
+    only.behaviour = () => resting(60);
+    await under.ask(requestId('e', 1));
+    only.behaviour = () => ({ headers: [] });
+    assert.equal((await under.ask(requestId('e', 2))).status, 503);
+    under.state.offerList([{ ...endpoint('e-0', only.address), startedAtMs: 5 }], false);
+    assert.equal((await under.ask(requestId('e', 3))).status, 200);
+  });
+});
+
+test('an endpoint that is missing from the list for a moment rests on', async () => {
+  await played({ endpoints: 1, entries: 1 }, async ({ endpoints: [only], gateways: [under] }) => {
+    assert.ok(only && under);
+    only.behaviour = () => resting(60);
+    await under.ask(requestId('e', 1));
+    under.state.offerList([], false);
+    under.ctx.endpoints.prune();
+    under.state.offerList([endpoint('e-0', only.address)], false);
+    assert.equal((await under.ask(requestId('e', 2))).status, 503);
+    assert.equal(only.arrivals.length, 1);
+  });
+});
+
+test('an answer of whatever else listens at an address asks for nothing in the name of the endpoint', async () => {
+  await played({ endpoints: 1, entries: 1 }, async ({ endpoints: [only], gateways: [under] }) => {
+    assert.ok(only && under);
+    only.behaviour = () => ({ status: 421, headers: ['Server-Leaving: 1', 'Server-Limit: 0'] });
+    await under.ask(requestId('e', 1));
+    only.behaviour = () => ({ headers: [] });
+    assert.equal((await under.ask(requestId('e', 2))).status, 200);
+  });
+});
+
 test('an endpoint that says in its answers that it leaves gets nothing new, while the list says nothing of it', async () => {
   await played({ endpoints: 2, entries: 1 }, async ({ endpoints, load }) => {
     const [first] = endpoints;
--- a/test/gateway/endpoints.test.ts
+++ b/test/gateway/endpoints.test.ts
@@ -83,7 +83,7 @@
   const endpoints = endpointsIn(state, false);
   const first = endpoints.choose(asId(SERVICE), new Set([other.id]));
   assert.ok(first);
-  endpoints.noteSent(first);
+  const sentAtMs = endpoints.noteSent(first);
   for (let i = 0; i < 8; i += 1) endpoints.noteBad(first, 'refused');
   assert.equal(endpoints.choose(asId(SERVICE), new Set())?.endpoint.id, 'other');
   const after = { ...before, address: '127.0.0.1:4', startedAtMs: 2 };
@@ -92,7 +92,7 @@
   assert.deepEqual([second?.running, second?.failureShare, second?.endpoint], [0, 0, after]);
   endpoints.prune();
   assert.equal(first.connections.current.destroyed, false, 'a request of before still runs there');
-  endpoints.noteEnded(first);
+  endpoints.noteEnded(first, sentAtMs);
   endpoints.prune();
   assert.equal(first.connections.current.destroyed, true);
   endpoints.close();
--- a/test/gateway/service-groups.test.ts
+++ b/test/gateway/service-groups.test.ts
@@ -21,6 +21,8 @@
 interface Bench {
   readonly groups: ServiceGroups;
   readonly clock: { atMs: number };
+  /** Engines that asked for rest. */
+  readonly resting: Set<EndpointId>;
   chosen(tried?: readonly string[], except?: GroupId): GroupId | undefined;
   /** Fills a group's places at this entry. */
   fill(group: GroupId): Promise<void>;
@@ -29,6 +31,7 @@
 
 function start(): Bench {
   const clock = { atMs: 0 };
+  const resting = new Set<EndpointId>();
   const groups = new ServiceGroups({
     clock: { nowMs: () => clock.atMs, wallMs: () => clock.atMs },
     dataCentre: asId('a'),
@@ -36,10 +39,12 @@
     endpoints: () => ENGINES,
     groupOf: (e) => asId<GroupId>(e.id.slice('e-'.length)),
     sizeOf: () => undefined,
+    mayAsk: ({ id }) => !resting.has(id),
   });
   return {
     groups,
     clock,
+    resting,
     chosen: (tried = [], except) =>
       groups.choose(new Set(tried.map((id) => asId<EndpointId>(id))), except)?.id,
     fill: async (group) => {
@@ -88,3 +93,12 @@
   assert.ok(bench.chosen([], NEAR) !== NEAR);
   assert.equal(bench.chosen(['e-far', 'e-other'], NEAR), undefined);
 });
+
+test('a group all of whose engines rest is left for one that serves, and nobody waits for a place there', async () => {
+  const bench = start();
+  bench.resting.add(asId('e-near'));
+  for (const group of [FAR, OTHER]) await bench.fill(group);
+  assert.ok(bench.chosen() !== NEAR);
+  for (const { id } of ENGINES) bench.resting.add(id);
+  assert.equal(bench.chosen(), undefined);
+});
