Send nothing new to endpoints that say in an answer that they leave

Such endpoints got new requests until the list told of it, and were gone under them.

Cause: the list was the only source. The entry tells the relays, which pass it on as part of the list; who cannot be reached is told again twice.

Telling relays is one function for crashes and this; the test gateway takes its options by name.

--- a/src/core/published/left-endpoints.ts
+++ b/src/core/published/left-endpoints.ts
@@ -6,7 +6,7 @@
 const MOST_GONE = 1024;
 
 /** A process of an endpoint; a later one may have its id. */
-type EndpointProcess = Pick<PublishedEndpoint, 'id' | 'startedAtMs'>;
+export type EndpointProcess = Pick<PublishedEndpoint, 'id' | 'startedAtMs'>;
 
 /** Endpoints that were seen leaving, for good, and those that went without a word, for as long as the list is an old one. */
 export class LeftEndpoints {
--- a/src/core/published/published-state.ts
+++ b/src/core/published/published-state.ts
@@ -4,7 +4,7 @@
  * no new work, whatever is read later; a later process may have its id.
  */
 import type { EndpointId } from '../ids/index.js';
-import { LeftEndpoints } from './left-endpoints.js';
+import { LeftEndpoints, type EndpointProcess } from './left-endpoints.js';
 import type { EndpointChange } from './source.js';
 import type { PublishedConfig, PublishedEndpoint, ServiceId } from './types.js';
 
@@ -120,6 +120,17 @@
       if (endpoint.service === service && !this.hasLeft(endpoint)) yield endpoint;
   }
 
+  /**
+   * Notes that a process of an endpoint said, by another way than the list, that it leaves; false when that was known. It holds
+   * whatever the list says of that process.
+   * @example if (state.noteLeaving(endpoint)) tellOthers();
+   */
+  noteLeaving(process: EndpointProcess): boolean {
+    if (this.left.isLeaving(process)) return false;
+    this.left.noteLeaving(process);
+    return true;
+  }
+
   private hasLeft(endpoint: PublishedEndpoint): boolean {
     return this.left.isLeaving(endpoint) || this.left.isGone(endpoint);
   }
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -85,6 +85,7 @@
     ageClock: new SuspensionClock(clock),
     // Daemons of this interface have no relays; each keeps what it has seen itself.
     tellCrashes: () => undefined,
+    tellAsks: () => undefined,
     random: ctx.random,
     log: decisions.watch(ctx.log),
     metrics,
--- a/src/gateway/asked.ts
+++ b/src/gateway/asked.ts
@@ -1,5 +1,8 @@
 /** Notes what endpoints ask for in their answers. */
 import type { AnswerAsks, AskName } from '../core/asks/index.js';
+import { asId } from '../core/ids/index.js';
+import type { AskNews } from '../generated/messages.types.js';
+import type { GatewayContext } from './context.js';
 import type { EndpointState } from './endpoints.js';
 import type { AnswerHead } from './types.js';
 import type { Work } from './work.js';
@@ -20,6 +23,17 @@
   }
 }
 
+/** It takes nothing new from now on; that it says so in an answer may come seconds before the list tells. */
+function noteLeaving({ ctx, request }: Work, { endpoint }: EndpointState): void {
+  if (!ctx.state.noteLeaving(endpoint)) return;
+  ctx.log.info('endpoint.leaving', {
+    endpoint: endpoint.id,
+    source: 'answer',
+    request: request.id,
+  });
+  ctx.tellAsks({ leaving: [{ endpoint: endpoint.id, startedAtMs: endpoint.startedAtMs }] });
+}
+
 /**
  * Notes what the head of an answer asks for.
  * @example noteAsks(work, target, head);
@@ -31,6 +45,7 @@
   const { restMs, isLeaving, limitPerS } = head.asks;
   noteUnreadable(work, target, head.asks);
   if (restMs !== undefined) ctx.endpoints.noteRest(target, restMs);
+  if (isLeaving) noteLeaving(work, target);
   const asked: Readonly<Record<AskName, boolean>> = {
     rest: restMs !== undefined,
     leaving: isLeaving,
@@ -47,3 +62,19 @@
     limitPerS,
   });
 }
+
+/**
+ * Takes what endpoints asked another entry for; whether any of it was new.
+ * @example if (takeAsks(ctx, news)) relay.noteLearnt();
+ */
+export function takeAsks(
+  { state, log }: Pick<GatewayContext, 'state' | 'log'>,
+  news: AskNews,
+): boolean {
+  const isNew = news.leaving.map(({ endpoint, startedAtMs }) => {
+    const isNews = state.noteLeaving({ id: asId(endpoint), startedAtMs });
+    if (isNews) log.info('endpoint.leaving', { endpoint, source: 'entry' });
+    return isNews;
+  });
+  return isNew.includes(true);
+}
--- a/src/gateway/crash-watch.ts
+++ b/src/gateway/crash-watch.ts
@@ -3,9 +3,8 @@
  * for seconds, and each caller who sends it again the next group.
  */
 import { connect } from 'node:net';
-import { sleep, type Clock } from '../core/clock/index.js';
+import type { Clock } from '../core/clock/index.js';
 import { CrashEvidence, fingerprintOf, type Fingerprint } from '../core/crashes/index.js';
-import { errorText } from '../core/errors/index.js';
 import type { Log } from '../core/logging/index.js';
 import type { Metrics } from '../core/metrics/index.js';
 import { hostOf, portOf, type PublishedEndpoint } from '../core/published/index.js';
@@ -108,34 +107,3 @@
     tell(this.evidence.newsSince(this.evidence.version - 1));
   }
 }
-
-/** Pauses before what other entries could not be told is told again, ms: one that starts is there after a second. */
-const TELL_AGAIN_MS = [500, 3000] as const;
-
-/** Tells one other entry; rejects when it cannot be reached in time. */
-export type TellCrashes = (address: string, news: CrashNews) => Promise<void>;
-
-/**
- * Tells the entries that all others hear from, each on its own: one that is cut off holds up no other.
- * @example const tell = crashTeller(relays, (address, news) => peers.at(address).crashes.mutate(news), log);
- */
-export function crashTeller(
-  relays: readonly string[],
-  tellOne: TellCrashes,
-  log: Log,
-): (news: CrashNews) => void {
-  const tell = async (relay: string, news: CrashNews): Promise<void> => {
-    for (const pauseMs of [...TELL_AGAIN_MS, undefined]) {
-      try {
-        return await tellOne(relay, news);
-      } catch (err) {
-        log.info('crash.untold', { relay, detail: errorText(err), againMs: pauseMs });
-        if (pauseMs === undefined) return;
-        await sleep(pauseMs);
-      }
-    }
-  };
-  return (news) => {
-    for (const relay of relays) void tell(relay, news);
-  };
-}
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -16,6 +16,7 @@
   type PublishedStore,
 } from '../core/published/index.js';
 import type { Result } from '../core/result/index.js';
+import type { AskNews } from '../generated/messages.types.js';
 import { askRelay, createPeers } from '../rpc/peers.js';
 import type { DaemonCalls } from '../rpc/router.js';
 import { serveRpc } from '../rpc/serve.js';
@@ -25,10 +26,11 @@
 import { relayPlace } from '../runtime/relays.js';
 import { watchSettings } from '../runtime/settings-watch.js';
 import { STOP_CUT_MS, STOP_POLL_MS, STOP_SERVING_MS } from './consts.js';
+import { takeAsks } from './asked.js';
 import { createContext, type GatewayContext } from './context.js';
-import { crashTeller } from './crash-watch.js';
 import { createGateway, type Gateway } from './gateway.js';
 import { GroupSight } from './group-sight.js';
+import { relayTeller } from './tell-relays.js';
 import type { CallerInterface, InstanceSettings } from './types.js';
 
 /** Port of the metrics address; the deploy file names it too. */
@@ -36,7 +38,7 @@
 const METRICS_PATH = '/metrics';
 /** Time to open a connection to another daemon, ms. */
 const PEER_CONNECT_MS = 500;
-/** Time to tell another entry which request crashed an endpoint, ms. */
+/** Time to tell another entry what was seen here, ms. */
 const TELL_MS = 500;
 /** How often the places of this entry are logged, ms. */
 const TURNS_LOG_MS = 1000;
@@ -80,15 +82,26 @@
     isUsed: (service, group) => (ctx.serviceOf(service).groups?.at(group).queue.running ?? 0) > 0,
     onSeen: (service, group) => ctx.serviceOf(service).groups?.at(group).noteSeen(),
   });
+  const telling = { relays: place.relays, log };
+  const tellAsks = relayTeller<AskNews>({
+    ...telling,
+    tellOne: (address, news) =>
+      peers.at(address).asks.mutate(news, { signal: AbortSignal.timeout(TELL_MS) }),
+    event: 'asks.untold',
+  });
   const ctx: GatewayContext = createContext({
     ...shared,
     ageClock,
-    tellCrashes: crashTeller(
-      place.relays,
-      (address, news) =>
+    tellCrashes: relayTeller({
+      ...telling,
+      tellOne: (address, news) =>
         peers.at(address).crashes.mutate(news, { signal: AbortSignal.timeout(TELL_MS) }),
-      log,
-    ),
+      event: 'crash.untold',
+    }),
+    tellAsks: (news) => {
+      relay.noteLearnt();
+      tellAsks(news);
+    },
     settings: settings.gateway,
     retryShare: () => settings.retryShare,
     callers: parts.callers,
@@ -130,6 +143,9 @@
     crashes: (news) => {
       if (crashes.take(news)) relay.wake();
     },
+    asks: (news) => {
+      if (takeAsks(ctx, news)) relay.noteLearnt();
+    },
   };
   await openAddresses(parts, gateway, metrics, calls);
   log.info('process.started', { settings: JSON.stringify(settings) });
--- a/src/rpc/router.ts
+++ b/src/rpc/router.ts
@@ -2,6 +2,7 @@
 import { initTRPC, TRPCError } from '@trpc/server';
 import type { FeedUpdate } from '../core/config-feed/index.js';
 import type {
+  AskNews,
   BranchOrder,
   BranchReply,
   CrashNews,
@@ -15,6 +16,7 @@
   RankReply,
 } from '../generated/messages.types.js';
 import {
+  isAskNews,
   isBranchOrder,
   isCrashNews,
   isFeedWatchInput,
@@ -34,6 +36,8 @@
   published?(ask: PublishedAsk): Promise<PublishedNews>;
   /** Takes what another entry saw of requests that crash endpoints. */
   crashes?(news: CrashNews): void;
+  /** Takes what endpoints asked another entry for. */
+  asks?(news: AskNews): void;
   /** The group as last seen; undefined before the first look. */
   group?(ask: GroupAsk): GroupDigest | undefined;
 }
@@ -82,6 +86,9 @@
     crashes: trpc.procedure
       .input(checked(isCrashNews))
       .mutation(({ input }) => required(calls.crashes)(input)),
+    asks: trpc.procedure
+      .input(checked(isAskNews))
+      .mutation(({ input }) => required(calls.asks)(input)),
     branch: trpc.procedure
       .input(checked(isBranchOrder))
       .mutation(({ input }) => required(calls.branch)(input)),
--- a/test/core/clock/suspension.test.ts
+++ b/test/core/clock/suspension.test.ts
@@ -97,7 +97,9 @@
 test('an entry that wakes honours no key that it knew before it was suspended, until it is proved anew', async () => {
   const raw = await startRawEndpoint((req) => req.socket.write(okAnswer(req, 'x')));
   const machine = new Machine();
-  const under = await startGateway(config([route()]), [endpoint('e-1', raw.address)], machine);
+  const under = await startGateway(config([route()]), [endpoint('e-1', raw.address)], {
+    clock: machine,
+  });
   try {
     assert.equal((await under.ask('q-1')).status, 200);
     machine.run(2000);
--- a/test/gateway/asks.test.ts
+++ b/test/gateway/asks.test.ts
@@ -6,11 +6,14 @@
  * the endpoint out for 0.75 to 1.25 s, whatever rest it had asked for, a probe went there at the end of each such pause, and where
  * all endpoints were left out the least bad one got the request all the same.
  * Evidence: on the code before, endpoints that had asked for a rest of 2 s got 26 requests within it, in the first test; in the logs
- * of the failure the third request within the rest was the probe at the end of such a pause.
+ * of the failure the third request within the rest was the probe at the end of such a pause. 23 of 60 requests came to an endpoint
+ * after it had said that it leaves.
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
+import type { AskNews } from '../../src/generated/messages.types.js';
+import { takeAsks } from '../../src/gateway/index.js';
 import {
   allowedInLimitWindow,
   leaving,
@@ -51,9 +54,12 @@
     Array.from({ length: size.endpoints }, () => startAskingEndpoint()),
   );
   const listed = endpoints.map(({ address }, i) => endpoint(`e-${i}`, address));
-  const gateways = await Promise.all(
-    Array.from({ length: size.entries }, () => startGateway(config([route()]), listed)),
-  );
+  const gateways: GatewayUnderTest[] = [];
+  const tellOthers = (news: AskNews): void => {
+    for (const { ctx } of gateways) takeAsks(ctx, news);
+  };
+  for (let i = 0; i < size.entries; i += 1)
+    gateways.push(await startGateway(config([route()]), listed, { tellAsks: tellOthers }));
   const proving = setInterval(() => {
     for (const { state, ctx } of gateways) state.proveConfig(ctx.ageClock.nowMs());
   }, PROOF_MS);
@@ -184,6 +190,30 @@
   });
 });
 
+test('entries that it has told nothing hear of it from those that it has told', async () => {
+  await played({ endpoints: 2, entries: 3 }, async ({ endpoints: [first], gateways, load }) => {
+    assert.ok(first);
+    first.behaviour = () => leaving;
+    while (first.arrivals.length === 0) await gateways[0]?.ask(requestId('entry0', 0));
+    await load(1, 60);
+    assert.deepEqual([...new Set(first.arrivals.map(({ entry }) => entry))], ['entry0']);
+  });
+});
+
+test('a later process of an endpoint that left gets requests, whoever told of the one before', async () => {
+  await played({ endpoints: 1, entries: 2 }, async ({ endpoints: [only], gateways }) => {
+    assert.ok(only);
+    only.behaviour = () => leaving;
+    await gateways[0]?.ask(requestId('entry0', 1));
+    only.behaviour = () => ({ headers: [] });
+    assert.equal((await gateways[1]?.ask(requestId('entry1', 1)))?.status, 503);
+    const next = { ...endpoint('e-0', only.address), startedAtMs: 5 };
+    for (const { state } of gateways) state.offerList([next], false);
+    for (const [i, under] of gateways.entries())
+      assert.equal((await under.ask(requestId(`entry${i}`, 2))).status, 200);
+  });
+});
+
 test('an endpoint that names a limit gets no more from all entries together', async () => {
   const perS = 4;
   await played({ endpoints: 2, entries: 4 }, async ({ endpoints, load }) => {
--- a/test/gateway/crashing-request.test.ts
+++ b/test/gateway/crashing-request.test.ts
@@ -45,9 +45,7 @@
     for (const { ctx } of gateways) ctx.crashes.evidence.take(news);
   };
   for (let i = 0; i < entries; i += 1)
-    gateways.push(
-      await startGateway(config([route()]), listed, undefined, undefined, undefined, tellOthers),
-    );
+    gateways.push(await startGateway(config([route()]), listed, { tellCrashes: tellOthers }));
   const proving = setInterval(() => {
     for (const { state, ctx } of gateways) state.proveConfig(ctx.ageClock.nowMs());
   }, PROOF_MS);
--- a/test/gateway/groups.test.ts
+++ b/test/gateway/groups.test.ts
@@ -1,7 +1,6 @@
 /** Requests before several groups of engines behind one service. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { systemClock } from '../../src/core/clock/index.js';
 import { asId, type GroupId } from '../../src/core/ids/index.js';
 import {
   answerHead,
@@ -16,7 +15,6 @@
   endpoint,
   route,
   SERVICE,
-  SETTINGS,
   startGateway,
   type GatewayUnderTest,
 } from './harness.js';
@@ -47,9 +45,7 @@
   const under = await startGateway(
     config([route({ maxAttempts: 2 })], { services } as never),
     listed,
-    systemClock,
-    SETTINGS,
-    { groupSize: () => undefined, groupOf: (e) => asId<GroupId>(e.id.slice(0, 2)) },
+    { groupOf: (e) => asId<GroupId>(e.id.slice(0, 2)) },
   );
   try {
     await run({
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -126,7 +126,13 @@
   return { ...silentLog, info: at, warn: at, error: at };
 }
 
-const UNSEEN = { groupSize: () => undefined, groupOf: () => undefined };
+/** What a test may bring of its own. */
+export interface GatewayOptions extends Partial<
+  Pick<GatewayParts, 'groupOf' | 'groupSize' | 'tellCrashes' | 'tellAsks'>
+> {
+  readonly clock?: Clock;
+  readonly settings?: GatewaySettings;
+}
 
 /**
  * Starts a gateway.
@@ -135,11 +141,9 @@
 export async function startGateway(
   cfg: PublishedConfig | undefined,
   endpoints: readonly PublishedEndpoint[],
-  clock: Clock = systemClock,
-  settings: GatewaySettings = SETTINGS,
-  groups: Pick<GatewayParts, 'groupOf' | 'groupSize'> = UNSEEN,
-  tellCrashes: GatewayParts['tellCrashes'] = () => undefined,
+  options: GatewayOptions = {},
 ): Promise<GatewayUnderTest> {
+  const { clock = systemClock, settings = SETTINGS, ...parts } = options;
   const state = new PublishedState();
   if (cfg) state.offerConfig(cfg, clock.nowMs());
   state.offerList(endpoints, false);
@@ -158,8 +162,11 @@
     dataCentre: asId('a'),
     sightOf: () => undefined,
     entriesKnown: () => 0,
-    tellCrashes,
-    ...groups,
+    groupSize: () => undefined,
+    groupOf: () => undefined,
+    tellCrashes: () => undefined,
+    tellAsks: () => undefined,
+    ...parts,
   });
   const gateway = createGateway(ctx);
   await new Promise<void>((resolve) => gateway.server.listen(0, '127.0.0.1', resolve));
--- a/test/gateway/whole.test.ts
+++ b/test/gateway/whole.test.ts
@@ -290,7 +290,7 @@
   let nowMs = 1000;
   const clock = { nowMs: () => nowMs, wallMs: () => nowMs };
   const cfg = config([route(), route({ pathPrefix: '/open/', isPublic: true })]);
-  const under = await startGateway(cfg, [endpoint('e-0', raw.address)], clock);
+  const under = await startGateway(cfg, [endpoint('e-0', raw.address)], { clock });
   nowMs += 3400;
   assert.equal((await under.ask('q-1')).status, 200);
   nowMs += 200;
@@ -359,7 +359,7 @@
   const settings = { ...SETTINGS, keyProofMs };
   let sinceMs = 0;
   const clock = { ...systemClock, nowMs: () => systemClock.nowMs() + sinceMs };
-  const under = await startGateway(config([route()]), endpoints, clock, settings);
+  const under = await startGateway(config([route()]), endpoints, { clock, settings });
   sinceMs = 60_000;
   return under;
 }
