Keep a stream on a slow endpoint while no other one may be asked

Now it is moved only when another endpoint or group may be asked. stream.test fails without the check.

Beside it: what decides whether an endpoint may be asked stands in one gate and one function for shares, out of the table of endpoints; a share that has passed to another entry leaves nothing saved up; limits of endpoints that are gone are forgotten.

--- a/src/core/asks/index.ts
+++ b/src/core/asks/index.ts
@@ -1,4 +1,5 @@
 export { STRANGERS } from './consts.js';
+export * from './endpoint-gate.js';
 export * from './exchange.js';
 export * from './known-limits.js';
 export * from './known-sharers.js';
--- a/src/core/asks/known-limits.ts
+++ b/src/core/asks/known-limits.ts
@@ -185,13 +185,12 @@
     return this.changes > before;
   }
 
-  /** Drops what is over. */
+  /** Drops what is over, of endpoints that are gone as well. */
   forget(): void {
     const nowMs = this.clock.nowMs();
-    for (const [id, { namedAtMs, endedAtMs, releasedAtMs }] of this.byId) {
+    for (const [id, { namedAtMs, endedAtMs, releasedAtMs = namedAtMs }] of this.byId) {
       const isOld = nowMs - Math.max(namedAtMs, endedAtMs) > 2 * LIMIT_LAPSES_MS;
-      const isReleased = releasedAtMs !== undefined && nowMs - releasedAtMs > RELEASE_MS;
-      if (isOld && isReleased) this.byId.delete(id);
+      if (isOld && nowMs - releasedAtMs > RELEASE_MS) this.byId.delete(id);
     }
   }
 }
--- a/src/core/asks/limit-bucket.ts
+++ b/src/core/asks/limit-bucket.ts
@@ -26,8 +26,9 @@
    */
   opensAtMs(share: LimitShare, nowMs: number): number {
     const level = this.fill(share, nowMs);
-    if (level >= 1) return nowMs;
+    // What was saved of a share that is another's now counts there.
     if (share.perS === 0) return Number.POSITIVE_INFINITY;
+    if (level >= 1) return nowMs;
     return nowMs + ((1 - level) / share.perS) * MS_PER_S;
   }
 
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -1,6 +1,7 @@
 /** The attempts of one request: which endpoint, for how long, and whether another one follows. */
 import { noteAsks } from './asked.js';
 import { sendAttempt } from './attempt.js';
+import { chooseEndpoint, chooseOtherGroup } from './choose.js';
 import { ELSEWHERE_RETRY_S, SILENCE_FACTOR, STREAM_SILENCE_MS } from './consts.js';
 import { deliver, LEAST_FAILURE } from './deliver.js';
 import type { EndpointState } from './endpoints.js';
@@ -59,27 +60,16 @@
   }
 }
 
-/** The best endpoint for the next attempt, in the group where the request has its place. */
-function chooseEndpoint(work: Work): EndpointState | undefined {
-  const { ctx, place, service, tried } = work;
-  if (!place) return ctx.endpoints.choose(service.id, tried);
-  return ctx.endpoints.choose(
-    service.id,
-    tried,
-    (endpoint) => service.groups?.isIn(endpoint, place.id) ?? true,
-  );
-}
-
 /**
  * After a fault goes on in another group, where one serves: ranks of one group fail together. A caller that
  * has part of its stream would lose it, and goes on whether there is room or not.
  */
 function changeGroup(work: Work): void {
-  const { ctx, place, service, tried } = work;
+  const { place } = work;
   // One rank that rests says nothing of the others.
   if (work.lastFault?.kind === 'resting' && chooseEndpoint(work)) return;
-  const next = place && service.groups?.choose(tried, place.id);
-  if (!place || !next || next.turns.outage.isOut(ctx.ageClock.nowMs())) return;
+  const next = chooseOtherGroup(work);
+  if (!place || !next) return;
   if (!next.turns.queue.takeNow(work.progress.events > 0)) return;
   place.turns.queue.release();
   work.place = next;
--- a/src/gateway/deliver.ts
+++ b/src/gateway/deliver.ts
@@ -1,5 +1,6 @@
 /** Passes the answer to one attempt on to the caller. */
 import type { Answer } from './attempt.js';
+import { hasElsewhere } from './choose.js';
 import { STREAM_SILENCE_MS } from './consts.js';
 import type { EndpointState } from './endpoints.js';
 import { relayStream, type StreamEnd } from './relay-stream.js';
@@ -54,7 +55,10 @@
       silenceMs: STREAM_SILENCE_MS,
       leftMs: () => leftMs(work),
       shouldMove: () =>
-        ctx.endpoints.isSlow(target) && mayTryAgain(work) && service.budget.canWithdraw(),
+        ctx.endpoints.isSlow(target) &&
+        mayTryAgain(work) &&
+        service.budget.canWithdraw() &&
+        hasElsewhere(work),
       onFirst: () => {
         const nowMs = ctx.clock.nowMs();
         work.note.firstMs ??= nowMs - request.arrivedAtMs;
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -1,28 +1,15 @@
 /** The endpoints as this entry has come to know them: connections, what runs there, how they fare. */
-import {
-  LimitBucket,
-  Rest,
-  limitShare,
-  releasedShare,
-  type KnownLimits,
-  type LimitNow,
-  type LimitShare,
-  type Sharers,
-} from '../core/asks/index.js';
+import { EndpointGate, type Opening } from '../core/asks/index.js';
 import type { Clock } from '../core/clock/index.js';
 import type { EndpointId } from '../core/ids/index.js';
 import type { Log } from '../core/logging/index.js';
 import type { Metrics } from '../core/metrics/index.js';
-import type {
-  DataCentreId,
-  PublishedEndpoint,
-  PublishedState,
-  ServiceId,
-} from '../core/published/index.js';
+import type { DataCentreId, PublishedEndpoint, ServiceId } from '../core/published/index.js';
 import { EndpointHealth } from '../core/routing/index.js';
 import { FreshPool } from '../runtime/fresh-pool.js';
 import { endpointConnector } from './connect.js';
 import type { EngineSight } from './group-sight.js';
+import { shareOf, type LimitSharesParts } from './limit-shares.js';
 import { CONNECTION_SHARERS, IDLE_CONNECTION_MS, MOST_CONNECTIONS } from './consts.js';
 
 /** Weight of the newest outcome in an endpoint's share of failures. */
@@ -68,10 +55,8 @@
   readonly endpoint: PublishedEndpoint;
   readonly connections: FreshPool;
   readonly health: EndpointHealth;
-  readonly rest: Rest;
-  readonly bucket: LimitBucket;
-  /** What this entry may send of the endpoint's limit, as it was worked out last. */
-  share: { readonly now: LimitShare | undefined; readonly atMs: number };
+  /** Whether what it asked for lets a request go there. */
+  readonly gate: EndpointGate;
   /** Holds each attempt back that waits for a connection and has not been sent. */
   readonly waiting: Set<() => void>;
   running: number;
@@ -84,8 +69,7 @@
 }
 
 /** What the table of endpoints needs. */
-export interface EndpointParts {
-  readonly state: PublishedState;
+export interface EndpointParts extends LimitSharesParts {
   readonly clock: Clock;
   readonly random: () => number;
   readonly log: Log;
@@ -94,21 +78,8 @@
   readonly dataCentre: DataCentreId;
   /** What is known of a model engine beyond this entry's own requests. */
   readonly sightOf: (endpoint: PublishedEndpoint) => EngineSight | undefined;
-  /** The limits that endpoints named. */
-  readonly limits: KnownLimits;
-  /** The entries that share them. */
-  readonly sharers: () => Sharers;
 }
 
-/** When an endpoint may be sent a request, and what it asked for that it may not be now. */
-export interface Opening {
-  readonly atMs: number;
-  readonly why: 'rest' | 'limit' | undefined;
-}
-
-/** Time for which a share of a limit is not worked out anew, ms: each request looks at all endpoints of its service. */
-const SHARE_MS = 100;
-
 /** All endpoints of this entry. */
 export class Endpoints {
   private readonly byId = new Map<EndpointId, EndpointState>();
@@ -142,8 +113,8 @@
 
   /**
    * The best endpoint of a service for one more request; undefined when none takes work.
-   * Ejected ones are used only when no other is left, those that asked for rest or whose limit is used up not at all; `mayTake` tells which ones come into
-   * question.
+   * Ejected ones are used only when no other is left, those that may not be asked now for what they asked for themselves not at
+   * all; `mayTake` tells which ones come into question.
    */
   choose(
     service: ServiceId,
@@ -156,7 +127,7 @@
     for (const endpoint of this.parts.state.workingOf(service)) {
       if (tried.has(endpoint.id) || !mayTake(endpoint)) continue;
       const known = this.stateOf(endpoint);
-      if (this.opening(known, nowMs).atMs > nowMs) continue;
+      if (known.gate.opening(nowMs).atMs > nowMs) continue;
       const score = this.score(known, nowMs);
       if (score < bestScore) {
         best = known;
@@ -168,13 +139,13 @@
 
   /** Whether the time for which an endpoint asked for rest is not over. */
   isResting(known: EndpointState): boolean {
-    return known.rest.isResting(this.parts.clock.nowMs());
+    return known.gate.rest.isResting(this.parts.clock.nowMs());
   }
 
   /** Whether an endpoint may be sent a request now. */
   mayAsk(endpoint: PublishedEndpoint): boolean {
     const nowMs = this.parts.clock.nowMs();
-    return this.opening(this.stateOf(endpoint), nowMs).atMs <= nowMs;
+    return this.stateOf(endpoint).gate.opening(nowMs).atMs <= nowMs;
   }
 
   /**
@@ -185,7 +156,7 @@
     const nowMs = this.parts.clock.nowMs();
     let first: Opening | undefined;
     for (const endpoint of this.parts.state.workingOf(service)) {
-      const opening = this.opening(this.stateOf(endpoint), nowMs);
+      const opening = this.stateOf(endpoint).gate.opening(nowMs);
       if (!first || opening.atMs < first.atMs) first = opening;
     }
     return first;
@@ -196,39 +167,6 @@
     return Math.max(0, atMs - this.parts.clock.nowMs());
   }
 
-  private opening(known: EndpointState, nowMs: number): Opening {
-    const restedAtMs = known.rest.opensAtMs(nowMs);
-    const share = this.shareOf(known, nowMs);
-    const limitedAtMs = share ? known.bucket.opensAtMs(share, nowMs) : nowMs;
-    if (Math.max(restedAtMs, limitedAtMs) <= nowMs) return { atMs: nowMs, why: undefined };
-    if (restedAtMs >= limitedAtMs) return { atMs: restedAtMs, why: 'rest' };
-    return { atMs: limitedAtMs, why: 'limit' };
-  }
-
-  /** What this entry may send of an endpoint's limit; undefined where it has none. */
-  private shareOf(known: EndpointState, nowMs: number): LimitShare | undefined {
-    if (this.parts.limits.isEmpty && !known.share.now) return undefined;
-    if (nowMs - known.share.atMs < SHARE_MS) return known.share.now;
-    const limit = this.parts.limits.of(known.endpoint);
-    if (!limit) known.bucket.clear();
-    const now = limit && this.shareNow(known.endpoint, limit);
-    known.share = { now, atMs: nowMs };
-    return now;
-  }
-
-  private shareNow(endpoint: PublishedEndpoint, { limitPerS, releasedMs }: LimitNow): LimitShare {
-    const sharers = this.parts.sharers();
-    if (releasedMs !== undefined) return releasedShare(limitPerS, sharers, releasedMs);
-    return limitShare({ limitPerS, sharers, ringPlace: this.ringPlaceOf(endpoint) });
-  }
-
-  /** Place of an endpoint among those of its service, as a share of them. */
-  private ringPlaceOf({ id, service }: PublishedEndpoint): number {
-    const ids = [...this.parts.state.workingOf(service)].map((endpoint) => endpoint.id);
-    const before = ids.filter((other) => other < id).length;
-    return before / Math.max(1, ids.length);
-  }
-
   private score(known: EndpointState, nowMs: number): number {
     const sight = this.parts.sightOf(known.endpoint);
     // Ranks of a group answer in lock-step: their own pace, the way to them, and a queue tell them apart.
@@ -271,9 +209,7 @@
         bodyTimeout: 0,
       }),
       health: new EndpointHealth(),
-      rest: new Rest(),
-      bucket: new LimitBucket(this.parts.random),
-      share: { now: undefined, atMs: Number.NEGATIVE_INFINITY },
+      gate: new EndpointGate(() => shareOf(this.parts, endpoint), this.parts.random),
       waiting: new Set(),
       running: 0,
       failureShare: 0,
@@ -292,28 +228,26 @@
     known.lastSent = this.sequence;
     known.running += 1;
     known.health.noteSent(nowMs);
-    known.rest.noteSent(nowMs);
-    const share = this.shareOf(known, nowMs);
-    if (share) known.bucket.take(share, nowMs);
+    known.gate.noteSent(nowMs);
     return nowMs;
   }
 
   /** Notes that an attempt is over that began at a time. */
   noteEnded(known: EndpointState, sentAtMs: number): void {
     known.running -= 1;
-    known.rest.noteEnded(sentAtMs);
+    known.gate.rest.noteEnded(sentAtMs);
   }
 
   /** Notes that an endpoint asked for rest, which holds for what waits for a connection to it as well. */
   noteRest(known: EndpointState, restMs: number): void {
-    known.rest.note(restMs, this.parts.clock.nowMs(), this.parts.random);
+    known.gate.rest.note(restMs, this.parts.clock.nowMs(), this.parts.random);
     for (const holdBack of [...known.waiting]) holdBack();
   }
 
   /** Notes the first sign of a good answer to an attempt that began at a time. */
   noteGood(known: EndpointState, sentAtMs: number): void {
     const tookMs = this.parts.clock.nowMs() - sentAtMs;
-    known.rest.noteGood(sentAtMs);
+    known.gate.rest.noteGood(sentAtMs);
     known.health.noteSuccess();
     known.failureShare *= 1 - FAILURE_WEIGHT;
     known.answerMs =
--- a/src/gateway/work.ts
+++ b/src/gateway/work.ts
@@ -1,4 +1,5 @@
 /** One request on its way: what has become of it so far, and what may still be done. */
+import type { Opening } from '../core/asks/index.js';
 import type { EndpointId } from '../core/ids/index.js';
 import {
   BUSY_RETRY_S,
@@ -8,7 +9,7 @@
   REST_RETRY_SPREAD_S,
 } from './consts.js';
 import type { GatewayContext } from './context.js';
-import type { EndpointState, Opening } from './endpoints.js';
+import type { EndpointState } from './endpoints.js';
 import type { Refusal } from './refuse.js';
 import type { StreamProgress } from './relay-stream.js';
 import type { GroupTurns } from './service-groups.js';
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -129,7 +129,10 @@
 
 /** What a test may bring of its own. */
 export interface GatewayOptions extends Partial<
-  Pick<GatewayParts, 'groupOf' | 'groupSize' | 'tellCrashes' | 'tellLeaving' | 'limits' | 'sharers'>
+  Pick<
+    GatewayParts,
+    'groupOf' | 'groupSize' | 'tellCrashes' | 'tellLeaving' | 'limits' | 'sharers' | 'sightOf'
+  >
 > {
   readonly clock?: Clock;
   readonly settings?: GatewaySettings;
--- a/test/gateway/stream.test.ts
+++ b/test/gateway/stream.test.ts
@@ -11,7 +11,9 @@
   type RawEndpoint,
   type RawRequest,
 } from '../../fakes/raw-endpoint/index.js';
+import type { PublishedEndpoint } from '../../src/core/published/index.js';
 import { EventSplitter } from '../../src/gateway/events.js';
+import type { EngineSight } from '../../src/gateway/group-sight.js';
 import { config, endpoint, route, startGateway, type GatewayUnderTest } from './harness.js';
 
 const STREAM = route({
@@ -195,3 +197,35 @@
     assert.equal(under.gateway.running(), 0);
   });
 });
+
+test('a stream on an endpoint that turns slow stays there while all others rest', async () => {
+  let pace = 1;
+  const slow = await startRawEndpoint((req) => {
+    req.socket.write(head(req));
+    for (let id = 1; id <= 6; id += 1)
+      setTimeout(() => req.socket.write(chunk(event(id)) + (id === 6 ? chunk('') : '')), 30 * id);
+  });
+  const resting = await startRawEndpoint((req) =>
+    req.socket.write(
+      answerHead(req, '503 Full', ['Retry-After: 5', 'X-Not-Executed: 1', 'Content-Length: 0']),
+    ),
+  );
+  const listed = [endpoint('e-0', slow.address), endpoint('e-1', resting.address)];
+  const sightOf = (e: PublishedEndpoint): EngineSight => ({
+    load: 0,
+    pace: e.id === 'e-0' ? pace : 1,
+  });
+  const under = await startGateway(config([STREAM]), listed, { sightOf });
+  try {
+    while (resting.requests.length === 0) await under.ask(`q-${slow.requests.length}`);
+    const got = under.ask('q-slow');
+    setTimeout(() => (pace = 3), 75);
+    const { body, complete } = await got;
+    assert.equal(body, events(1, 6));
+    assert.ok(complete);
+  } finally {
+    under.close();
+    slow.close();
+    resting.close();
+  }
+});
