Count callers that are refused for rest or limits among those who may come back

Found on reading: only refusals for want of room and in outages were noted, so that callers who came back after a refusal for rest would have been learnt as fresh ones that wait less, and all who come back would go before fresh ones from then on. groups.test fails without it.

--- a/src/gateway/work.ts
+++ b/src/gateway/work.ts
@@ -122,6 +122,8 @@
     const reason = work.lastFault?.kind === 'silent' ? 'time-over' : 'answer-lost';
     return { kind: 'refused', refusal: { reason, detail } };
   }
+  // It may come back: unnoted, it would be taken for a fresh caller that waits less than others.
+  work.service.groups?.callers.noteRefused(work.ctx.ageClock.nowMs());
   const opening = work.ctx.endpoints.firstOpening(work.service.id);
   if (opening?.why) return refuseAsked(work, opening);
   const reason = work.tried.size === 0 ? 'no-endpoint' : 'not-run';
--- a/test/gateway/groups.test.ts
+++ b/test/gateway/groups.test.ts
@@ -1,6 +1,7 @@
 /** Requests before several groups of engines behind one service. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setTimeout as wait } from 'node:timers/promises';
 import { asId, type GroupId } from '../../src/core/ids/index.js';
 import {
   answerHead,
@@ -17,6 +18,7 @@
   SERVICE,
   startGateway,
   type GatewayUnderTest,
+  type Got,
 } from './harness.js';
 
 const RANKS = 3;
@@ -76,3 +78,33 @@
     assert.deepEqual(reached(), [1, 1]);
   });
 });
+
+/** Asks for 2 s of rest, in the name of each rank. */
+const resting: RawAnswer = (req) =>
+  req.socket.write(
+    answerHead(req, '503 Full', ['X-Not-Executed: 1', 'Retry-After: 2', 'Content-Length: 0']),
+  );
+
+test('while all ranks of a group rest nothing waits for a place there, and another group serves', async () => {
+  await withGroups([resting, ok], async ({ under, reached }) => {
+    for (let i = 0; i < 20; i += 1) assert.equal((await under.ask(`q-${i}`)).status, 200);
+    assert.ok((reached()[0] ?? 0) <= RANKS);
+  });
+});
+
+test('callers who come back after a refusal for rest are not taken for fresh ones that wait less', async () => {
+  let isResting = false;
+  const answer: RawAnswer = (req) => (isResting ? resting : ok)(req);
+  await withGroups([answer], async ({ under }) => {
+    const asks = (id: string, waitsMs: number): Promise<Got> =>
+      under.ask(id, { headers: { 'x-deadline-ms': String(waitsMs) } });
+    assert.equal((await asks('q-first', 8000)).status, 200);
+    isResting = true;
+    while (!(await asks('q-fresh', 8000)).body.includes('"reason":"resting"'));
+    isResting = false;
+    await wait(2500);
+    for (let i = 0; i < 30; i += 1) assert.equal((await asks(`q-${i}`, 5600)).status, 200);
+    const callers = under.ctx.serviceOf(asId(SERVICE)).groups?.callers;
+    assert.equal(callers?.isReturning(asId('r-1'), 5600, performance.now()), true);
+  });
+});
