Go on in another group after a rank that rests, as after any other fault

Found by a new test: with two groups, one of which rests, a request tried two ranks of the resting one and was refused though the other group served. The exception that a rest says nothing of the other ranks is gone: another group that serves is the better second try for the caller.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -66,8 +66,6 @@
  */
 function changeGroup(work: Work): void {
   const { place } = work;
-  // One rank that rests says nothing of the others.
-  if (work.lastFault?.kind === 'resting' && chooseEndpoint(work)) return;
   const next = chooseOtherGroup(work);
   if (!place || !next) return;
   if (!next.turns.queue.takeNow(work.progress.events > 0)) return;
