--- a/src/core/asks/consts.ts
+++ b/src/core/asks/consts.ts
@@ -12,12 +12,11 @@
 /** Time after which an endpoint that is tried after a rest is likely to have answered, ms. */
 export const TRIAL_MS = 500;
 
-/** How a limit is judged, by the platform's operators: requests of all entries in so many ms, ... */
-export const LIMIT_WINDOW_MS = 4000;
-/** ... as a multiple of what the limit allows in that time, ... */
-export const LIMIT_FACTOR = 1.5;
-/** ... and so many beyond it. */
-export const LIMIT_EXTRA = 5;
+/**
+ * What all entries together may send to an endpoint with a limit, as the platform's operators state it: in any window, so many times
+ * what the limit allows in it, and so many requests beyond that.
+ */
+export const LIMIT_BOUND = { windowMs: 4000, factor: 1.5, extra: 5 } as const;
 /** Part of that which is shared out: the rest is for entries whose views of one another differ. */
 export const USED_SHARE = 0.9;
 
--- a/src/core/asks/known-limits.ts
+++ b/src/core/asks/known-limits.ts
@@ -5,15 +5,10 @@
  */
 import type { Clock } from '../clock/index.js';
 import { asId, type EndpointId } from '../ids/index.js';
+import type { EndpointProcess } from '../published/types.js';
 import type { ToldLimit } from '../../generated/messages.types.js';
 import { LAPSE_SPREAD, LIMIT_LAPSES_MS, RELEASE_MS, TELL_AGAIN_MS } from './consts.js';
 
-/** One process of an endpoint; a later one may have its id. */
-export interface LimitedProcess {
-  readonly id: EndpointId;
-  readonly startedAtMs: number;
-}
-
 /** What is known of one endpoint. */
 interface Known {
   readonly startedAtMs: number;
@@ -66,7 +61,7 @@
    * The limit of an endpoint; undefined where it has none.
    * @example const limit = limits.of(endpoint);
    */
-  of({ id, startedAtMs }: LimitedProcess): LimitNow | undefined {
+  of({ id, startedAtMs }: EndpointProcess): LimitNow | undefined {
     const known = this.byId.get(id);
     if (!known || known.startedAtMs !== startedAtMs) return undefined;
     const nowMs = this.clock.nowMs();
@@ -78,20 +73,20 @@
   }
 
   /** Notes that an endpoint named a limit in an answer; true where that is news. */
-  noteNamed(process: LimitedProcess, limitPerS: number): boolean {
+  noteNamed(process: EndpointProcess, limitPerS: number): boolean {
     const isNew = this.takeNamed(process, limitPerS, this.clock.nowMs());
     if (isNew) this.untold.add(process.id);
     return isNew;
   }
 
   /** Notes an answer without a limit to a request that was sent at a time; true where that ends one. */
-  noteUnnamed(process: LimitedProcess, sentAtMs: number): boolean {
+  noteUnnamed(process: EndpointProcess, sentAtMs: number): boolean {
     const isNew = this.takeEnded(process, sentAtMs);
     if (isNew) this.untold.add(process.id);
     return isNew;
   }
 
-  private takeNamed(process: LimitedProcess, limitPerS: number, atMs: number): boolean {
+  private takeNamed(process: EndpointProcess, limitPerS: number, atMs: number): boolean {
     const known = this.at(process);
     if (!known || atMs <= known.namedAtMs) return false;
     const isAsBefore = known.namedAtMs > known.endedAtMs && known.limitPerS === limitPerS;
@@ -105,7 +100,7 @@
     return true;
   }
 
-  private takeEnded(process: LimitedProcess, atMs: number): boolean {
+  private takeEnded(process: EndpointProcess, atMs: number): boolean {
     const known = this.byId.get(process.id);
     if (!known || known.startedAtMs !== process.startedAtMs) return false;
     // It may have been answered before the endpoint came into need.
@@ -118,7 +113,7 @@
   }
 
   /** What is known of a process; undefined where a later one is known. */
-  private at({ id, startedAtMs }: LimitedProcess): Known | undefined {
+  private at({ id, startedAtMs }: EndpointProcess): Known | undefined {
     const known = this.byId.get(id);
     if (known && known.startedAtMs > startedAtMs) return undefined;
     if (known?.startedAtMs === startedAtMs) return known;
--- a/src/core/asks/limit-share.ts
+++ b/src/core/asks/limit-share.ts
@@ -6,13 +6,7 @@
  * entries as the bound bears requests send to such an endpoint. Where there are more, each endpoint of a service has others, one
  * after the other in a ring, so that each entry sends to about as many endpoints as the next one.
  */
-import {
-  LEAST_RELEASED_PER_S,
-  LIMIT_EXTRA,
-  LIMIT_FACTOR,
-  LIMIT_WINDOW_MS,
-  USED_SHARE,
-} from './consts.js';
+import { LEAST_RELEASED_PER_S, LIMIT_BOUND, USED_SHARE } from './consts.js';
 import type { LimitShare } from './limit-bucket.js';
 
 /** Who shares the limits of a service's endpoints. */
@@ -33,13 +27,13 @@
 }
 
 const MS_PER_S = 1000;
-const WINDOW_S = LIMIT_WINDOW_MS / MS_PER_S;
-/** Part of a window that an entry's buckets fill for what it may send in one: its turns are not exactly a window apart. */
+const WINDOW_S = LIMIT_BOUND.windowMs / MS_PER_S;
+/** Part of a window in which a bucket gains what it may send in one: its requests do not arrive exactly a window apart. */
 const WINDOW_SHARE = 0.95;
 
 /** Requests that all entries together may send in a window. */
 function allowedInWindow(limitPerS: number): number {
-  return USED_SHARE * (LIMIT_FACTOR * limitPerS * WINDOW_S + LIMIT_EXTRA);
+  return USED_SHARE * (LIMIT_BOUND.factor * limitPerS * WINDOW_S + LIMIT_BOUND.extra);
 }
 
 /**
--- a/src/core/published/left-endpoints.ts
+++ b/src/core/published/left-endpoints.ts
@@ -1,13 +1,10 @@
 /** Endpoints that take no new work whatever is read of them later, each by the start of its process. */
 import type { EndpointId } from '../ids/index.js';
-import type { PublishedEndpoint } from './types.js';
+import type { EndpointProcess } from './types.js';
 
 /** Endpoints that are gone are remembered for the case that an old list names them again; a release replaces 600 at most. */
 const MOST_GONE = 1024;
 
-/** A process of an endpoint; a later one may have its id. */
-export type EndpointProcess = Pick<PublishedEndpoint, 'id' | 'startedAtMs'>;
-
 /** Endpoints that were seen leaving, for good, and those that went without a word, for as long as the list is an old one. */
 export class LeftEndpoints {
   private readonly leaving = new Map<EndpointId, number>();
--- a/src/core/published/published-state.ts
+++ b/src/core/published/published-state.ts
@@ -4,9 +4,9 @@
  * no new work, whatever is read later; a later process may have its id.
  */
 import type { EndpointId } from '../ids/index.js';
-import { LeftEndpoints, type EndpointProcess } from './left-endpoints.js';
+import { LeftEndpoints } from './left-endpoints.js';
 import type { EndpointChange } from './source.js';
-import type { PublishedConfig, PublishedEndpoint, ServiceId } from './types.js';
+import type { EndpointProcess, PublishedConfig, PublishedEndpoint, ServiceId } from './types.js';
 
 /** What changed in the list of endpoints. */
 export interface ListChange {
--- a/src/core/published/types.ts
+++ b/src/core/published/types.ts
@@ -113,3 +113,6 @@
    */
   readonly startedAtMs: number;
 }
+
+/** One process of an endpoint; a later one may have its id. */
+export type EndpointProcess = Pick<PublishedEndpoint, 'id' | 'startedAtMs'>;
