--- a/test/core/asks/known-limits.test.ts
+++ b/test/core/asks/known-limits.test.ts
@@ -139,6 +139,24 @@
   assert.equal(new Set(places.map(({ place }) => place)).size, 42);
 });
 
+test('all entries hear within a second that the need of an endpoint is over, by one answer to one of them', () => {
+  const clock = clockAt(0);
+  const { relay, entries } = fleet(42, clock);
+  entries[5]?.limits.noteNamed(ENDPOINT, 4);
+  for (let atMs = 0; atMs <= 2000; atMs += 400) {
+    clock.atMs = atMs;
+    exchangeOnce(relay, entries);
+  }
+  assert.ok(entries.every((entry) => perS(entry.limits) === 4));
+  clock.atMs = 2100;
+  entries[9]?.limits.noteUnnamed(ENDPOINT, 2050);
+  for (let atMs = 2400; atMs <= 2800; atMs += 400) {
+    clock.atMs = atMs;
+    exchangeOnce(relay, entries);
+  }
+  assert.ok([relay, ...entries].every((entry) => perS(entry.limits) === undefined));
+});
+
 test('until the others can have been heard of, an entry does not take a limit for its own', () => {
   const clock = clockAt(0);
   const { relay } = fleet(2, clock);
