--- a/bench/soak/asks-check.ts
+++ b/bench/soak/asks-check.ts
@@ -15,12 +15,13 @@
 const LIMIT_FACTOR = 1.5;
 const LIMIT_EXTRA = 5;
 
-/** Something that came to an endpoint or was answered there, with the entry that sent it. */
+/** Which entry a request was sent to, and when. */
 interface At {
   readonly entry: string;
   readonly sentAtMs: number;
 }
 
+/** A record, looked up by the request that something came with. */
 class Seen {
   private readonly entries: ReadonlyMap<string, At>;
 
@@ -45,6 +46,7 @@
   }
 }
 
+/** A restart, freeze or cut of the entry since then excuses it, here and below. */
 function restsAreHeeded(
   seen: Seen,
   asked: readonly EndpointAsked[],
