--- a/src/gateway/asked.ts
+++ b/src/gateway/asked.ts
@@ -16,11 +16,11 @@
   const { ctx, service } = work;
   for (const what of unreadable) {
     ctx.metrics.count('endpoint_asks_unreadable_total', { service: service.id, what });
-    tell(work, target, 'endpoint.ask-unreadable', { what });
+    logAsked(work, target, 'endpoint.ask-unreadable', { what });
   }
 }
 
-function tell(
+function logAsked(
   { ctx, request }: Work,
   { endpoint }: EndpointState,
   event: string,
@@ -36,7 +36,7 @@
 function noteRest(work: Work, target: EndpointState, restMs: number): void {
   countAsked(work, 'rest');
   work.ctx.endpoints.noteRest(target, restMs);
-  tell(work, target, 'endpoint.resting', { restMs });
+  logAsked(work, target, 'endpoint.resting', { restMs });
 }
 
 /** It takes nothing new from now on; that it says so in an answer may come seconds before the list tells. */
@@ -45,21 +45,21 @@
   const { id, startedAtMs } = target.endpoint;
   countAsked(work, 'leaving');
   if (!ctx.state.noteLeaving(target.endpoint)) return;
-  tell(work, target, 'endpoint.leaving', { source: 'answer' });
+  logAsked(work, target, 'endpoint.leaving', { source: 'answer' });
   ctx.tellLeaving({ endpoint: id, startedAtMs });
 }
 
 function noteLimit(work: Work, target: EndpointState, limitPerS: number): void {
   countAsked(work, 'limit');
   if (work.ctx.limits.noteNamed(target.endpoint, limitPerS))
-    tell(work, target, 'endpoint.limited', { limitPerS });
+    logAsked(work, target, 'endpoint.limited', { limitPerS });
 }
 
 /** What an endpoint names no more is over, unless the answer was on its way when it named it. */
 function noteUnlimited(work: Work, target: EndpointState, sentAtMs: number): void {
   const { limits } = work.ctx;
   if (limits.isEmpty || !limits.noteUnnamed(target.endpoint, sentAtMs)) return;
-  tell(work, target, 'endpoint.unlimited', {});
+  logAsked(work, target, 'endpoint.unlimited', {});
 }
 
 /**
