Log how an entry shares a rate limit, and why the limit ended

The logs could not tell whether an entry knew of a limit, among how many entries it shared it, and whether a limit ended by an answer or by a timer: the hypotheses of the incident differ in just that. endpoint.limit-share is logged on each change, per endpoint. No decision changed.

--- a/src/core/asks/known-limits.ts
+++ b/src/core/asks/known-limits.ts
@@ -30,6 +30,8 @@
   readonly limitPerS: number;
   /** Time since it was over, ms; undefined while it stands. */
   readonly releasedMs: number | undefined;
+  /** Whether it is over because nobody named it for too long, rather than by an answer without it. */
+  readonly hasLapsed: boolean;
 }
 
 /** What one entry knows, with what others told it. Times are those of its clock, ms. */
@@ -65,11 +67,13 @@
     const known = this.byId.get(id);
     if (!known || known.startedAtMs !== startedAtMs) return undefined;
     const nowMs = this.clock.nowMs();
-    const stands = known.namedAtMs > known.endedAtMs && nowMs - known.namedAtMs < this.lapsesMs;
-    if (stands) return { limitPerS: known.limitPerS, releasedMs: undefined };
+    const hasEnded = known.namedAtMs <= known.endedAtMs;
+    const hasLapsed = !hasEnded && nowMs - known.namedAtMs >= this.lapsesMs;
+    const { limitPerS } = known;
+    if (!hasEnded && !hasLapsed) return { limitPerS, releasedMs: undefined, hasLapsed };
     known.releasedAtMs ??= nowMs;
     const releasedMs = nowMs - known.releasedAtMs;
-    return releasedMs < RELEASE_MS ? { limitPerS: known.limitPerS, releasedMs } : undefined;
+    return releasedMs < RELEASE_MS ? { limitPerS, releasedMs, hasLapsed } : undefined;
   }
 
   /** Notes that an endpoint named a limit in an answer; true where that is news. */
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -69,7 +69,7 @@
 }
 
 /** What the table of endpoints needs. */
-export interface EndpointParts extends LimitSharesParts {
+export interface EndpointParts extends Omit<LimitSharesParts, 'loggedShares'> {
   readonly clock: Clock;
   readonly random: () => number;
   readonly log: Log;
@@ -85,9 +85,12 @@
   private readonly byId = new Map<EndpointId, EndpointState>();
   /** Earlier processes of endpoints, until nothing of them runs. */
   private readonly earlier = new Set<EndpointState>();
+  private readonly limitShares: LimitSharesParts;
   private sequence = 0;
 
-  constructor(private readonly parts: EndpointParts) {}
+  constructor(private readonly parts: EndpointParts) {
+    this.limitShares = { ...parts, loggedShares: new Map() };
+  }
 
   /**
    * Drops endpoints that are gone, and earlier processes of others, once nothing runs there. One that is to rest is kept: it may
@@ -209,7 +212,7 @@
         bodyTimeout: 0,
       }),
       health: new EndpointHealth(),
-      gate: new EndpointGate(() => shareOf(this.parts, endpoint), this.parts.random),
+      gate: new EndpointGate(() => shareOf(this.limitShares, endpoint), this.parts.random),
       waiting: new Set(),
       running: 0,
       failureShare: 0,
