--- a/test/core/asks/rate-limit-fleet.test.ts
+++ b/test/core/asks/rate-limit-fleet.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
+import { always, flapping, varying } from '../../../bench/rate-limits/cases.js';
 import { makeEntry } from '../../../bench/rate-limits/entry.js';
 import {
   playFleet,
@@ -10,15 +11,6 @@
   type FleetPlay,
 } from '../../../bench/rate-limits/fleet.js';
 
-const always =
-  (limitPerS: number) =>
-  (nowMs: number): number | undefined =>
-    nowMs > 3000 ? limitPerS : undefined;
-const flapping =
-  (limitPerS: number, spanMs: number) =>
-  (nowMs: number): number | undefined =>
-    nowMs > 3000 && Math.floor(nowMs / spanMs) % 2 === 0 ? limitPerS : undefined;
-
 const PLAY: FleetPlay = {
   seed: 1,
   entries: 42,
@@ -74,6 +66,7 @@
     limitAt: fc.oneof(
       fc.constantFrom(0, 0.2, 1, 2.3, 4).map(always),
       fc.tuple(fc.constantFrom(1, 4), fc.constantFrom(7000, 9000)).map((of) => flapping(...of)),
+      fc.tuple(fc.constantFrom(1, 4), fc.constantFrom(7000, 9000)).map((of) => varying(...of)),
     ),
     callersPerS: fc.constantFrom(5, 40, 120),
     firstShare: fc.constantFrom(undefined, undefined, 0.5),
