Keep rate limits among any number of entries by tokens that relays grant

Cause: what one entry knew of the others, and of a limit, was told once and forgotten on a timer. Entries that are no relay forgot who shares a limit after 8 s (log: 96 peers, then the assumed 48, again and again); a limit that nobody named for 12 to 15 s counted as over; who lost the relays had no place at all. Ruled out: a longer memory of names alone.

No entry needs to know another one now. Each of up to three relays, chosen by endpoint, grants tokens for a fixed part of a limit. Parts add up to the limit whatever restarts, partitions or messages are lost; a relay out of reach leaves its part unused, and one that starts grants nothing at once. Relays space out denied entries by how many compete. Only an answer without a limit, or a new process, ends it: requests go on at the limit's rate, so the end is found. Updates are repeated until each relay has acknowledged them. Who reaches no relay sends half of what would be its part among 48 entries, or more if known.

Why it holds: the bound is a property of three buckets, not of what many entries believe. Two of the three relays may be wrong about everything.

Tests that rested on the timers or on names of sharers are replaced by as strict ones: silence does not end a limit; a limit is dropped with its endpoint; updates reach a relay that was down; the model counts what entries send.

--- a/bench/decisions/limit-model.ts
+++ b/bench/decisions/limit-model.ts
@@ -2,7 +2,7 @@
 import {
   LimitBucket,
   limitShare,
-  STRANGERS,
+  ASSUMED_PEERS,
   type LimitShare,
   type Sharers,
 } from '../../src/core/asks/index.js';
@@ -58,7 +58,7 @@
 
 const sharersOf = ({ entry, entries, known, isStranger }: WayFacts): Sharers =>
   isStranger
-    ? { place: undefined, count: Math.max(STRANGERS, entries) }
+    ? { place: undefined, count: Math.max(ASSUMED_PEERS, entries) }
     : { place: entry, count: known };
 
 /** Ways that were weighed. */
--- a/src/core/asks/index.ts
+++ b/src/core/asks/index.ts
@@ -1,10 +1,14 @@
-export { STRANGERS } from './consts.js';
+export { ASSUMED_PEERS, TOKEN_ASK_MS } from './consts.js';
 export * from './endpoint-gate.js';
 export * from './exchange.js';
 export * from './known-limits.js';
-export * from './known-sharers.js';
-export * from './read.js';
 export * from './limit-bucket.js';
 export * from './limit-share.js';
+export * from './rate-limiter.js';
+export * from './read.js';
+export * from './relay-limiter.js';
 export * from './rest.js';
+export * from './share-limiter.js';
+export * from './token-grants.js';
 export type * from './types.js';
+export * from './updates.js';
--- a/src/core/asks/known-limits.ts
+++ b/src/core/asks/known-limits.ts
@@ -7,7 +7,7 @@
 import { asId, type EndpointId } from '../ids/index.js';
 import type { EndpointProcess } from '../published/types.js';
 import type { ToldLimit } from '../../generated/messages.types.js';
-import { LAPSE_SPREAD, LIMIT_LAPSES_MS, RELEASE_MS, TELL_AGAIN_MS } from './consts.js';
+import { RELEASE_MS, TELL_AGAIN_MS, UNLISTED_MS } from './consts.js';
 
 /** What is known of one endpoint. */
 interface Known {
@@ -30,8 +30,13 @@
   readonly limitPerS: number;
   /** Time since it was over, ms; undefined while it stands. */
   readonly releasedMs: number | undefined;
-  /** Whether it is over because nobody named it for too long, rather than by an answer without it. */
-  readonly hasLapsed: boolean;
+}
+
+/** A limit that was named, changed or ended. */
+export interface LimitChange {
+  readonly endpoint: EndpointId;
+  /** Requests/s that the endpoint takes; undefined where the limit ended. */
+  readonly limitPerS: number | undefined;
 }
 
 /** What one entry knows, with what others told it. Times are those of its clock, ms. */
@@ -40,14 +45,12 @@
   /** Endpoints of which this entry has heard something itself that others were not told. */
   private readonly untold = new Set<EndpointId>();
   private changes = 0;
-  private readonly lapsesMs: number;
 
+  /** @param onChange called when a limit is named, changes or ends */
   constructor(
     private readonly clock: Pick<Clock, 'nowMs'>,
-    random: () => number,
-  ) {
-    this.lapsesMs = LIMIT_LAPSES_MS * (1 + LAPSE_SPREAD * random());
-  }
+    private readonly onChange: (change: LimitChange) => void = () => undefined,
+  ) {}
 
   /** Rises with each change. */
   get version(): number {
@@ -67,13 +70,11 @@
     const known = this.byId.get(id);
     if (!known || known.startedAtMs !== startedAtMs) return undefined;
     const nowMs = this.clock.nowMs();
-    const hasEnded = known.namedAtMs <= known.endedAtMs;
-    const hasLapsed = !hasEnded && nowMs - known.namedAtMs >= this.lapsesMs;
     const { limitPerS } = known;
-    if (!hasEnded && !hasLapsed) return { limitPerS, releasedMs: undefined, hasLapsed };
+    if (known.namedAtMs > known.endedAtMs) return { limitPerS, releasedMs: undefined };
     known.releasedAtMs ??= nowMs;
     const releasedMs = nowMs - known.releasedAtMs;
-    return releasedMs < RELEASE_MS ? { limitPerS, releasedMs, hasLapsed } : undefined;
+    return releasedMs < RELEASE_MS ? { limitPerS, releasedMs } : undefined;
   }
 
   /** Notes that an endpoint named a limit in an answer; true where that is news. */
@@ -101,6 +102,7 @@
     if (isAsBefore && atMs - known.toldAtMs < TELL_AGAIN_MS) return false;
     known.toldAtMs = atMs;
     this.change(known);
+    if (!isAsBefore) this.onChange({ endpoint: process.id, limitPerS });
     return true;
   }
 
@@ -113,6 +115,7 @@
     known.endedAtMs = atMs;
     if (!stood) return false;
     this.change(known);
+    this.onChange({ endpoint: process.id, limitPerS: undefined });
     return true;
   }
 
@@ -140,11 +143,11 @@
     known.version = this.changes;
   }
 
-  /** What this entry has heard itself since it was asked last. */
-  takeUntold(): ToldLimit[] {
-    const told = [...this.untold].flatMap((id) => this.tell(id));
+  /** Endpoints of which this entry has learnt something itself since the last call. */
+  takeUntold(): EndpointId[] {
+    const ids = [...this.untold];
     this.untold.clear();
-    return told;
+    return ids;
   }
 
   /** What has changed since a version, for others. */
@@ -153,20 +156,25 @@
   }
 
   private tell(id: EndpointId): ToldLimit[] {
+    const told = this.describe(id);
+    return told ? [told] : [];
+  }
+
+  /** What is known of an endpoint's limit, for others; undefined where nothing is. */
+  describe(id: EndpointId): ToldLimit | undefined {
     const known = this.byId.get(id);
-    if (!known) return [];
+    if (!known) return undefined;
     const nowMs = this.clock.nowMs();
     const { startedAtMs, limitPerS, namedAtMs, endedAtMs } = known;
-    const told = {
+    return {
       endpoint: id,
       startedAtMs,
       limitPerS,
-      namedAgoMs: Math.round(nowMs - namedAtMs),
+      namedAgoMs: Math.max(0, Math.round(nowMs - namedAtMs)),
+      ...(endedAtMs > Number.NEGATIVE_INFINITY && {
+        endedAgoMs: Math.max(0, Math.round(nowMs - endedAtMs)),
+      }),
     };
-    const hasEnded = endedAtMs > Number.NEGATIVE_INFINITY;
-    return [
-      { ...told, ...(hasEnded && { endedAgoMs: Math.max(0, Math.round(nowMs - endedAtMs)) }) },
-    ];
   }
 
   /**
@@ -179,17 +187,25 @@
     for (const { endpoint, startedAtMs, limitPerS, namedAgoMs, endedAgoMs } of told) {
       const process = { id: asId<EndpointId>(endpoint), startedAtMs };
       this.takeNamed(process, limitPerS, nowMs - namedAgoMs);
-      if (endedAgoMs !== undefined) this.takeEnded(process, nowMs - endedAgoMs);
+      if (endedAgoMs !== undefined) this.takeToldEnd(process, nowMs - endedAgoMs);
     }
     return this.changes > before;
   }
 
-  /** Drops what is over, of endpoints that are gone as well. */
-  forget(): void {
+  /** Takes an end that another entry saw; one from before the limit was last named here is answered with that. */
+  private takeToldEnd(process: EndpointProcess, atMs: number): void {
+    const known = this.byId.get(process.id);
+    const isOutdated = known && known.namedAtMs > atMs && known.namedAtMs > known.endedAtMs;
+    if (isOutdated && known.startedAtMs === process.startedAtMs) this.untold.add(process.id);
+    this.takeEnded(process, atMs);
+  }
+
+  /** Drops limits that are over, and those of endpoints that are gone. */
+  forget(isListed: (id: EndpointId) => boolean): void {
     const nowMs = this.clock.nowMs();
-    for (const [id, { namedAtMs, endedAtMs, releasedAtMs = namedAtMs }] of this.byId) {
-      const isOld = nowMs - Math.max(namedAtMs, endedAtMs) > 2 * LIMIT_LAPSES_MS;
-      if (isOld && nowMs - releasedAtMs > RELEASE_MS) this.byId.delete(id);
+    for (const [id, { namedAtMs, endedAtMs }] of this.byId) {
+      const isOver = endedAtMs >= namedAtMs || !isListed(id);
+      if (isOver && nowMs - Math.max(namedAtMs, endedAtMs) > UNLISTED_MS) this.byId.delete(id);
     }
   }
 }
--- a/src/core/asks/limit-bucket.ts
+++ b/src/core/asks/limit-bucket.ts
@@ -37,6 +37,12 @@
     this.level = this.fill(share, nowMs) - 1;
   }
 
+  /** Skips the time until now, in which nothing was gained. */
+  resume(nowMs: number): void {
+    this.level ??= this.random();
+    this.filledAtMs = nowMs;
+  }
+
   /** Forgets what was saved: there is no limit. */
   clear(): void {
     this.level = undefined;
--- a/src/core/asks/limit-share.ts
+++ b/src/core/asks/limit-share.ts
@@ -6,7 +6,14 @@
  * entries as the bound bears requests send to such an endpoint. Where there are more, each endpoint of a service has others, one
  * after the other in a ring, so that each entry sends to about as many endpoints as the next one.
  */
-import { LEAST_RELEASED_PER_S, LIMIT_BOUND, USED_SHARE } from './consts.js';
+import {
+  ISOLATED_SHARE,
+  LEAST_RELEASED_PER_S,
+  LIMIT_BOUND,
+  MIN_PROBE_PER_S,
+  USED_SHARE,
+} from './consts.js';
+import type { LimitNow } from './known-limits.js';
 import type { LimitShare } from './limit-bucket.js';
 
 /** Who shares the limits of a service's endpoints. */
@@ -65,6 +72,31 @@
   return { perS: perS * 2 ** (releasedMs / MS_PER_S), saved: 1 };
 }
 
+/** Requests/s that all entries together may send: the limit, or more and more after its end. */
+function ratePerS({ limitPerS, releasedMs }: LimitNow): number {
+  if (releasedMs === undefined) return Math.max(limitPerS, MIN_PROBE_PER_S);
+  return Math.max(limitPerS, LEAST_RELEASED_PER_S) * 2 ** (releasedMs / MS_PER_S);
+}
+
+/**
+ * The part of a limit that one of some relays grants.
+ * @example shardShare({ limitPerS: 3, releasedMs: undefined }, 3).perS // 1
+ */
+export function shardShare(limit: LimitNow, shards: number): LimitShare {
+  const perS = ratePerS(limit) / shards;
+  if (limit.releasedMs !== undefined) return { perS, saved: 1 };
+  const inWindow = allowedInWindow(limit.limitPerS) / shards;
+  return { perS, saved: Math.max(1, inWindow - perS * WINDOW_S) };
+}
+
+/**
+ * What an entry that reaches no relay may send by itself, among so many that may be in the same state.
+ * @example isolatedShare({ limitPerS: 4, releasedMs: undefined }, 48).perS // 0.042
+ */
+export function isolatedShare(limit: LimitNow, peers: number): LimitShare {
+  return { perS: (ISOLATED_SHARE * ratePerS(limit)) / peers, saved: 1 };
+}
+
 /** The share of each entry where all of them may send so many in a window. */
 function shareOfEach(limitPerS: number, inWindow: number, count: number): LimitShare {
   const perS = Math.min(limitPerS / count, (WINDOW_SHARE * Math.floor(inWindow)) / WINDOW_S);
--- /dev/null
+++ b/src/core/asks/share-limiter.ts
@@ -0,0 +1,43 @@
+/** A rate limiter for entries that know one another: each may send its share of the limit. */
+import type { Clock } from '../clock/index.js';
+import { LimitBucket, type LimitShare } from './limit-bucket.js';
+import type { RateLimiter } from './rate-limiter.js';
+
+/** Period over which a share is cached, ms: every request looks at all endpoints of its service. */
+const SHARE_MS = 100;
+
+/** Limits by a share of the entry's own. */
+export class ShareLimiter implements RateLimiter {
+  private readonly bucket: LimitBucket;
+  private share: LimitShare | undefined;
+  private shareAtMs = Number.NEGATIVE_INFINITY;
+
+  /** @param shareNow what the entry may send now; undefined while the endpoint has no limit */
+  constructor(
+    private readonly clock: Pick<Clock, 'nowMs'>,
+    random: () => number,
+    private readonly shareNow: () => LimitShare | undefined,
+  ) {
+    this.bucket = new LimitBucket(random);
+  }
+
+  nextTokenAtMs(nowMs: number): number {
+    const share = this.shareAt(nowMs);
+    return share ? this.bucket.opensAtMs(share, nowMs) : nowMs;
+  }
+
+  acquire(): Promise<boolean> {
+    const nowMs = this.clock.nowMs();
+    if (this.nextTokenAtMs(nowMs) > nowMs) return Promise.resolve(false);
+    if (this.share) this.bucket.take(this.share, nowMs);
+    return Promise.resolve(true);
+  }
+
+  private shareAt(nowMs: number): LimitShare | undefined {
+    if (nowMs - this.shareAtMs < SHARE_MS) return this.share;
+    this.share = this.shareNow();
+    this.shareAtMs = nowMs;
+    if (!this.share) this.bucket.clear();
+    return this.share;
+  }
+}
--- a/src/core/published/relay.ts
+++ b/src/core/published/relay.ts
@@ -10,7 +10,6 @@
 import type { CrashEvidence } from '../crashes/index.js';
 import { asId, type EndpointId, type Incarnation } from '../ids/index.js';
 import type {
-  AsksHeard,
   PublishedAsk,
   PublishedNews,
   RelayedEndpoint,
@@ -151,8 +150,8 @@
   }
 
   /** What an asker has heard of limits; what it heard of another life of this daemon means nothing. */
-  private asksHeard({ life, asksHeard }: PublishedAsk): AsksHeard | undefined {
-    if (!asksHeard) return undefined;
+  private asksHeard({ life, asksHeard }: PublishedAsk): number | undefined {
+    if (asksHeard === undefined) return undefined;
     return life === this.parts.life ? asksHeard : NOTHING_HEARD;
   }
 
@@ -163,7 +162,7 @@
 
   private askNews(ask: PublishedAsk): Pick<PublishedNews, 'asks'> {
     const heard = this.asksHeard(ask);
-    const asks = heard && this.parts.asks?.newsFor(heard);
+    const asks = heard === undefined ? undefined : this.parts.asks?.newsFor(heard);
     return asks ? { asks } : {};
   }
 
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -6,11 +6,11 @@
   publishedConfig,
   publishedEndpoints,
 } from '../caller-api/index.js';
-import { KnownLimits, type Sharers } from '../core/asks/index.js';
+import { KnownLimits, ShareLimiter, type Sharers } from '../core/asks/index.js';
 import { SuspensionClock } from '../core/clock/index.js';
 import { asId } from '../core/ids/index.js';
 import { PublishedState, type CallerLimits } from '../core/published/index.js';
-import { createContext, createGateway, type Gateway } from '../gateway/index.js';
+import { createContext, createGateway, shareOf, type Gateway } from '../gateway/index.js';
 import type { DaemonContext } from '../runtime/index.js';
 
 /** Retries that all entries together may make beyond their share, so that a quiet service has some. */
@@ -78,6 +78,8 @@
     }),
   });
   const ageClock = new SuspensionClock(clock);
+  const limits = new KnownLimits(ageClock);
+  const sharing = { state, limits, sharers: () => sharersOf(ctx) };
   const gatewayCtx = createContext({
     settings: {
       // The feed takes no document back, and its keys need no proof of freshness.
@@ -96,8 +98,9 @@
     // Daemons of this interface have no relays; each keeps what it has seen itself.
     tellCrashes: () => undefined,
     tellLeaving: () => undefined,
-    limits: new KnownLimits(ageClock, ctx.random),
-    sharers: () => sharersOf(ctx),
+    limits,
+    limiterOf: (endpoint) =>
+      new ShareLimiter(ageClock, ctx.random, () => shareOf(sharing, endpoint)),
     random: ctx.random,
     log: decisions.watch(ctx.log),
     metrics,
@@ -108,7 +111,10 @@
     groupOf: () => undefined,
   });
   follow(ctx, state);
-  const pruning = setInterval(() => gatewayCtx.endpoints.prune(), PRUNE_MS);
+  const pruning = setInterval(() => {
+    gatewayCtx.endpoints.prune();
+    limits.forget((id) => state.list.has(id));
+  }, PRUNE_MS);
   pruning.unref();
   return {
     gateway: createGateway(gatewayCtx),
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -1,7 +1,7 @@
 /** The attempts of one request: which endpoint, for how long, and whether another one follows. */
 import { noteAsks } from './asked.js';
 import { sendAttempt } from './attempt.js';
-import { chooseEndpoint, chooseOtherGroup } from './choose.js';
+import { acquireEndpoint, chooseOtherGroup } from './choose.js';
 import { ELSEWHERE_RETRY_S, SILENCE_FACTOR, STREAM_SILENCE_MS } from './consts.js';
 import { deliver, LEAST_FAILURE } from './deliver.js';
 import type { EndpointState } from './endpoints.js';
@@ -88,7 +88,8 @@
   service.budget.deposit();
   for (;;) {
     if (ctx.crashes.isRefused(request)) return refuseCrashing(work);
-    const target = chooseEndpoint(work);
+    const target = await acquireEndpoint(work);
+    if (request.gone.aborted) return { kind: 'gone' };
     if (!target) return giveUp(work);
     if (!request.route.isPublic && !ctx.keysProved()) {
       // The wait for a turn or an earlier attempt may have outlasted the proof.
--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -1,19 +1,54 @@
 /** Where a request's next attempt may go. */
+import type { EndpointId } from '../core/ids/index.js';
+import type { PublishedEndpoint } from '../core/published/index.js';
 import type { EndpointState } from './endpoints.js';
 import type { GroupTurns } from './service-groups.js';
 import type { Work } from './work.js';
 
-/** The best endpoint for the next attempt, in the group where the request has its place; undefined where none may be asked. */
-export function chooseEndpoint(work: Work): EndpointState | undefined {
+const NONE: ReadonlySet<EndpointId> = new Set();
+
+/**
+ * The best endpoint for the next attempt, in the group where the request has its place; undefined where none may be asked.
+ * Those in `denied` are left out.
+ */
+export function chooseEndpoint(work: Work, denied = NONE): EndpointState | undefined {
   const { ctx, place, service, tried } = work;
-  if (!place) return ctx.endpoints.choose(service.id, tried);
+  const isInPlace = (endpoint: PublishedEndpoint): boolean =>
+    !place || (service.groups?.isIn(endpoint, place.id) ?? true);
   return ctx.endpoints.choose(
     service.id,
     tried,
-    (endpoint) => service.groups?.isIn(endpoint, place.id) ?? true,
+    (endpoint) => !denied.has(endpoint.id) && isInPlace(endpoint),
   );
 }
 
+/**
+ * The best endpoint for the next attempt, with a token of its rate limit; undefined where there is none, or the caller left
+ * meanwhile.
+ */
+export async function acquireEndpoint(work: Work): Promise<EndpointState | undefined> {
+  const { ctx, request } = work;
+  const denied = new Set<EndpointId>();
+  for (;;) {
+    const target = chooseEndpoint(work, denied);
+    if (!target) return undefined;
+    const hasToken = await target.gate.acquire();
+    if (request.gone.aborted) return undefined;
+    // It may have asked for rest while the token was asked for.
+    if (hasToken && !ctx.endpoints.isResting(target)) return target;
+    denied.add(target.endpoint.id);
+    if (!hasToken) noteDenied(work, target);
+  }
+}
+
+function noteDenied(work: Work, { endpoint, gate }: EndpointState): void {
+  const { ctx, request, service } = work;
+  work.isRateLimited = true;
+  const untilMs = Math.round(gate.opening(ctx.ageClock.nowMs()).atMs - ctx.ageClock.nowMs());
+  ctx.metrics.count('rate_limit_denied_total', { service: service.id });
+  ctx.log.info('rate-limit.denied', { request: request.id, endpoint: endpoint.id, untilMs });
+}
+
 /** Another group than the request's own; undefined where none serves. */
 export function chooseOtherGroup({ ctx, place, service, tried }: Work): GroupTurns | undefined {
   const next = place && service.groups?.choose(tried, place.id);
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,4 +1,5 @@
 /** What the parts of one gateway share. */
+import type { KnownLimits } from '../core/asks/index.js';
 import type { Clock } from '../core/clock/index.js';
 import type { EngineInfo, PublishedEndpoint, ServiceId } from '../core/published/index.js';
 import { RetryBudget } from '../core/retry/index.js';
@@ -15,6 +16,8 @@
 /** What a gateway is made from. */
 export interface GatewayParts extends EndpointParts {
   readonly settings: GatewaySettings;
+  /** The limits that endpoints named. */
+  readonly limits: KnownLimits;
   /** Clock of all ages and deadlines that a promise rests on. */
   readonly ageClock: Clock;
   /** Passes on to other entries which requests crashed endpoints here. */
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -1,15 +1,19 @@
 /** The endpoints as this entry has come to know them: connections, what runs there, how they fare. */
-import { EndpointGate, type Opening } from '../core/asks/index.js';
+import { EndpointGate, type Opening, type RateLimiter } from '../core/asks/index.js';
 import type { Clock } from '../core/clock/index.js';
 import type { EndpointId } from '../core/ids/index.js';
 import type { Log } from '../core/logging/index.js';
 import type { Metrics } from '../core/metrics/index.js';
-import type { DataCentreId, PublishedEndpoint, ServiceId } from '../core/published/index.js';
+import type {
+  DataCentreId,
+  PublishedEndpoint,
+  PublishedState,
+  ServiceId,
+} from '../core/published/index.js';
 import { EndpointHealth } from '../core/routing/index.js';
 import { FreshPool } from '../runtime/fresh-pool.js';
 import { endpointConnector } from './connect.js';
 import type { EngineSight } from './group-sight.js';
-import { shareOf, type LimitSharesParts } from './limit-shares.js';
 import { CONNECTION_SHARERS, IDLE_CONNECTION_MS, MOST_CONNECTIONS } from './consts.js';
 
 /** Weight of the newest outcome in an endpoint's share of failures. */
@@ -69,13 +73,16 @@
 }
 
 /** What the table of endpoints needs. */
-export interface EndpointParts extends Omit<LimitSharesParts, 'loggedShares'> {
+export interface EndpointParts {
+  readonly state: PublishedState;
   readonly clock: Clock;
   readonly random: () => number;
   readonly log: Log;
   readonly metrics: Metrics;
   /** Data centre of this entry. */
   readonly dataCentre: DataCentreId;
+  /** The rate limiter of an endpoint's process. */
+  readonly limiterOf: (endpoint: PublishedEndpoint) => RateLimiter;
   /** What is known of a model engine beyond this entry's own requests. */
   readonly sightOf: (endpoint: PublishedEndpoint) => EngineSight | undefined;
 }
@@ -85,12 +92,9 @@
   private readonly byId = new Map<EndpointId, EndpointState>();
   /** Earlier processes of endpoints, until nothing of them runs. */
   private readonly earlier = new Set<EndpointState>();
-  private readonly limitShares: LimitSharesParts;
   private sequence = 0;
 
-  constructor(private readonly parts: EndpointParts) {
-    this.limitShares = { ...parts, loggedShares: new Map() };
-  }
+  constructor(private readonly parts: EndpointParts) {}
 
   /**
    * Drops endpoints that are gone, and earlier processes of others, once nothing runs there. One that is to rest is kept: it may
@@ -212,7 +216,7 @@
         bodyTimeout: 0,
       }),
       health: new EndpointHealth(),
-      gate: new EndpointGate(() => shareOf(this.limitShares, endpoint), this.parts.random),
+      gate: new EndpointGate(this.parts.limiterOf(endpoint)),
       waiting: new Set(),
       running: 0,
       failureShare: 0,
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,5 +1,6 @@
 export { takeLeaving } from './asked.js';
 export * from './context.js';
 export * from './gateway.js';
+export { shareOf } from './limit-shares.js';
 export * from './refuse.js';
 export * from './types.js';
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -1,8 +1,15 @@
 /** One gateway process: starts its parts, follows the published state, stops when told to. */
 import { createServer } from 'node:http';
-import { AskExchange } from '../core/asks/index.js';
+import {
+  AskExchange,
+  LimitUpdates,
+  RelayLimiters,
+  shardCount,
+  TOKEN_ASK_MS,
+  TokenGrants,
+} from '../core/asks/index.js';
 import { sleep, SuspensionClock, systemClock } from '../core/clock/index.js';
-import type { HarriergladeError } from '../core/errors/index.js';
+import { errorText, type HarriergladeError } from '../core/errors/index.js';
 import { newIncarnation } from '../core/ids/index.js';
 import { createLog, type Log } from '../core/logging/index.js';
 import { Metrics } from '../core/metrics/index.js';
@@ -41,7 +48,7 @@
 const PEER_CONNECT_MS = 500;
 /** Time to tell another entry what was seen here, ms. */
 const TELL_MS = 500;
-/** How often it is looked whether others are to be told of limits, ms. */
+/** Period of updates on rate limits to the relays, ms. */
 const TELL_LIMITS_MS = 400;
 /** How often the places of this entry are logged, ms. */
 const TURNS_LOG_MS = 1000;
@@ -89,13 +96,32 @@
   const tellOne = (address: string, news: AskNews): Promise<void> =>
     peers.at(address).asks.mutate(news, { signal: AbortSignal.timeout(TELL_MS) });
   const tellLeaving = relayTeller({ ...telling, tellOne, event: 'asks.untold' });
-  // Told again later its ages would be wrong; what stands is told anew in any case.
-  const tellLimits = relayTeller({ ...telling, tellOne, event: 'asks.untold', againMs: [] });
   const exchange = new AskExchange({
     clock: ageClock,
-    random: Math.random,
+    isListed: (id) => state.list.has(id),
+    onChange: (change) => log.info('rate-limit.changed', { ...change }),
+  });
+  const limiting = { clock: ageClock, random: Math.random, limits: exchange.limits };
+  const grants = new TokenGrants({ ...limiting, shards: shardCount(settings.relays.length) });
+  const limiters = new RelayLimiters({
+    ...limiting,
+    log,
     own: settings.instance,
+    relays: settings.relays,
+    ask: (relay, request) =>
+      relay === place.own
+        ? Promise.resolve(grants.take(request))
+        : peers.at(relay).token.mutate(request, { signal: AbortSignal.timeout(TOKEN_ASK_MS) }),
     countKnown: () => groups.entriesKnown,
+    onResult: (result) => metrics.count('rate_limit_tokens_total', { result }),
+  });
+  metrics.gauge('rate_limit_peers', () => limiters.peersAssumed);
+  const updates = new LimitUpdates({
+    clock: ageClock,
+    relays: place.relays,
+    describe: (id) => exchange.limits.describe(id),
+    send: (relay, limits) => tellOne(relay, { from: settings.instance, leaving: [], limits }),
+    onFailed: (relay, err) => log.info('asks.untold', { relay, detail: errorText(err) }),
   });
   const ctx: GatewayContext = createContext({
     ...shared,
@@ -111,7 +137,7 @@
       tellLeaving({ from: settings.instance, leaving: [endpoint], limits: [] });
     },
     limits: exchange.limits,
-    sharers: () => exchange.sharers.sharers,
+    limiterOf: (endpoint) => limiters.of(endpoint),
     settings: settings.gateway,
     retryShare: () => settings.retryShare,
     callers: parts.callers,
@@ -147,10 +173,10 @@
   setInterval(() => ctx.endpoints.prune(), PRUNE_MS).unref();
   setInterval(() => logTurns(ctx), TURNS_LOG_MS).unref();
   setInterval(() => {
-    const limits = exchange.toTell();
-    if (!limits) return;
-    relay.wake();
-    tellLimits({ from: settings.instance, leaving: [], limits });
+    const changed = exchange.takeChanged();
+    if (changed.length > 0) relay.wake();
+    updates.flush(changed);
+    grants.forget();
   }, TELL_LIMITS_MS).unref();
   watchSettings(parts.reread, settings, log);
   process.on('SIGTERM', () => {
@@ -161,6 +187,13 @@
     crashes: (news) => {
       if (crashes.take(news)) relay.wake();
     },
+    token: (request) => {
+      const before = exchange.limits.version;
+      const grant = grants.take(request);
+      if (exchange.limits.version > before) relay.wake();
+      metrics.count('rate_limit_grants_total', { granted: String(grant.isGranted) });
+      return grant;
+    },
     asks: (news) => {
       if (exchange.takeNews(news)) relay.wake();
       if (takeLeaving(ctx, news)) relay.noteLearnt();
--- a/src/gateway/serve-request.ts
+++ b/src/gateway/serve-request.ts
@@ -38,6 +38,7 @@
     progress: { lastId: request.head.resumeAfter, events: 0, lastAtMs: 0, longestPauseMs: 0 },
     mayHaveRun: false,
     lastFault: undefined,
+    isRateLimited: false,
     place: undefined,
   };
   // It would wait for a place, and one who can be served would not get it.
--- a/src/gateway/tell-relays.ts
+++ b/src/gateway/tell-relays.ts
@@ -14,8 +14,6 @@
   readonly log: Log;
   /** Event of the log line that says that a relay was not told. */
   readonly event: string;
-  /** Pauses before it is told again, ms. */
-  readonly againMs?: readonly number[];
 }
 
 /**
@@ -23,9 +21,9 @@
  * @example const tell = relayTeller({ relays, tellOne, log, event: 'crash.untold' });
  */
 export function relayTeller<News>(parts: RelayTellerParts<News>): (news: News) => void {
-  const { relays, tellOne, log, event, againMs = TELL_AGAIN_MS } = parts;
+  const { relays, tellOne, log, event } = parts;
   const tell = async (relay: string, news: News): Promise<void> => {
-    for (const pauseMs of [...againMs, undefined]) {
+    for (const pauseMs of [...TELL_AGAIN_MS, undefined]) {
       try {
         return await tellOne(relay, news);
       } catch (err) {
--- a/src/gateway/work.ts
+++ b/src/gateway/work.ts
@@ -53,6 +53,8 @@
   /** Whether any attempt may have run. */
   mayHaveRun: boolean;
   lastFault: AttemptFault | undefined;
+  /** Whether a token of a rate limit was denied to it. */
+  isRateLimited: boolean;
   /** The group where this request holds a place. */
   place: GroupTurns | undefined;
 }
@@ -100,18 +102,20 @@
  * The answer while no endpoint may be asked for what they asked for themselves. Those who rest name the time at which the first
  * of them ends, and callers are spread behind it; of a limit others than this entry may have something left.
  */
-function refuseAsked({ ctx }: Work, opening: Opening): RequestEnd {
+function refuseAsked(work: Work, opening: Opening): RequestEnd {
+  const { ctx } = work;
   const untilS = ctx.endpoints.untilMs(opening) / MS_PER_S;
   if (opening.why === 'limit')
-    return refused('limited', limitDetail(untilS), retryS(ctx, BUSY_RETRY_S));
+    return refused('limited', limitDetail(work, untilS), retryS(ctx, BUSY_RETRY_S));
   const detail = `all endpoints asked for rest or named limits, the first may be asked in ${untilS.toFixed(2)} s`;
   return refused('resting', detail, untilS + ctx.random() * REST_RETRY_SPREAD_S);
 }
 
-function limitDetail(untilS: number): string {
-  if (untilS === Number.POSITIVE_INFINITY)
-    return 'all endpoints named limits, which other entries share';
-  return `all endpoints named limits, of which this entry may use more in ${untilS.toFixed(2)} s`;
+function limitDetail({ ctx, service }: Work, untilS: number): string {
+  const count = [...ctx.state.workingOf(service.id)].length;
+  const reached = `rate limit reached on all ${count} endpoints of service "${service.id}"`;
+  if (untilS === Number.POSITIVE_INFINITY) return `${reached}; other entries have the tokens`;
+  return `${reached}; next token in ${untilS.toFixed(2)} s`;
 }
 
 /** The final answer when no attempt is left. */
@@ -126,6 +130,7 @@
   work.service.groups?.callers.noteRefused(work.ctx.ageClock.nowMs());
   const opening = work.ctx.endpoints.firstOpening(work.service.id);
   if (opening?.why) return refuseAsked(work, opening);
+  if (opening && work.isRateLimited) return refuseAsked(work, { ...opening, why: 'limit' });
   const reason = work.tried.size === 0 ? 'no-endpoint' : 'not-run';
   // What no endpoint of a group took will hardly be taken by one a moment later.
   const retryAfterS = retryS(work.ctx, work.service.groups ? OUTAGE_RETRY_S : BUSY_RETRY_S);
--- a/src/rpc/router.ts
+++ b/src/rpc/router.ts
@@ -14,6 +14,8 @@
   PublishedNews,
   RankOrder,
   RankReply,
+  TokenGrant,
+  TokenRequest,
 } from '../generated/messages.types.js';
 import {
   isAskNews,
@@ -23,6 +25,7 @@
   isGroupAsk,
   isPublishedAsk,
   isRankOrder,
+  isTokenRequest,
 } from '../generated/messages.validator.js';
 
 /** What a daemon does for others; each role answers some of it. */
@@ -38,6 +41,8 @@
   crashes?(news: CrashNews): void;
   /** Takes what endpoints asked another entry for. */
   asks?(news: AskNews): void;
+  /** Grants a token for a request to an endpoint with a rate limit. */
+  token?(request: TokenRequest): TokenGrant;
   /** The group as last seen; undefined before the first look. */
   group?(ask: GroupAsk): GroupDigest | undefined;
 }
@@ -89,6 +94,9 @@
     asks: trpc.procedure
       .input(checked(isAskNews))
       .mutation(({ input }) => required(calls.asks)(input)),
+    token: trpc.procedure
+      .input(checked(isTokenRequest))
+      .mutation(({ input }) => required(calls.token)(input)),
     branch: trpc.procedure
       .input(checked(isBranchOrder))
       .mutation(({ input }) => required(calls.branch)(input)),
--- a/src/runtime/relays.ts
+++ b/src/runtime/relays.ts
@@ -16,10 +16,11 @@
 }: Pick<InstanceSettings, 'instance' | 'control' | 'relays'>): Pick<
   RelayedParts,
   'relays' | 'isRelay'
-> {
+> & { readonly own: string | undefined } {
   const own = control && `${control.host}:${control.port}`;
   const others = relays.filter((relay) => relay !== own);
   return {
+    own,
     relays: rendezvousOrder(instance, others, (relay) => relay),
     isRelay: others.length < relays.length,
   };
