--- a/bench/decisions/limit-model.ts
+++ b/bench/decisions/limit-model.ts
@@ -1,11 +1,11 @@
 /** Entries that send to endpoints of one service that named a limit: a model in which their callers ask at random. */
 import {
-  LimitBucket,
+  TokenBucket,
   limitShare,
   ASSUMED_PEERS,
   type LimitShare,
   type Sharers,
-} from '../../src/core/asks/index.js';
+} from '../../src/core/backpressure/index.js';
 import { seededRandom } from '../../src/core/clock/index.js';
 
 /** What is played. */
@@ -114,7 +114,7 @@
   const { entries, endpoints, limitPerS, load, waveS, seconds } = play;
   const random = seededRandom(play.seed);
   const buckets = Array.from({ length: entries }, () =>
-    Array.from({ length: endpoints }, () => new LimitBucket(random)),
+    Array.from({ length: endpoints }, () => new TokenBucket(random)),
   );
   let got = 0;
   const came: number[][] = Array.from({ length: endpoints }, () => []);
@@ -145,8 +145,8 @@
             isStranger: atMs < (play.strangersS ?? 0) * 1000,
           });
           const bucket = buckets[entry]?.[endpoint];
-          if (!bucket || bucket.opensAtMs(share, atMs) > atMs) continue;
-          bucket.take(share, atMs);
+          if (!bucket || bucket.nextTokenAtMs(share, atMs) > atMs) continue;
+          bucket.consume(share, atMs);
           got += 1;
           if (entry < entries - (play.unseen ?? 0)) came[endpoint]?.push(atMs);
           break;
--- a/bench/rate-limits/entry.ts
+++ b/bench/rate-limits/entry.ts
@@ -1,14 +1,14 @@
 /** One entry of the model, from the parts of the real program: what it hears of limits, and the tokens it asks for. */
 import {
-  AskExchange,
+  RateLimitGossip,
   EndpointGate,
   LimitUpdates,
-  NOTHING_HEARD,
+  NO_VERSION,
   RelayLimiters,
   shardCount,
-  TOKEN_ASK_MS,
+  TOKEN_TIMEOUT_MS,
   TokenGrants,
-} from '../../src/core/asks/index.js';
+} from '../../src/core/backpressure/index.js';
 import { asId } from '../../src/core/ids/index.js';
 import { silentLog } from '../../src/core/logging/index.js';
 import type { MakeEntry, ModelEndpoint, ModelEntry, ModelParts } from './fleet.js';
@@ -21,20 +21,20 @@
 const nameOf = ({ index }: Node): string => `relay-${index}`;
 
 class Entry implements ModelEntry {
-  readonly exchange: AskExchange;
+  readonly gossip: RateLimitGossip;
   readonly grants: TokenGrants;
   private readonly updates: LimitUpdates;
   private readonly limiters: RelayLimiters;
   private readonly gates = new Map<string, EndpointGate>();
-  private heard = NOTHING_HEARD;
+  private heard = NO_VERSION;
   private heardLife = -1;
   private relay: number;
 
   constructor(private readonly parts: ModelParts) {
     const { time, random, name, node, relays } = parts;
     this.relay = node.index;
-    this.exchange = new AskExchange({ clock: time, isListed: () => true });
-    const limiting = { clock: time, random, limits: this.exchange.limits };
+    this.gossip = new RateLimitGossip({ clock: time, isListed: () => true });
+    const limiting = { clock: time, random, limits: this.gossip.limits };
     this.grants = new TokenGrants({ ...limiting, shards: shardCount(relays.length) });
     this.limiters = new RelayLimiters({
       ...limiting,
@@ -42,20 +42,20 @@
       log: silentLog,
       relays: relays.map(nameOf),
       ask: (relay, request) =>
-        this.call(relay, (entry) => entry.grants.take(request), TOKEN_ASK_MS),
+        this.call(relay, (entry) => entry.grants.take(request), TOKEN_TIMEOUT_MS),
       countKnown: () => 0,
       onResult: () => undefined,
     });
     this.updates = new LimitUpdates({
       clock: time,
       relays: this.others().map(nameOf),
-      describe: (id) => this.exchange.limits.describe(id),
+      describe: (id) => this.gossip.limits.describe(id),
       send: (relay, limits) =>
-        this.call(relay, (entry) => void entry.exchange.takeNews({ limits }), CALL_MS),
+        this.call(relay, (entry) => void entry.gossip.mergeFromPeer({ limits }), CALL_MS),
       onFailed: () => undefined,
     });
     time.every(TELL_EVERY_MS, TELL_EVERY_MS * random(), () => {
-      if (parts.isAlive()) this.updates.flush(this.exchange.takeChanged());
+      if (parts.isAlive()) this.updates.flush(this.gossip.pendingUpdates());
     });
     time.every(HEAR_EVERY_MS, HEAR_EVERY_MS * random(), () => this.hear());
   }
@@ -78,12 +78,12 @@
     const relay = others[this.relay % Math.max(1, others.length)];
     if (!relay || isRelay || !this.parts.isAlive()) return;
     const { life } = relay;
-    const heard = this.heardLife === life ? this.heard : NOTHING_HEARD;
-    this.call(nameOf(relay), (entry) => entry.exchange.newsFor(heard), CALL_MS).then(
+    const heard = this.heardLife === life ? this.heard : NO_VERSION;
+    this.call(nameOf(relay), (entry) => entry.gossip.deltaSince(heard), CALL_MS).then(
       (news) => {
         this.heardLife = life;
-        this.heard = news?.heard ?? NOTHING_HEARD;
-        if (news) this.exchange.takeTold(news);
+        this.heard = news?.heard ?? NO_VERSION;
+        if (news) this.gossip.mergeFromRelay(news);
       },
       () => (this.relay += 1),
     );
@@ -107,8 +107,8 @@
   }
 
   noteAnswer(endpoint: ModelEndpoint, limitPerS: number | undefined, sentAtMs: number): void {
-    if (limitPerS === undefined) this.exchange.limits.noteUnnamed(endpoint, sentAtMs);
-    else this.exchange.limits.noteNamed(endpoint, limitPerS);
+    if (limitPerS === undefined) this.gossip.limits.noteUnnamed(endpoint, sentAtMs);
+    else this.gossip.limits.noteNamed(endpoint, limitPerS);
   }
 }
 
--- a/src/caller-api/headers.ts
+++ b/src/caller-api/headers.ts
@@ -1,6 +1,6 @@
 /** Reads and writes the headers of the product's own interface. */
 import type { IncomingHttpHeaders } from 'node:http';
-import { readAsks } from '../core/asks/index.js';
+import { readAsks } from '../core/backpressure/index.js';
 import { keyHash } from '../core/config-feed/index.js';
 import type { AnswerHead, AttemptMeta, CallerHead } from '../gateway/index.js';
 import { CALLER_HEADER, ENDPOINT_HEADER, MAX_DEADLINE_MS, PRIORITY } from './consts.js';
--- a/src/core/asks/endpoint-gate.ts
+++ b/src/core/backpressure/endpoint-gate.ts
@@ -1,6 +1,6 @@
 /** Whether one process of an endpoint may be sent a request by this entry: its backoff and its rate limit. */
 import type { RateLimiter } from './rate-limiter.js';
-import { Rest } from './rest.js';
+import { Backoff } from './backoff.js';
 
 /** When an endpoint may be sent a request, and what prevents it now. */
 export interface Opening {
@@ -10,7 +10,7 @@
 
 /** Backoff and rate limit together. Times are those of a clock that counts suspended time, ms. */
 export class EndpointGate {
-  readonly rest = new Rest();
+  readonly backoff = new Backoff();
 
   constructor(private readonly limiter: RateLimiter) {}
 
@@ -19,7 +19,7 @@
    * @example const mayAsk = gate.opening(nowMs).atMs <= nowMs;
    */
   opening(nowMs: number): Opening {
-    const restedAtMs = this.rest.opensAtMs(nowMs);
+    const restedAtMs = this.backoff.opensAtMs(nowMs);
     const limitedAtMs = this.limiter.nextTokenAtMs(nowMs);
     if (Math.max(restedAtMs, limitedAtMs) <= nowMs) return { atMs: nowMs, why: undefined };
     if (restedAtMs >= limitedAtMs) return { atMs: restedAtMs, why: 'rest' };
@@ -36,6 +36,6 @@
 
   /** Notes that a request is sent. */
   noteSent(nowMs: number): void {
-    this.rest.noteSent(nowMs);
+    this.backoff.noteSent(nowMs);
   }
 }
--- a/src/core/asks/known-limits.ts
+++ b/src/core/backpressure/known-limits.ts
@@ -1,25 +1,37 @@
 /**
- * The limits that endpoints named, as entries put them together. What is known of one is the time at which it was named last and
- * the time from which it was seen not to be named any more; both only grow, so that they may be told in any order and more than
- * once, without a coordinator.
+ * The rate limits that endpoints named, merged from what all entries observed. A limit is described by the time at which it was
+ * last named and the send time of the last request answered without it. Both only grow, so updates may be merged in any order
+ * and more than once.
  */
+import { randomInt } from 'node:crypto';
 import type { Clock } from '../clock/index.js';
 import { asId, type EndpointId } from '../ids/index.js';
 import type { EndpointProcess } from '../published/types.js';
 import type { ToldLimit } from '../../generated/messages.types.js';
-import { RELEASE_MS, TELL_AGAIN_MS, UNLISTED_MS } from './consts.js';
+import { ANNOUNCE_MS, RELEASE_MS, UNLISTED_MS } from './consts.js';
+
+const MAX_FIRST_ID = 2 ** 47;
+
+/** One answer of an endpoint, as some entry saw it. */
+interface Observation {
+  /** The same at every entry that hears of it. */
+  readonly id: number;
+  readonly atMs: number;
+}
 
 /** What is known of one endpoint. */
 interface Known {
   readonly startedAtMs: number;
   limitPerS: number;
-  /** When it was named last. */
+  /** When the limit was last named. */
   namedAtMs: number;
-  /** When a request was sent that was answered without it. */
+  namedId: number;
+  /** Send time of the last request that was answered without a limit. */
   endedAtMs: number;
-  /** When others were last told that it stands. */
-  toldAtMs: number;
-  /** When it was found to be over here. */
+  endedId: number;
+  /** When the limit was last announced to others. */
+  announcedAtMs: number;
+  /** When this entry found the limit to be over. */
   releasedAtMs: number | undefined;
   /** Version at which this last changed. */
   version: number;
@@ -39,12 +51,14 @@
   readonly limitPerS: number | undefined;
 }
 
-/** What one entry knows, with what others told it. Times are those of its clock, ms. */
+/** The limits known to one entry. Times are those of its clock, ms. */
 export class KnownLimits {
   private readonly byId = new Map<EndpointId, Known>();
-  /** Endpoints of which this entry has heard something itself that others were not told. */
-  private readonly untold = new Set<EndpointId>();
+  /** Endpoints whose limits this entry has yet to announce. */
+  private readonly pending = new Set<EndpointId>();
   private changes = 0;
+  /** Ids of this entry's observations; starts at random, since they are compared with those of others. */
+  private lastId = randomInt(MAX_FIRST_ID);
 
   /** @param onChange called when a limit is named, changes or ends */
   constructor(
@@ -57,7 +71,7 @@
     return this.changes;
   }
 
-  /** Whether no endpoint has a limit, so that none needs to be looked at. */
+  /** Whether no limit is known. */
   get isEmpty(): boolean {
     return this.byId.size === 0;
   }
@@ -79,47 +93,58 @@
 
   /** Notes that an endpoint named a limit in an answer; true where that is news. */
   noteNamed(process: EndpointProcess, limitPerS: number): boolean {
-    const isNew = this.takeNamed(process, limitPerS, this.clock.nowMs());
-    if (isNew) this.untold.add(process.id);
+    const isNew = this.takeNamed(process, limitPerS, this.observe(this.clock.nowMs()));
+    if (isNew) this.pending.add(process.id);
     return isNew;
   }
 
   /** Notes an answer without a limit to a request that was sent at a time; true where that ends one. */
   noteUnnamed(process: EndpointProcess, sentAtMs: number): boolean {
-    const isNew = this.takeEnded(process, sentAtMs);
-    if (isNew) this.untold.add(process.id);
+    const isNew = this.takeEnded(process, this.observe(sentAtMs));
+    if (isNew) this.pending.add(process.id);
     return isNew;
   }
 
-  private takeNamed(process: EndpointProcess, limitPerS: number, atMs: number): boolean {
+  private observe(atMs: number): Observation {
+    this.lastId += 1;
+    return { id: this.lastId, atMs };
+  }
+
+  private takeNamed(
+    process: EndpointProcess,
+    limitPerS: number,
+    { id, atMs }: Observation,
+  ): boolean {
     const known = this.at(process);
     if (!known || atMs <= known.namedAtMs) return false;
     const isAsBefore = known.namedAtMs > known.endedAtMs && known.limitPerS === limitPerS;
     known.limitPerS = limitPerS;
     known.namedAtMs = atMs;
+    known.namedId = id;
     if (known.namedAtMs <= known.endedAtMs) return false;
     known.releasedAtMs = undefined;
-    if (isAsBefore && atMs - known.toldAtMs < TELL_AGAIN_MS) return false;
-    known.toldAtMs = atMs;
+    if (isAsBefore && atMs - known.announcedAtMs < ANNOUNCE_MS) return false;
+    known.announcedAtMs = atMs;
     this.change(known);
     if (!isAsBefore) this.onChange({ endpoint: process.id, limitPerS });
     return true;
   }
 
-  private takeEnded(process: EndpointProcess, atMs: number): boolean {
+  private takeEnded(process: EndpointProcess, { id, atMs }: Observation): boolean {
     const known = this.byId.get(process.id);
     if (!known || known.startedAtMs !== process.startedAtMs) return false;
-    // It may have been answered before the endpoint came into need.
+    // A request sent before the limit was named may have been answered before as well.
     if (atMs <= known.namedAtMs || atMs <= known.endedAtMs) return false;
     const stood = known.namedAtMs > known.endedAtMs;
     known.endedAtMs = atMs;
+    known.endedId = id;
     if (!stood) return false;
     this.change(known);
     this.onChange({ endpoint: process.id, limitPerS: undefined });
     return true;
   }
 
-  /** What is known of a process; undefined where a later one is known. */
+  /** The record of a process; undefined if a later process is known. */
   private at({ id, startedAtMs }: EndpointProcess): Known | undefined {
     const known = this.byId.get(id);
     if (known && known.startedAtMs > startedAtMs) return undefined;
@@ -129,8 +154,10 @@
       startedAtMs,
       limitPerS: 0,
       namedAtMs: never,
+      namedId: 0,
       endedAtMs: never,
-      toldAtMs: never,
+      endedId: 0,
+      announcedAtMs: never,
       releasedAtMs: undefined,
       version: 0,
     };
@@ -143,64 +170,69 @@
     known.version = this.changes;
   }
 
-  /** Endpoints of which this entry has learnt something itself since the last call. */
-  takeUntold(): EndpointId[] {
-    const ids = [...this.untold];
-    this.untold.clear();
+  /** Endpoints whose limits are to be announced; each is returned once. */
+  takePending(): EndpointId[] {
+    const ids = [...this.pending];
+    this.pending.clear();
     return ids;
   }
 
-  /** What has changed since a version, for others. */
-  newsSince(version: number): ToldLimit[] {
-    return [...this.byId].flatMap(([id, known]) => (known.version > version ? this.tell(id) : []));
-  }
-
-  private tell(id: EndpointId): ToldLimit[] {
-    const told = this.describe(id);
-    return told ? [told] : [];
+  /** Limits that changed since a version. */
+  changesSince(version: number): ToldLimit[] {
+    const ids = [...this.byId].filter(([, known]) => known.version > version).map(([id]) => id);
+    return ids.map((id) => this.describe(id)).filter((limit) => limit !== undefined);
   }
 
-  /** What is known of an endpoint's limit, for others; undefined where nothing is. */
+  /** An endpoint's limit as a message; undefined if none is known. */
   describe(id: EndpointId): ToldLimit | undefined {
     const known = this.byId.get(id);
     if (!known) return undefined;
     const nowMs = this.clock.nowMs();
-    const { startedAtMs, limitPerS, namedAtMs, endedAtMs } = known;
+    const { startedAtMs, limitPerS, namedAtMs, namedId, endedAtMs, endedId } = known;
     return {
       endpoint: id,
       startedAtMs,
       limitPerS,
       namedAgoMs: Math.max(0, Math.round(nowMs - namedAtMs)),
+      namedId,
       ...(endedAtMs > Number.NEGATIVE_INFINITY && {
         endedAgoMs: Math.max(0, Math.round(nowMs - endedAtMs)),
+        endedId,
       }),
     };
   }
 
   /**
-   * Takes what another entry told; whether any of it was new.
-   * @example if (limits.take(news.limits)) relay.wake();
+   * Merges limits from another entry; true if any of them changed.
+   * @example if (limits.merge(news.limits)) relay.wake();
    */
-  take(told: readonly ToldLimit[]): boolean {
+  merge(limits: readonly ToldLimit[]): boolean {
     const before = this.changes;
     const nowMs = this.clock.nowMs();
-    for (const { endpoint, startedAtMs, limitPerS, namedAgoMs, endedAgoMs } of told) {
-      const process = { id: asId<EndpointId>(endpoint), startedAtMs };
-      this.takeNamed(process, limitPerS, nowMs - namedAgoMs);
-      if (endedAgoMs !== undefined) this.takeToldEnd(process, nowMs - endedAgoMs);
+    for (const limit of limits) {
+      const process = { id: asId<EndpointId>(limit.endpoint), startedAtMs: limit.startedAtMs };
+      const { namedAgoMs, namedId, endedAgoMs, endedId } = limit;
+      const known = this.byId.get(process.id);
+      // An observation that comes back by another entry would seem newer by the time it took.
+      const isSame = known?.startedAtMs === process.startedAtMs;
+      if (!isSame || known.namedId !== namedId)
+        this.takeNamed(process, limit.limitPerS, { id: namedId, atMs: nowMs - namedAgoMs });
+      const isEndKnown = isSame && known.endedId === endedId;
+      if (endedAgoMs !== undefined && endedId !== undefined && !isEndKnown)
+        this.mergeEnd(process, { id: endedId, atMs: nowMs - endedAgoMs });
     }
     return this.changes > before;
   }
 
-  /** Takes an end that another entry saw; one from before the limit was last named here is answered with that. */
-  private takeToldEnd(process: EndpointProcess, atMs: number): void {
+  private mergeEnd(process: EndpointProcess, end: Observation): void {
     const known = this.byId.get(process.id);
-    const isOutdated = known && known.namedAtMs > atMs && known.namedAtMs > known.endedAtMs;
-    if (isOutdated && known.startedAtMs === process.startedAtMs) this.untold.add(process.id);
-    this.takeEnded(process, atMs);
+    const isOutdated = known && known.namedAtMs > known.endedAtMs && known.namedAtMs > end.atMs;
+    // The sender does not know that the limit was named after that.
+    if (isOutdated && known.startedAtMs === process.startedAtMs) this.pending.add(process.id);
+    this.takeEnded(process, end);
   }
 
-  /** Drops limits that are over, and those of endpoints that are gone. */
+  /** Drops limits that are over, and those of endpoints that are no longer listed. */
   forget(isListed: (id: EndpointId) => boolean): void {
     const nowMs = this.clock.nowMs();
     for (const [id, { namedAtMs, endedAtMs }] of this.byId) {
--- a/src/core/asks/limit-share.ts
+++ b/src/core/backpressure/limit-share.ts
@@ -1,30 +1,29 @@
 /**
- * How the requests that an endpoint takes from all entries together are shared out, without a counter that all share.
+ * How a rate limit is divided.
  *
- * What comes in some 4 s is to stay within the bound whatever the entries' callers do: also when they all ask at once after a
- * quiet time, when every entry has saved up a request. Each that may send at all may send one in that time, so that only as many
- * entries as the bound bears requests send to such an endpoint. Where there are more, each endpoint of a service has others, one
- * after the other in a ring, so that each entry sends to about as many endpoints as the next one.
+ * Where relays grant tokens, each of them holds a fixed part (`shardShare`). Entries that know one another but have no relays
+ * use a ring (`limitShare`): only as many of them as the bound allows requests send to one endpoint, so the bound holds even if
+ * all of them resume at once; other endpoints of the service have other entries.
  */
 import {
   ISOLATED_SHARE,
-  LEAST_RELEASED_PER_S,
   LIMIT_BOUND,
   MIN_PROBE_PER_S,
-  USED_SHARE,
+  MIN_RELEASED_PER_S,
+  TARGET_UTILISATION,
 } from './consts.js';
 import type { LimitNow } from './known-limits.js';
-import type { LimitShare } from './limit-bucket.js';
+import type { LimitShare } from './token-bucket.js';
 
 /** Who shares the limits of a service's endpoints. */
 export interface Sharers {
-  /** Place of this entry among those known, from 0; undefined where it is not known who they are. */
+  /** Index of this entry among those known; undefined if the others are not known. */
   readonly place: number | undefined;
-  /** How many there are, as far as is known. */
+  /** Number of entries, known or assumed. */
   readonly count: number;
 }
 
-/** What decides a share. */
+/** Inputs of a share in the ring. */
 export interface LimitShareFacts {
   /** Requests a second that the endpoint takes. */
   readonly limitPerS: number;
@@ -35,12 +34,12 @@
 
 const MS_PER_S = 1000;
 const WINDOW_S = LIMIT_BOUND.windowMs / MS_PER_S;
-/** Part of a window in which a bucket gains what it may send in one: its requests do not arrive exactly a window apart. */
+/** Part of a window in which a bucket gains what may be sent in one: requests do not arrive exactly a window apart. */
 const WINDOW_SHARE = 0.95;
 
 /** Requests that all entries together may send in a window. */
 function allowedInWindow(limitPerS: number): number {
-  return USED_SHARE * (LIMIT_BOUND.factor * limitPerS * WINDOW_S + LIMIT_BOUND.extra);
+  return TARGET_UTILISATION * (LIMIT_BOUND.factor * limitPerS * WINDOW_S + LIMIT_BOUND.extra);
 }
 
 /**
@@ -51,7 +50,6 @@
   const { place, count } = sharers;
   const allowed = allowedInWindow(limitPerS);
   const most = Math.floor(allowed);
-  // Who does not know its place sends as if all of them did.
   if (place === undefined) return { perS: limitPerS / Math.max(count, most), saved: 1 };
   if (count <= most) return shareOfEach(limitPerS, allowed / count, count);
   const first = Math.floor(ringPlace * count);
@@ -60,7 +58,7 @@
 }
 
 /**
- * What one entry may send to an endpoint whose limit was over so many ms ago: more and more, and not all of them at once.
+ * The share of one entry after the end of a limit: a ramp that doubles each second.
  * @example releasedShare(4, { place: 0, count: 6 }, 2000).perS // 2.67
  */
 export function releasedShare(
@@ -68,14 +66,14 @@
   { count }: Sharers,
   releasedMs: number,
 ): LimitShare {
-  const perS = Math.max(limitPerS, LEAST_RELEASED_PER_S) / count;
+  const perS = Math.max(limitPerS, MIN_RELEASED_PER_S) / count;
   return { perS: perS * 2 ** (releasedMs / MS_PER_S), saved: 1 };
 }
 
-/** Requests/s that all entries together may send: the limit, or more and more after its end. */
+/** Rate of all entries together, requests/s: the limit, or a ramp after its end. */
 function ratePerS({ limitPerS, releasedMs }: LimitNow): number {
   if (releasedMs === undefined) return Math.max(limitPerS, MIN_PROBE_PER_S);
-  return Math.max(limitPerS, LEAST_RELEASED_PER_S) * 2 ** (releasedMs / MS_PER_S);
+  return Math.max(limitPerS, MIN_RELEASED_PER_S) * 2 ** (releasedMs / MS_PER_S);
 }
 
 /**
@@ -90,7 +88,7 @@
 }
 
 /**
- * What an entry that reaches no relay may send by itself, among so many that may be in the same state.
+ * The part of an entry that reaches no relay, among as many peers that may not reach one either.
  * @example isolatedShare({ limitPerS: 4, releasedMs: undefined }, 48).perS // 0.042
  */
 export function isolatedShare(limit: LimitNow, peers: number): LimitShare {
--- a/src/core/asks/updates.ts
+++ b/src/core/backpressure/limit-updates.ts
@@ -40,7 +40,7 @@
 
   /**
    * Adds endpoints whose limits changed, and sends what is due. To be called every few hundred ms.
-   * @example updates.flush(exchange.takeChanged());
+   * @example updates.flush(gossip.pendingUpdates());
    */
   flush(changed: readonly EndpointId[]): void {
     const nowMs = this.parts.clock.nowMs();
--- a/src/core/asks/read.ts
+++ b/src/core/backpressure/read.ts
@@ -1,5 +1,5 @@
 /** Reads what an answer asks for; a value that makes no sense is named and counts as not asked for. */
-import { MOST_REST_MS } from './consts.js';
+import { MAX_BACKOFF_MS } from './consts.js';
 import type { AnswerAsks, AskName, AskTexts } from './types.js';
 
 const UNAVAILABLE = 503;
@@ -12,7 +12,7 @@
 
 function readRestMs(text: string): number | undefined {
   const seconds = decimal(text);
-  const isMeant = seconds !== undefined && seconds * MS_PER_S <= MOST_REST_MS;
+  const isMeant = seconds !== undefined && seconds * MS_PER_S <= MAX_BACKOFF_MS;
   return isMeant ? seconds * MS_PER_S : undefined;
 }
 
--- a/src/core/asks/relay-limiter.ts
+++ b/src/core/backpressure/relay-limiter.ts
@@ -8,14 +8,14 @@
 import type { TokenGrant, TokenRequest } from '../../generated/messages.types.js';
 import {
   ASSUMED_PEERS,
-  MAX_PENDING_ASKS,
+  MAX_PENDING,
   MAX_SHARDS,
   MIN_RETRY_MS,
   PENDING_RETRY_MS,
   UNREACHABLE_RETRY_MS,
 } from './consts.js';
 import type { KnownLimits } from './known-limits.js';
-import { LimitBucket } from './limit-bucket.js';
+import { TokenBucket } from './token-bucket.js';
 import { isolatedShare } from './limit-share.js';
 import type { RateLimiter } from './rate-limiter.js';
 
@@ -81,7 +81,7 @@
 class RelayLimiter implements RateLimiter {
   private readonly shards: readonly Shard[];
   /** Tokens of this entry's own while no relay can be reached. */
-  private readonly local: LimitBucket;
+  private readonly local: TokenBucket;
   private isIsolated = false;
   private pending = 0;
 
@@ -97,14 +97,14 @@
       nextAtMs: Number.NEGATIVE_INFINITY,
       isReachable: true,
     }));
-    this.local = new LimitBucket(random);
+    this.local = new TokenBucket(random);
     this.isIsolated = this.shards.length === 0;
   }
 
   nextTokenAtMs(nowMs: number): number {
     const { limits } = this.parts;
     if (limits.isEmpty || !limits.of(this.process)) return nowMs;
-    if (this.pending >= MAX_PENDING_ASKS) return nowMs + PENDING_RETRY_MS;
+    if (this.pending >= MAX_PENDING) return nowMs + PENDING_RETRY_MS;
     const askAtMs = Math.min(...this.shards.map(({ nextAtMs }) => nextAtMs));
     return Math.min(askAtMs, this.localAtMs(nowMs));
   }
@@ -147,7 +147,7 @@
 
   private take(shard: Shard, { isGranted, retryMs = 0, peers, limit }: TokenGrant): void {
     const { clock, limits, onResult } = this.parts;
-    if (limit) limits.take([limit]);
+    if (limit) limits.merge([limit]);
     this.limiters.notePeers(peers);
     shard.isReachable = true;
     this.noteReach();
@@ -168,7 +168,7 @@
   private localAtMs(nowMs: number): number {
     const limit = this.parts.limits.of(this.process);
     if (!this.isIsolated || !limit) return Number.POSITIVE_INFINITY;
-    return this.local.opensAtMs(isolatedShare(limit, this.limiters.peersAssumed), nowMs);
+    return this.local.nextTokenAtMs(isolatedShare(limit, this.limiters.peersAssumed), nowMs);
   }
 
   private takeLocal(): boolean {
@@ -176,7 +176,7 @@
     const limit = this.parts.limits.of(this.process);
     if (!limit) return true;
     if (this.localAtMs(nowMs) > nowMs) return false;
-    this.local.take(isolatedShare(limit, this.limiters.peersAssumed), nowMs);
+    this.local.consume(isolatedShare(limit, this.limiters.peersAssumed), nowMs);
     this.parts.onResult('local');
     return true;
   }
--- a/src/core/asks/share-limiter.ts
+++ b/src/core/backpressure/share-limiter.ts
@@ -1,6 +1,6 @@
 /** A rate limiter for entries that know one another: each may send its share of the limit. */
 import type { Clock } from '../clock/index.js';
-import { LimitBucket, type LimitShare } from './limit-bucket.js';
+import { TokenBucket, type LimitShare } from './token-bucket.js';
 import type { RateLimiter } from './rate-limiter.js';
 
 /** Period over which a share is cached, ms: every request looks at all endpoints of its service. */
@@ -8,7 +8,7 @@
 
 /** Limits by a share of the entry's own. */
 export class ShareLimiter implements RateLimiter {
-  private readonly bucket: LimitBucket;
+  private readonly bucket: TokenBucket;
   private share: LimitShare | undefined;
   private shareAtMs = Number.NEGATIVE_INFINITY;
 
@@ -18,18 +18,18 @@
     random: () => number,
     private readonly shareNow: () => LimitShare | undefined,
   ) {
-    this.bucket = new LimitBucket(random);
+    this.bucket = new TokenBucket(random);
   }
 
   nextTokenAtMs(nowMs: number): number {
     const share = this.shareAt(nowMs);
-    return share ? this.bucket.opensAtMs(share, nowMs) : nowMs;
+    return share ? this.bucket.nextTokenAtMs(share, nowMs) : nowMs;
   }
 
   acquire(): Promise<boolean> {
     const nowMs = this.clock.nowMs();
     if (this.nextTokenAtMs(nowMs) > nowMs) return Promise.resolve(false);
-    if (this.share) this.bucket.take(this.share, nowMs);
+    if (this.share) this.bucket.consume(this.share, nowMs);
     return Promise.resolve(true);
   }
 
--- a/src/core/asks/limit-bucket.ts
+++ b/src/core/backpressure/token-bucket.ts
@@ -1,49 +1,46 @@
-/** Turns of one entry at an endpoint that named a limit. Times are ms. */
+/** A token bucket whose rate and capacity may change. Times are ms. */
 
-/** What one entry may send of a limit. */
+/** What may be sent of a limit. */
 export interface LimitShare {
-  /** Requests a second; 0 where all of it is others'. */
+  /** Rate, requests/s; 0 if all of the limit belongs to others. */
   readonly perS: number;
-  /** Requests that it may save up while it has none to send. */
+  /** Capacity: tokens saved while none is needed. */
   readonly saved: number;
 }
 
 const MS_PER_S = 1000;
 
-/**
- * A bucket that fills by the entry's share. It starts anywhere between empty and one request: entries that hear of a limit at the
- * same time do not send at the same time.
- */
-export class LimitBucket {
+/** Starts with a part of one token, given by `random`: buckets that start together do not fill at the same time. */
+export class TokenBucket {
   private level: number | undefined;
   private filledAtMs = 0;
 
   constructor(private readonly random: () => number) {}
 
   /**
-   * When one request may be sent; not later than `nowMs` where it may be sent now.
-   * @example const mayAsk = bucket.opensAtMs(share, nowMs) <= nowMs;
+   * When a token may be consumed; not later than `nowMs` if one may be now.
+   * @example const hasToken = bucket.nextTokenAtMs(share, nowMs) <= nowMs;
    */
-  opensAtMs(share: LimitShare, nowMs: number): number {
+  nextTokenAtMs(share: LimitShare, nowMs: number): number {
     const level = this.fill(share, nowMs);
-    // What was saved of a share that is another's now counts there.
+    // Tokens saved of a share that is now another entry's count there.
     if (share.perS === 0) return Number.POSITIVE_INFINITY;
     if (level >= 1) return nowMs;
     return nowMs + ((1 - level) / share.perS) * MS_PER_S;
   }
 
-  /** Takes one request out, sent now. */
-  take(share: LimitShare, nowMs: number): void {
+  /** Consumes one token. */
+  consume(share: LimitShare, nowMs: number): void {
     this.level = this.fill(share, nowMs) - 1;
   }
 
-  /** Skips the time until now, in which nothing was gained. */
+  /** Skips the time until now: no tokens are gained for it. */
   resume(nowMs: number): void {
     this.level ??= this.random();
     this.filledAtMs = nowMs;
   }
 
-  /** Forgets what was saved: there is no limit. */
+  /** Drops all saved tokens. */
   clear(): void {
     this.level = undefined;
   }
--- a/src/core/asks/token-grants.ts
+++ b/src/core/backpressure/token-grants.ts
@@ -7,10 +7,10 @@
 import type { Clock } from '../clock/index.js';
 import { asId, type EndpointId } from '../ids/index.js';
 import type { TokenGrant, TokenRequest } from '../../generated/messages.types.js';
-import { ASKERS_MS, ASKS_PER_TOKEN } from './consts.js';
+import { ASKS_PER_TOKEN, COMPETITOR_MS } from './consts.js';
 import type { KnownLimits } from './known-limits.js';
-import { LimitBucket } from './limit-bucket.js';
 import { shardShare } from './limit-share.js';
+import { TokenBucket } from './token-bucket.js';
 
 /** What granting needs. */
 export interface TokenGrantsParts {
@@ -24,9 +24,9 @@
 /** One process of an endpoint. */
 interface Granted {
   readonly startedAtMs: number;
-  readonly bucket: LimitBucket;
-  /** When each entry asked last, ms. */
-  readonly askers: Map<string, number>;
+  readonly bucket: TokenBucket;
+  /** When each entry last asked, ms; the longest ago first. */
+  readonly competitors: Map<string, number>;
 }
 
 const MS_PER_S = 1000;
@@ -34,41 +34,41 @@
 /** Grants the tokens of one relay. */
 export class TokenGrants {
   private readonly byId = new Map<EndpointId, Granted>();
-  private mostAskers = 1;
+  private maxCompetitors = 1;
 
   constructor(private readonly parts: TokenGrantsParts) {}
 
   /**
-   * Takes a token for an entry, which tells what it knows of the limit.
+   * Takes a token for an entry; the request carries what the entry knows of the limit.
    * @example grants.take({ from: 'entry-1', limit }).isGranted
    */
   take({ from, limit }: TokenRequest): TokenGrant {
     const { clock, limits, shards } = this.parts;
-    limits.take([limit]);
+    limits.merge([limit]);
     const process = { id: asId<EndpointId>(limit.endpoint), startedAtMs: limit.startedAtMs };
     const limitNow = limits.of(process);
     if (!limitNow) return this.granted(process.id);
     const nowMs = clock.nowMs();
-    const { bucket, askers } = this.at(process);
-    this.noteAsker(askers, from, nowMs);
+    const { bucket, competitors } = this.at(process);
+    this.noteCompetitor(competitors, from, nowMs);
     const share = shardShare(limitNow, shards);
-    const nextAtMs = bucket.opensAtMs(share, nowMs);
+    const nextAtMs = bucket.nextTokenAtMs(share, nowMs);
     if (nextAtMs <= nowMs) {
-      bucket.take(share, nowMs);
+      bucket.consume(share, nowMs);
       return this.granted(process.id);
     }
-    const retryMs = Math.max(nextAtMs - nowMs, this.spacingMs(askers.size, share.perS));
+    const retryMs = Math.max(nextAtMs - nowMs, this.spacingMs(competitors.size, share.perS));
     return { ...this.granted(process.id), isGranted: false, retryMs: Math.ceil(retryMs) };
   }
 
   private granted(id: EndpointId): TokenGrant {
     const limit = this.parts.limits.describe(id);
-    return { isGranted: true, peers: this.mostAskers, ...(limit && { limit }) };
+    return { isGranted: true, peers: this.maxCompetitors, ...(limit && { limit }) };
   }
 
-  /** Time between two requests of one entry, ms, at which all of them together ask for a few times the tokens there are. */
-  private spacingMs(askers: number, perS: number): number {
-    const meanMs = (askers * MS_PER_S) / (perS * ASKS_PER_TOKEN);
+  /** Pause of one entry, ms, with which all of them together ask for a few times the tokens there are. */
+  private spacingMs(competitors: number, perS: number): number {
+    const meanMs = (competitors * MS_PER_S) / (perS * ASKS_PER_TOKEN);
     return meanMs * (0.5 + this.parts.random());
   }
 
@@ -76,19 +76,19 @@
     const known = this.byId.get(id);
     if (known?.startedAtMs === startedAtMs) return known;
     // Starts empty: tokens granted before a restart of the relay are not known.
-    const made = { startedAtMs, bucket: new LimitBucket(() => 0), askers: new Map() };
+    const made = { startedAtMs, bucket: new TokenBucket(() => 0), competitors: new Map() };
     this.byId.set(id, made);
     return made;
   }
 
-  private noteAsker(askers: Map<string, number>, from: string, nowMs: number): void {
-    askers.delete(from);
-    askers.set(from, nowMs);
-    for (const [asker, atMs] of askers) {
-      if (nowMs - atMs <= ASKERS_MS) break;
-      askers.delete(asker);
+  private noteCompetitor(competitors: Map<string, number>, from: string, nowMs: number): void {
+    competitors.delete(from);
+    competitors.set(from, nowMs);
+    for (const [entry, atMs] of competitors) {
+      if (nowMs - atMs <= COMPETITOR_MS) break;
+      competitors.delete(entry);
     }
-    this.mostAskers = Math.max(this.mostAskers, askers.size);
+    this.maxCompetitors = Math.max(this.maxCompetitors, competitors.size);
   }
 
   /** Drops endpoints without a limit. */
--- a/src/core/published/one-relay.ts
+++ b/src/core/published/one-relay.ts
@@ -1,5 +1,5 @@
 /** The published state as one relay tells it. A proof keeps the age that it had there, so that it never counts for younger. */
-import { NOTHING_HEARD, type AskExchange } from '../asks/index.js';
+import { NO_VERSION, type RateLimitGossip } from '../backpressure/index.js';
 import type { CrashEvidence } from '../crashes/index.js';
 import { errorText, isGivenUp } from '../errors/index.js';
 import { asId, type EndpointId } from '../ids/index.js';
@@ -64,7 +64,7 @@
   /** Where what relays know of requests that crash endpoints is put together; left out where it is not wanted. */
   readonly crashes?: CrashEvidence;
   /** Where what relays know of the limits that endpoints named is put together; left out where it is not wanted. */
-  readonly asks?: AskExchange;
+  readonly asks?: RateLimitGossip;
 }
 
 /** What a relay has told so far. */
@@ -89,7 +89,7 @@
   private told = NOTHING;
   private newestTold: number | undefined;
   private crashesHeard = 0;
-  private asksHeard = NOTHING_HEARD;
+  private asksHeard = NO_VERSION;
 
   /** Its address is its name. */
   constructor(
@@ -174,8 +174,8 @@
 
   /** The same of the limits that endpoints named. */
   private takeAsks({ asks }: PublishedNews): void {
-    if (asks) this.parts.asks?.takeTold(asks);
-    this.asksHeard = asks?.heard ?? NOTHING_HEARD;
+    if (asks) this.parts.asks?.mergeFromRelay(asks);
+    this.asksHeard = asks?.heard ?? NO_VERSION;
   }
 
   /** Why news is of no use here, as of its age or its way. */
--- a/src/core/published/relay.ts
+++ b/src/core/published/relay.ts
@@ -5,7 +5,7 @@
  * 228 daemons that each kept a waiting call at the store made 10,782 calls in 73 s of the heaviest day of a large
  * deployment; each call is counted against a rate that grows more slowly than the fleet.
  */
-import { NOTHING_HEARD, type AskExchange } from '../asks/index.js';
+import { NO_VERSION, type RateLimitGossip } from '../backpressure/index.js';
 import type { Clock } from '../clock/index.js';
 import type { CrashEvidence } from '../crashes/index.js';
 import { asId, type EndpointId, type Incarnation } from '../ids/index.js';
@@ -41,7 +41,7 @@
   /** What is known of requests that crash endpoints; passed on with the rest. */
   readonly crashes?: CrashEvidence;
   /** What is known of the limits that endpoints named; passed on with the rest. */
-  readonly asks?: AskExchange;
+  readonly asks?: RateLimitGossip;
 }
 
 /**
@@ -152,17 +152,17 @@
   /** What an asker has heard of limits; what it heard of another life of this daemon means nothing. */
   private asksHeard({ life, asksHeard }: PublishedAsk): number | undefined {
     if (asksHeard === undefined) return undefined;
-    return life === this.parts.life ? asksHeard : NOTHING_HEARD;
+    return life === this.parts.life ? asksHeard : NO_VERSION;
   }
 
   private lacksAsks(ask: PublishedAsk): boolean {
     const heard = this.asksHeard(ask);
-    return heard !== undefined && (this.parts.asks?.hasNews(heard) ?? false);
+    return heard !== undefined && (this.parts.asks?.hasChangesSince(heard) ?? false);
   }
 
   private askNews(ask: PublishedAsk): Pick<PublishedNews, 'asks'> {
     const heard = this.asksHeard(ask);
-    const asks = heard === undefined ? undefined : this.parts.asks?.newsFor(heard);
+    const asks = heard === undefined ? undefined : this.parts.asks?.deltaSince(heard);
     return asks ? { asks } : {};
   }
 
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -6,7 +6,7 @@
   publishedConfig,
   publishedEndpoints,
 } from '../caller-api/index.js';
-import { KnownLimits, ShareLimiter, type Sharers } from '../core/asks/index.js';
+import { KnownLimits, ShareLimiter, type Sharers } from '../core/backpressure/index.js';
 import { SuspensionClock } from '../core/clock/index.js';
 import { asId } from '../core/ids/index.js';
 import { PublishedState, type CallerLimits } from '../core/published/index.js';
--- a/src/gateway/asked.ts
+++ b/src/gateway/asked.ts
@@ -1,5 +1,5 @@
 /** Notes what endpoints ask for in their answers, and what others heard of it. */
-import type { AnswerAsks, AskName } from '../core/asks/index.js';
+import type { AnswerAsks, AskName } from '../core/backpressure/index.js';
 import { asId } from '../core/ids/index.js';
 import type { LogFields } from '../core/logging/index.js';
 import type { AskNews } from '../generated/messages.types.js';
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,5 +1,5 @@
 /** What the parts of one gateway share. */
-import type { KnownLimits } from '../core/asks/index.js';
+import type { KnownLimits } from '../core/backpressure/index.js';
 import type { Clock } from '../core/clock/index.js';
 import type { EngineInfo, PublishedEndpoint, ServiceId } from '../core/published/index.js';
 import { RetryBudget } from '../core/retry/index.js';
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -1,5 +1,5 @@
 /** The endpoints as this entry has come to know them: connections, what runs there, how they fare. */
-import { EndpointGate, type Opening, type RateLimiter } from '../core/asks/index.js';
+import { EndpointGate, type Opening, type RateLimiter } from '../core/backpressure/index.js';
 import type { Clock } from '../core/clock/index.js';
 import type { EndpointId } from '../core/ids/index.js';
 import type { Log } from '../core/logging/index.js';
@@ -146,7 +146,7 @@
 
   /** Whether the time for which an endpoint asked for rest is not over. */
   isResting(known: EndpointState): boolean {
-    return known.gate.rest.isResting(this.parts.clock.nowMs());
+    return known.gate.backoff.isResting(this.parts.clock.nowMs());
   }
 
   /** Whether an endpoint may be sent a request now. */
@@ -242,19 +242,19 @@
   /** Notes that an attempt is over that began at a time. */
   noteEnded(known: EndpointState, sentAtMs: number): void {
     known.running -= 1;
-    known.gate.rest.noteEnded(sentAtMs);
+    known.gate.backoff.noteEnded(sentAtMs);
   }
 
   /** Notes that an endpoint asked for rest, which holds for what waits for a connection to it as well. */
   noteRest(known: EndpointState, restMs: number): void {
-    known.gate.rest.note(restMs, this.parts.clock.nowMs(), this.parts.random);
+    known.gate.backoff.note(restMs, this.parts.clock.nowMs(), this.parts.random);
     for (const holdBack of [...known.waiting]) holdBack();
   }
 
   /** Notes the first sign of a good answer to an attempt that began at a time. */
   noteGood(known: EndpointState, sentAtMs: number): void {
     const tookMs = this.parts.clock.nowMs() - sentAtMs;
-    known.gate.rest.noteGood(sentAtMs);
+    known.gate.backoff.noteGood(sentAtMs);
     known.health.noteSuccess();
     known.failureShare *= 1 - FAILURE_WEIGHT;
     known.answerMs =
--- a/src/gateway/limit-shares.ts
+++ b/src/gateway/limit-shares.ts
@@ -5,7 +5,7 @@
   type KnownLimits,
   type LimitShare,
   type Sharers,
-} from '../core/asks/index.js';
+} from '../core/backpressure/index.js';
 import type { PublishedEndpoint, PublishedState } from '../core/published/index.js';
 
 /** What working shares out needs. */
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -1,13 +1,13 @@
 /** One gateway process: starts its parts, follows the published state, stops when told to. */
 import { createServer } from 'node:http';
 import {
-  AskExchange,
+  RateLimitGossip,
   LimitUpdates,
   RelayLimiters,
   shardCount,
-  TOKEN_ASK_MS,
+  TOKEN_TIMEOUT_MS,
   TokenGrants,
-} from '../core/asks/index.js';
+} from '../core/backpressure/index.js';
 import { sleep, SuspensionClock, systemClock } from '../core/clock/index.js';
 import { errorText, type HarriergladeError } from '../core/errors/index.js';
 import { newIncarnation } from '../core/ids/index.js';
@@ -96,12 +96,12 @@
   const tellOne = (address: string, news: AskNews): Promise<void> =>
     peers.at(address).asks.mutate(news, { signal: AbortSignal.timeout(TELL_MS) });
   const tellLeaving = relayTeller({ ...telling, tellOne, event: 'asks.untold' });
-  const exchange = new AskExchange({
+  const gossip = new RateLimitGossip({
     clock: ageClock,
     isListed: (id) => state.list.has(id),
     onChange: (change) => log.info('rate-limit.changed', { ...change }),
   });
-  const limiting = { clock: ageClock, random: Math.random, limits: exchange.limits };
+  const limiting = { clock: ageClock, random: Math.random, limits: gossip.limits };
   const grants = new TokenGrants({ ...limiting, shards: shardCount(settings.relays.length) });
   const limiters = new RelayLimiters({
     ...limiting,
@@ -111,7 +111,7 @@
     ask: (relay, request) =>
       relay === place.own
         ? Promise.resolve(grants.take(request))
-        : peers.at(relay).token.mutate(request, { signal: AbortSignal.timeout(TOKEN_ASK_MS) }),
+        : peers.at(relay).token.mutate(request, { signal: AbortSignal.timeout(TOKEN_TIMEOUT_MS) }),
     countKnown: () => groups.entriesKnown,
     onResult: (result) => metrics.count('rate_limit_tokens_total', { result }),
   });
@@ -119,7 +119,7 @@
   const updates = new LimitUpdates({
     clock: ageClock,
     relays: place.relays,
-    describe: (id) => exchange.limits.describe(id),
+    describe: (id) => gossip.limits.describe(id),
     send: (relay, limits) => tellOne(relay, { from: settings.instance, leaving: [], limits }),
     onFailed: (relay, err) => log.info('asks.untold', { relay, detail: errorText(err) }),
   });
@@ -136,7 +136,7 @@
       relay.noteLearnt();
       tellLeaving({ from: settings.instance, leaving: [endpoint], limits: [] });
     },
-    limits: exchange.limits,
+    limits: gossip.limits,
     limiterOf: (endpoint) => limiters.of(endpoint),
     settings: settings.gateway,
     retryShare: () => settings.retryShare,
@@ -157,14 +157,14 @@
     pace: ENTRY_RELAYED,
     wantsConfig: () => true,
     crashes,
-    asks: exchange,
+    asks: gossip,
   });
   const relay = new PublishedRelay({
     ...known,
     life: newIncarnation(systemClock.wallMs()),
     isDirect: () => source.isDirect,
     crashes,
-    asks: exchange,
+    asks: gossip,
   });
   const onLearnt = (): void => relay.noteLearnt();
   const pace = place.isRelay ? RELAY_PACE : entryPace(settings.contactMs);
@@ -173,7 +173,7 @@
   setInterval(() => ctx.endpoints.prune(), PRUNE_MS).unref();
   setInterval(() => logTurns(ctx), TURNS_LOG_MS).unref();
   setInterval(() => {
-    const changed = exchange.takeChanged();
+    const changed = gossip.pendingUpdates();
     if (changed.length > 0) relay.wake();
     updates.flush(changed);
     grants.forget();
@@ -188,14 +188,14 @@
       if (crashes.take(news)) relay.wake();
     },
     token: (request) => {
-      const before = exchange.limits.version;
+      const before = gossip.limits.version;
       const grant = grants.take(request);
-      if (exchange.limits.version > before) relay.wake();
+      if (gossip.limits.version > before) relay.wake();
       metrics.count('rate_limit_grants_total', { granted: String(grant.isGranted) });
       return grant;
     },
     asks: (news) => {
-      if (exchange.takeNews(news)) relay.wake();
+      if (gossip.mergeFromPeer(news)) relay.wake();
       if (takeLeaving(ctx, news)) relay.noteLearnt();
     },
   };
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -1,6 +1,6 @@
 /** Types of the gateway: the request path of an entry. */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
-import type { AnswerAsks } from '../core/asks/index.js';
+import type { AnswerAsks } from '../core/backpressure/index.js';
 import type { InstanceId, OrganisationId } from '../core/ids/index.js';
 import type {
   DataCentreId,
--- a/src/gateway/work.ts
+++ b/src/gateway/work.ts
@@ -1,5 +1,5 @@
 /** One request on its way: what has become of it so far, and what may still be done. */
-import type { Opening } from '../core/asks/index.js';
+import type { Opening } from '../core/backpressure/index.js';
 import type { EndpointId } from '../core/ids/index.js';
 import {
   BUSY_RETRY_S,
--- a/test/core/asks/rest.test.ts
+++ b/test/core/backpressure/backoff.test.ts
@@ -2,13 +2,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { Rest } from '../../../src/core/asks/index.js';
+import { Backoff } from '../../../src/core/backpressure/index.js';
 
 const noSpread = (): number => 0;
-const isOpen = (rest: Rest, nowMs: number): boolean => rest.opensAtMs(nowMs) <= nowMs;
+const isOpen = (rest: Backoff, nowMs: number): boolean => rest.opensAtMs(nowMs) <= nowMs;
 
 test('nothing goes there within the rest, and then one at a time until one is answered well', () => {
-  const rest = new Rest();
+  const rest = new Backoff();
   assert.ok(isOpen(rest, 0));
   rest.note(3000, 0, noSpread);
   assert.equal(rest.opensAtMs(1000), 3000);
@@ -23,7 +23,7 @@
 });
 
 test('the longest rest counts, and a good answer that was on its way ends none', () => {
-  const rest = new Rest();
+  const rest = new Backoff();
   rest.note(3000, 0, noSpread);
   rest.note(500, 100, noSpread);
   rest.noteGood(-20);
@@ -31,7 +31,7 @@
 });
 
 test('an end of the request that tries it lets another one try it, the end of any other does not', () => {
-  const rest = new Rest();
+  const rest = new Backoff();
   rest.note(1000, 0, noSpread);
   rest.noteSent(1000);
   rest.noteEnded(-5);
@@ -40,7 +40,7 @@
 
 test('those who were turned away together do not come back in the same moment', () => {
   const opens = Array.from({ length: 40 }, (_, i) => {
-    const rest = new Rest();
+    const rest = new Backoff();
     rest.note(3000, 0, () => i / 40);
     return rest.opensAtMs(0);
   });
@@ -56,7 +56,7 @@
   });
   fc.assert(
     fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
-      const rest = new Rest();
+      const rest = new Backoff();
       let nowMs = 0;
       let untilMs = 0;
       for (const { afterMs, answer, restMs } of steps) {
--- a/test/core/asks/known-limits.test.ts
+++ b/test/core/backpressure/known-limits.test.ts
@@ -3,11 +3,11 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import {
-  AskExchange,
+  RateLimitGossip,
   KnownLimits,
   LimitUpdates,
-  NOTHING_HEARD,
-} from '../../../src/core/asks/index.js';
+  NO_VERSION,
+} from '../../../src/core/backpressure/index.js';
 import type { ToldLimit } from '../../../src/generated/messages.types.js';
 import { asId, type EndpointId } from '../../../src/core/ids/index.js';
 
@@ -99,10 +99,10 @@
         else limits?.noteNamed(ENDPOINT, limitPerS);
       }
       clock.atMs = 9000;
-      const told = entries.map((limits) => limits.newsSince(0));
+      const told = entries.map((limits) => limits.changesSince(0));
       if (isReversed) told.reverse();
-      for (const limits of entries) for (const news of told) limits.take(news);
-      const known = entries.map((limits) => limits.newsSince(0)[0]?.namedAgoMs);
+      for (const limits of entries) for (const news of told) limits.merge(news);
+      const known = entries.map((limits) => limits.changesSince(0)[0]?.namedAgoMs);
       assert.equal(new Set(known.filter((ago) => ago !== undefined)).size <= 1, true);
     }),
   );
@@ -110,13 +110,13 @@
 
 /** Entries that tell one relay, and hear from it. */
 class RelayedFleet {
-  readonly relay: AskExchange;
-  readonly entries: readonly AskExchange[];
+  readonly relay: RateLimitGossip;
+  readonly entries: readonly RateLimitGossip[];
   isRelayUp = true;
   private readonly updates: readonly LimitUpdates[];
 
   constructor(count: number, clock: TestClock) {
-    const exchange = (): AskExchange => new AskExchange({ clock, isListed: () => true });
+    const exchange = (): RateLimitGossip => new RateLimitGossip({ clock, isListed: () => true });
     this.relay = exchange();
     this.entries = Array.from({ length: count - 1 }, exchange);
     this.updates = this.entries.map(
@@ -133,17 +133,17 @@
 
   private take(told: ToldLimit[]): Promise<void> {
     if (!this.isRelayUp) return Promise.reject(new Error('the relay is down'));
-    this.relay.takeNews({ limits: told });
+    this.relay.mergeFromPeer({ limits: told });
     return Promise.resolve();
   }
 
   /** One round of updates, and then of answers of the relay. */
   async round(): Promise<void> {
-    for (const [i, entry] of this.entries.entries()) this.updates[i]?.flush(entry.takeChanged());
+    for (const [i, entry] of this.entries.entries()) this.updates[i]?.flush(entry.pendingUpdates());
     await new Promise(setImmediate);
     if (!this.isRelayUp) return;
-    const news = this.relay.newsFor(NOTHING_HEARD);
-    for (const entry of this.entries) if (news) entry.takeTold(news);
+    const news = this.relay.deltaSince(NO_VERSION);
+    for (const entry of this.entries) if (news) entry.mergeFromRelay(news);
   }
 }
 
@@ -189,8 +189,25 @@
   const limits = limitsAt(clock);
   const told = { endpoint: ENDPOINT.id, startedAtMs: ENDPOINT.startedAtMs, limitPerS: 4 };
   limits.noteNamed(ENDPOINT, 4);
-  limits.takeUntold();
-  limits.take([{ ...told, namedAgoMs: 500, endedAgoMs: 200 }]);
+  limits.takePending();
+  limits.merge([{ ...told, namedAgoMs: 500, namedId: 1, endedAgoMs: 200, endedId: 2 }]);
   assert.equal(perS(limits), 4);
-  assert.deepEqual(limits.takeUntold(), [ENDPOINT.id]);
+  assert.deepEqual(limits.takePending(), [ENDPOINT.id]);
+});
+
+test('an observation that entries pass back and forth does not become newer', () => {
+  const clock = clockAt(0);
+  const relay = limitsAt(clock);
+  const entry = limitsAt(clock);
+  const pass = (from: KnownLimits, to: KnownLimits): void => {
+    const told = from.changesSince(0);
+    clock.atMs += 100;
+    to.merge(told);
+  };
+  relay.noteNamed(ENDPOINT, 4);
+  for (let n = 0; n < 10; n += 1) {
+    pass(relay, entry);
+    pass(entry, relay);
+  }
+  assert.equal(relay.describe(ENDPOINT.id)?.namedAgoMs, 2000);
 });
--- a/test/core/asks/limit-share.test.ts
+++ b/test/core/backpressure/limit-share.test.ts
@@ -15,10 +15,10 @@
 } from '../../../bench/decisions/limit-model.js';
 import {
   limitShare,
-  LimitBucket,
+  TokenBucket,
   releasedShare,
   ASSUMED_PEERS,
-} from '../../../src/core/asks/index.js';
+} from '../../../src/core/backpressure/index.js';
 
 const WAY = LIMIT_WAYS['a ring of as many as the bound bears'];
 const bound = (limitPerS: number): number => 1.5 * limitPerS * 4 + 5;
@@ -122,12 +122,12 @@
 
 test('a bucket starts anywhere between empty and one request, and holds no more than it may', () => {
   const share = { perS: 0.5, saved: 1 };
-  const empty = new LimitBucket(() => 0);
-  assert.equal(empty.opensAtMs(share, 0), 2000);
-  assert.equal(empty.opensAtMs(share, 60_000), 60_000);
-  empty.take(share, 60_000);
-  assert.equal(empty.opensAtMs(share, 60_000), 62_000);
-  const half = new LimitBucket(() => 0.5);
-  assert.equal(half.opensAtMs(share, 0), 1000);
-  assert.equal(half.opensAtMs({ perS: 0, saved: 1 }, 0), Number.POSITIVE_INFINITY);
+  const empty = new TokenBucket(() => 0);
+  assert.equal(empty.nextTokenAtMs(share, 0), 2000);
+  assert.equal(empty.nextTokenAtMs(share, 60_000), 60_000);
+  empty.consume(share, 60_000);
+  assert.equal(empty.nextTokenAtMs(share, 60_000), 62_000);
+  const half = new TokenBucket(() => 0.5);
+  assert.equal(half.nextTokenAtMs(share, 0), 1000);
+  assert.equal(half.nextTokenAtMs({ perS: 0, saved: 1 }, 0), Number.POSITIVE_INFINITY);
 });
--- a/test/core/asks/read.test.ts
+++ b/test/core/backpressure/read.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { readAsks, type AskTexts } from '../../../src/core/asks/index.js';
+import { readAsks, type AskTexts } from '../../../src/core/backpressure/index.js';
 
 const NOTHING: AskTexts = { rest: undefined, leaving: undefined, limit: undefined };
 
--- a/test/gateway/endpoints.test.ts
+++ b/test/gateway/endpoints.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ShareLimiter } from '../../src/core/asks/index.js';
+import { ShareLimiter } from '../../src/core/backpressure/index.js';
 import { systemClock } from '../../src/core/clock/index.js';
 import { asId } from '../../src/core/ids/index.js';
 import { silentLog } from '../../src/core/logging/index.js';
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -13,7 +13,7 @@
   KnownLimits,
   ShareLimiter,
   type Sharers,
-} from '../../src/core/asks/index.js';
+} from '../../src/core/backpressure/index.js';
 import { asId } from '../../src/core/ids/index.js';
 import { silentLog, type Log, type LogFields } from '../../src/core/logging/index.js';
 import { Metrics } from '../../src/core/metrics/index.js';
