Ask relays for tokens again at once when a limit is raised or ends

Found on reading the mend again: a relay denies an entry for as long as many competing entries make it, up to minutes at 100 entries and a low limit, and the entry kept to that also when the limit was raised. A denial counts now for the rate it was given at, and for 20 s at most. Tests of grants and limiters of their own; 'relays are asked at once when a limit is raised or ends' did not hold before.

--- a/src/core/backpressure/consts.ts
+++ b/src/core/backpressure/consts.ts
@@ -29,6 +29,8 @@
 export const MAX_SHARDS = 3;
 /** Requests for tokens that a relay aims at, per token that it grants. */
 export const ASKS_PER_TOKEN = 4;
+/** Longest pause of an entry for the sake of others, ms. */
+export const MAX_SPACING_MS = 20_000;
 /** Entries that have not asked a relay for this long do not compete for its tokens, ms. */
 export const COMPETITOR_MS = 10_000;
 /** Timeout of a request for a token, ms; a caller waits meanwhile. */
--- a/src/core/backpressure/relay-limiter.ts
+++ b/src/core/backpressure/relay-limiter.ts
@@ -14,10 +14,10 @@
   PENDING_RETRY_MS,
   UNREACHABLE_RETRY_MS,
 } from './consts.js';
-import type { KnownLimits } from './known-limits.js';
-import { TokenBucket } from './token-bucket.js';
+import type { KnownLimits, LimitNow } from './known-limits.js';
 import { isolatedShare } from './limit-share.js';
 import type { RateLimiter } from './rate-limiter.js';
+import { TokenBucket } from './token-bucket.js';
 
 /** How a token was had, or why none was. */
 export type TokenResult = 'granted' | 'denied' | 'unreachable' | 'local';
@@ -49,9 +49,20 @@
   readonly relay: string;
   /** When it may be asked next, ms. */
   nextAtMs: number;
+  /** Rate at which it last denied a token, requests/s; it may be asked at once when the limit rises. */
+  deniedPerS: number;
   isReachable: boolean;
 }
 
+/** The rate that a relay's denial is compared by; a limit that has ended is above all others. */
+function ratePerS({ limitPerS, releasedMs }: LimitNow): number {
+  return releasedMs === undefined ? limitPerS : Number.POSITIVE_INFINITY;
+}
+
+function askAtMs({ nextAtMs, deniedPerS }: Shard, limit: LimitNow): number {
+  return ratePerS(limit) > deniedPerS ? Number.NEGATIVE_INFINITY : nextAtMs;
+}
+
 /** The limiters of one entry. */
 export class RelayLimiters {
   /** The largest number of entries that a relay told of. */
@@ -95,6 +106,7 @@
     this.shards = rendezvousOrder(own, granting, (relay) => relay).map((relay) => ({
       relay,
       nextAtMs: Number.NEGATIVE_INFINITY,
+      deniedPerS: Number.POSITIVE_INFINITY,
       isReachable: true,
     }));
     this.local = new TokenBucket(random);
@@ -103,19 +115,21 @@
 
   nextTokenAtMs(nowMs: number): number {
     const { limits } = this.parts;
-    if (limits.isEmpty || !limits.of(this.process)) return nowMs;
+    const limit = limits.isEmpty ? undefined : limits.of(this.process);
+    if (!limit) return nowMs;
     if (this.pending >= MAX_PENDING) return nowMs + PENDING_RETRY_MS;
-    const askAtMs = Math.min(...this.shards.map(({ nextAtMs }) => nextAtMs));
-    return Math.min(askAtMs, this.localAtMs(nowMs));
+    const shardAtMs = Math.min(...this.shards.map((shard) => askAtMs(shard, limit)));
+    return Math.min(shardAtMs, this.localAtMs(limit, nowMs));
   }
 
   async acquire(): Promise<boolean> {
     const { clock, limits } = this.parts;
-    if (limits.isEmpty || !limits.of(this.process)) return true;
+    const limit = limits.isEmpty ? undefined : limits.of(this.process);
+    if (!limit) return true;
     this.pending += 1;
     try {
       for (const shard of this.shards)
-        if (shard.nextAtMs <= clock.nowMs() && (await this.ask(shard))) return true;
+        if (askAtMs(shard, limit) <= clock.nowMs() && (await this.ask(shard))) return true;
     } finally {
       this.pending -= 1;
     }
@@ -123,7 +137,7 @@
   }
 
   private async ask(shard: Shard): Promise<boolean> {
-    const { clock, own, limits } = this.parts;
+    const { own, limits } = this.parts;
     const limit = limits.describe(this.process.id);
     if (!limit) return true;
     try {
@@ -131,27 +145,34 @@
       this.take(shard, grant);
       return grant.isGranted;
     } catch (err) {
-      const endpoint = this.process.id;
-      this.parts.log.info('rate-limit.unreachable', {
-        endpoint,
-        relay: shard.relay,
-        err: errorText(err),
-      });
-      shard.isReachable = false;
-      shard.nextAtMs = clock.nowMs() + UNREACHABLE_RETRY_MS * (1 + this.parts.random());
-      this.noteReach();
-      this.parts.onResult('unreachable');
+      this.noteUnreachable(shard, errorText(err));
       return false;
     }
   }
 
+  private noteUnreachable(shard: Shard, err: string): void {
+    const { random, log, onResult } = this.parts;
+    shard.isReachable = false;
+    this.pause(shard, UNREACHABLE_RETRY_MS * (1 + random()));
+    this.noteReach();
+    onResult('unreachable');
+    log.info('rate-limit.unreachable', { endpoint: this.process.id, relay: shard.relay, err });
+  }
+
+  private pause(shard: Shard, forMs: number): void {
+    const { clock, limits } = this.parts;
+    const limit = limits.of(this.process);
+    shard.nextAtMs = clock.nowMs() + forMs;
+    shard.deniedPerS = limit ? ratePerS(limit) : Number.POSITIVE_INFINITY;
+  }
+
   private take(shard: Shard, { isGranted, retryMs = 0, peers, limit }: TokenGrant): void {
-    const { clock, limits, onResult } = this.parts;
+    const { limits, onResult } = this.parts;
     if (limit) limits.merge([limit]);
     this.limiters.notePeers(peers);
     shard.isReachable = true;
     this.noteReach();
-    if (!isGranted) shard.nextAtMs = clock.nowMs() + Math.max(MIN_RETRY_MS, retryMs);
+    if (!isGranted) this.pause(shard, Math.max(MIN_RETRY_MS, retryMs));
     onResult(isGranted ? 'granted' : 'denied');
   }
 
@@ -165,9 +186,8 @@
     this.parts.log.info('rate-limit.reach', { endpoint: this.process.id, isIsolated, peers });
   }
 
-  private localAtMs(nowMs: number): number {
-    const limit = this.parts.limits.of(this.process);
-    if (!this.isIsolated || !limit) return Number.POSITIVE_INFINITY;
+  private localAtMs(limit: LimitNow, nowMs: number): number {
+    if (!this.isIsolated) return Number.POSITIVE_INFINITY;
     return this.local.nextTokenAtMs(isolatedShare(limit, this.limiters.peersAssumed), nowMs);
   }
 
@@ -175,7 +195,7 @@
     const nowMs = this.parts.clock.nowMs();
     const limit = this.parts.limits.of(this.process);
     if (!limit) return true;
-    if (this.localAtMs(nowMs) > nowMs) return false;
+    if (this.localAtMs(limit, nowMs) > nowMs) return false;
     this.local.consume(isolatedShare(limit, this.limiters.peersAssumed), nowMs);
     this.parts.onResult('local');
     return true;
--- a/src/core/backpressure/token-grants.ts
+++ b/src/core/backpressure/token-grants.ts
@@ -7,7 +7,7 @@
 import type { Clock } from '../clock/index.js';
 import { asId, type EndpointId } from '../ids/index.js';
 import type { TokenGrant, TokenRequest } from '../../generated/messages.types.js';
-import { ASKS_PER_TOKEN, COMPETITOR_MS } from './consts.js';
+import { ASKS_PER_TOKEN, COMPETITOR_MS, MAX_SPACING_MS } from './consts.js';
 import type { KnownLimits } from './known-limits.js';
 import { shardShare } from './limit-share.js';
 import { TokenBucket } from './token-bucket.js';
@@ -57,7 +57,8 @@
       bucket.consume(share, nowMs);
       return this.granted(process.id);
     }
-    const retryMs = Math.max(nextAtMs - nowMs, this.spacingMs(competitors.size, share.perS));
+    const spacingMs = Math.min(MAX_SPACING_MS, this.spacingMs(competitors.size, share.perS));
+    const retryMs = Math.max(nextAtMs - nowMs, spacingMs);
     return { ...this.granted(process.id), isGranted: false, retryMs: Math.ceil(retryMs) };
   }
 
