Choose the relays of an endpoint by host, at whatever port they are reached

Chosen by address, the entries of a fleet with more than three relays asked up to 11 of 12 for one endpoint, each of which granted a third of its limit.

--- a/bench/rate-limits/entry.ts
+++ b/bench/rate-limits/entry.ts
@@ -18,7 +18,7 @@
 const HEAR_EVERY_MS = 700;
 const CALL_MS = 500;
 
-const nameOf = ({ index }: Node): string => `relay-${index}`;
+const nameOf = ({ index }: Node): string => `relay-${index}:1`;
 
 class Entry implements ModelEntry {
   readonly gossip: RateLimitGossip;
--- a/src/core/backpressure/relay-limiter.ts
+++ b/src/core/backpressure/relay-limiter.ts
@@ -4,6 +4,7 @@
 import type { InstanceId } from '../ids/index.js';
 import type { Log } from '../logging/index.js';
 import { rendezvousOrder } from '../membership/rendezvous.js';
+import { hostOf } from '../published/address.js';
 import type { EndpointProcess } from '../published/types.js';
 import type { TokenGrant, TokenRequest } from '../../generated/messages.types.js';
 import {
@@ -102,8 +103,9 @@
     private readonly limiters: RelayLimiters,
   ) {
     const { relays, random, own } = parts;
-    const granting = rendezvousOrder(process.id, relays, (relay) => relay).slice(0, MAX_SHARDS);
-    this.shards = rendezvousOrder(own, granting, (relay) => relay).map((relay) => ({
+    // By host: daemons may reach the same relay at different ports.
+    const granting = rendezvousOrder(process.id, relays, hostOf).slice(0, MAX_SHARDS);
+    this.shards = rendezvousOrder(own, granting, hostOf).map((relay) => ({
       relay,
       nextAtMs: Number.NEGATIVE_INFINITY,
       deniedPerS: Number.POSITIVE_INFINITY,
--- a/test/core/backpressure/relay-limiter.test.ts
+++ b/test/core/backpressure/relay-limiter.test.ts
@@ -9,6 +9,7 @@
 } from '../../../src/core/backpressure/index.js';
 import { asId, type EndpointId } from '../../../src/core/ids/index.js';
 import { silentLog } from '../../../src/core/logging/index.js';
+import { hostOf } from '../../../src/core/published/index.js';
 import type { TokenGrant } from '../../../src/generated/messages.types.js';
 
 const ENDPOINT = { id: asId<EndpointId>('e-1'), startedAtMs: 7 };
@@ -48,36 +49,36 @@
 }
 
 test('no relay is asked while no limit stands', async () => {
-  const setup = new Setup(['a', 'b', 'c']);
+  const setup = new Setup(['a:1', 'b:1', 'c:1']);
   assert.ok(setup.isOpen);
   assert.ok(await setup.limiter.acquire());
   assert.deepEqual(setup.asked, []);
 });
 
 test('a token is had of the first relay that grants one, and of none when all deny it', async () => {
-  const setup = new Setup(['a', 'b', 'c']);
+  const setup = new Setup(['a:1', 'b:1', 'c:1']);
   setup.limits.noteNamed(ENDPOINT, 4);
   for (const relay of setup.relays) setup.answers.set(relay, DENIED);
   assert.equal(await setup.limiter.acquire(), false);
-  assert.deepEqual([...setup.asked].sort(), ['a', 'b', 'c']);
+  assert.deepEqual([...setup.asked].sort(), ['a:1', 'b:1', 'c:1']);
   assert.equal(setup.isOpen, false);
   setup.atMs += 1000;
-  setup.answers.set('b', GRANTED);
+  setup.answers.set('b:1', GRANTED);
   assert.ok(setup.isOpen);
   assert.ok(await setup.limiter.acquire());
 });
 
 test('a relay that does not answer is not asked again at once, and the others are', async () => {
-  const setup = new Setup(['a', 'b']);
+  const setup = new Setup(['a:1', 'b:1']);
   setup.limits.noteNamed(ENDPOINT, 4);
-  setup.answers.set('a', GRANTED);
+  setup.answers.set('a:1', GRANTED);
   for (let n = 0; n < 5; n += 1) assert.ok(await setup.limiter.acquire());
-  assert.ok(setup.asked.filter((relay) => relay === 'b').length <= 1);
+  assert.ok(setup.asked.filter((relay) => relay === 'b:1').length <= 1);
   assert.ok(!setup.results.includes('local'));
 });
 
 test('an entry that reaches no relay sends half of its part among 48', async () => {
-  const setup = new Setup(['a', 'b', 'c']);
+  const setup = new Setup(['a:1', 'b:1', 'c:1']);
   setup.limits.noteNamed(ENDPOINT, 4);
   let sent = 0;
   const startedAtMs = setup.atMs;
@@ -87,9 +88,9 @@
 });
 
 test('an idle entry saves no tokens for the time when it reaches no relay', async () => {
-  const setup = new Setup(['a']);
+  const setup = new Setup(['a:1']);
   setup.limits.noteNamed(ENDPOINT, 4);
-  setup.answers.set('a', DENIED);
+  setup.answers.set('a:1', DENIED);
   await setup.limiter.acquire();
   setup.atMs += 3_600_000;
   setup.answers.clear();
@@ -97,9 +98,9 @@
 });
 
 test('relays are asked at once when a limit is raised or ends', async () => {
-  const setup = new Setup(['a']);
+  const setup = new Setup(['a:1']);
   setup.limits.noteNamed(ENDPOINT, 1);
-  setup.answers.set('a', { ...DENIED, retryMs: 20_000 });
+  setup.answers.set('a:1', { ...DENIED, retryMs: 20_000 });
   await setup.limiter.acquire();
   assert.equal(setup.isOpen, false);
   setup.atMs += 10;
@@ -112,32 +113,33 @@
   assert.ok(setup.isOpen);
 });
 
-test('all entries ask the same relays for one endpoint, and other relays for others', () => {
-  const relays = Array.from({ length: 12 }, (_, i) => `relay-${i}`);
-  const asked = (endpoint: string, own: string): string[] => {
-    const found: string[] = [];
+/** Relays that entries ask for a token for an endpoint, by host; each knows them at a port of its own. */
+function hostsAsked(endpoint: string): string[] {
+  const hosts = new Set<string>();
+  for (let port = 1; port <= 30; port += 1) {
     const limits = new KnownLimits({ nowMs: () => 1000 });
     const process = { id: asId<EndpointId>(endpoint), startedAtMs: 7 };
     limits.noteNamed(process, 4);
-    const limiter = new RelayLimiters({
+    const limiters = new RelayLimiters({
       clock: { nowMs: () => 1000 },
       random: () => 0.5,
-      own: asId(own),
+      own: asId(`entry-${port}`),
       limits,
-      relays,
+      relays: Array.from({ length: 12 }, (_, i) => `10.0.0.${i}:${port}`),
       ask: (relay) => {
-        found.push(relay);
+        hosts.add(hostOf(relay));
         return new Promise(() => undefined);
       },
       countKnown: () => 0,
       log: silentLog,
       onResult: () => undefined,
-    }).of(process);
-    void limiter.acquire();
-    return found;
-  };
-  const ofEndpoint = (endpoint: string): string[] =>
-    [...new Set(Array.from({ length: 30 }, (_, i) => asked(endpoint, `entry-${i}`)).flat())].sort();
-  assert.equal(ofEndpoint('e-1').length, 3);
-  assert.notDeepEqual(ofEndpoint('e-1'), ofEndpoint('e-2'));
+    });
+    void limiters.of(process).acquire();
+  }
+  return [...hosts].sort();
+}
+
+test('all entries ask the same three relays for one endpoint, and others for another one', () => {
+  assert.equal(hostsAsked('e-1').length, 3);
+  assert.notDeepEqual(hostsAsked('e-1'), hostsAsked('e-2'));
 });
