--- a/src/gateway/asked.ts
+++ b/src/gateway/asked.ts
@@ -39,7 +39,7 @@
   logAsked(work, target, 'endpoint.resting', { restMs });
 }
 
-/** It takes nothing new from now on; that it says so in an answer may come seconds before the list tells. */
+/** An endpoint may announce in an answer that it is draining seconds before the list does. */
 function noteLeaving(work: Work, target: EndpointState): void {
   const { ctx } = work;
   const { id, startedAtMs } = target.endpoint;
@@ -55,7 +55,7 @@
     logAsked(work, target, 'endpoint.limited', { limitPerS });
 }
 
-/** What an endpoint names no more is over, unless the answer was on its way when it named it. */
+/** Ends a limit unless the answer is older than it. */
 function noteUnlimited(work: Work, target: EndpointState, sentAtMs: number): void {
   const { limits } = work.ctx;
   if (limits.isEmpty || !limits.noteUnnamed(target.endpoint, sentAtMs)) return;
@@ -72,7 +72,7 @@
   head: AnswerHead,
   sentAtMs: number,
 ): void {
-  // It is another endpoint that speaks there.
+  // 421: the address now belongs to another endpoint, whose headers must be ignored.
   if (head.status === MISDIRECTED) return;
   const { restMs, isLeaving, limitPerS } = head.asks;
   noteUnreadable(work, target, head.asks);
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -3,7 +3,7 @@
 import { sendAttempt } from './attempt.js';
 import { acquireEndpoint, chooseOtherGroup } from './choose.js';
 import { ELSEWHERE_RETRY_S, SILENCE_FACTOR, STREAM_SILENCE_MS } from './consts.js';
-import { deliver, LEAST_FAILURE } from './deliver.js';
+import { deliver, MIN_ERROR_STATUS } from './deliver.js';
 import type { EndpointState } from './endpoints.js';
 import {
   giveUp,
@@ -16,18 +16,18 @@
   type Work,
 } from './work.js';
 
-/** Time that the head of an answer may take, ms. */
+/** Timeout of the head of an answer, ms. */
 function silenceMs(work: Work): number {
   const { route } = work.request;
   const left = leftMs(work);
   if (route.kind === 'once') return left;
   if (route.kind === 'stream') return Math.min(left, STREAM_SILENCE_MS);
-  // The last attempt may use all the time that is left.
+  // The last attempt may use all of the remaining time.
   const isLast = work.tried.size >= route.maxAttempts;
   return isLast ? left : Math.min(left, route.targetMs * SILENCE_FACTOR);
 }
 
-/** One attempt; undefined when another one may follow. */
+/** Runs one attempt. Returns undefined if the request may be retried. */
 async function tryOnce(work: Work, target: EndpointState): Promise<RequestEnd | undefined> {
   const { ctx, request, progress } = work;
   work.tried.add(target.endpoint.id);
@@ -49,7 +49,7 @@
       return undefined;
     }
     const end = await deliver(work, target, sent.val, sentAtMs);
-    if (end?.kind === 'answered' && end.status < LEAST_FAILURE) ctx.crashes.noteGoodEnd(request);
+    if (end?.kind === 'answered' && end.status < MIN_ERROR_STATUS) ctx.crashes.noteGoodEnd(request);
     // What has brought events was running well: another request that had just begun is to be suspected.
     const hasBegun = progress.events > eventsBefore || request.route.kind !== 'stream';
     if (!end && work.lastFault && !hasBegun)
@@ -73,7 +73,7 @@
   work.place = next;
 }
 
-/** The answer to a request that crashes what runs it; whether one of these was in this try is not hidden. */
+/** The refusal of a request that crashes endpoints; it does not claim "not run" if an attempt may have run. */
 export function refuseCrashing(work: Work): RequestEnd {
   if (work.mayHaveRun) return giveUp(work);
   return refused('crashes-endpoints', 'endpoints that began to run the same request crashed');
--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -1,64 +1,57 @@
 /** Constants of the gateway. */
 
-/** Time to open a connection to an endpoint, ms: the way is 3 ms there and back at most. */
+/** Timeout of opening a connection to an endpoint, ms. */
 export const CONNECT_MS = 400;
-/** Idle time after which a connection to an endpoint is closed where the endpoint names none, ms. */
+/** Idle timeout of a connection to an endpoint that names none itself, ms. */
 export const IDLE_CONNECTION_MS = 4000;
-/** Connections to one endpoint from one entry, at most; more would only queue at the endpoint. */
-export const MOST_CONNECTIONS = 32;
-/** Entries among which an endpoint's connections are shared, at least: the smallest sites have 6. */
+/** Maximum number of connections from one entry to one endpoint. */
+export const MAX_CONNECTIONS = 32;
+/** Number of entries assumed to share an endpoint's connections. */
 export const CONNECTION_SHARERS = 12;
 
-/** Time that a caller without a deadline of its own is given, ms. */
+/** Deadline of requests that name none, ms. */
 export const DEFAULT_DEADLINE_MS = 60_000;
-/** Room left for the last answer before the route's time or the deadline is over, ms. */
+/** Time kept free before the deadline for writing the final answer, ms. */
 export const FINAL_ANSWER_MS = 20;
-/** Time left below which another attempt cannot help any more, ms. */
-export const LEAST_ATTEMPT_MS = 60;
-/** Part of the target after which a repeatable request is asked for elsewhere. */
+/** Remaining time below which no further attempt is made, ms. */
+export const MIN_ATTEMPT_MS = 60;
+/** Multiple of the target latency after which a repeatable request is retried elsewhere. */
 export const SILENCE_FACTOR = 1.3;
-/**
- * A stream that brings no event for this long is taken up elsewhere, ms. Callers give up after 2 s, and
- * a group in which a rank died stands still for 1.5 s.
- */
+/** Idle timeout of a stream before it is resumed on another endpoint, ms; below the callers' own 2 s. */
 export const STREAM_SILENCE_MS = 1250;
-/**
- * Silence of an endpoint from which the connections that are open to it are not used any more, ms: they may all have fallen
- * silent without a reset, and each would cost another caller the answer (four of five who came at once, after a first one).
- * An endpoint that is only slow, 90 ms of work four times over, costs new connections then.
- */
+/** Open connections to an endpoint that has been silent this long are not reused, ms: they may be half-open. */
 export const SILENT_CONNECTION_MS = 250;
 /** Largest answer that is not streamed, bytes. */
 export const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
 /**
- * Taken off the time that keys may be honoured without a new proof, ms: a wait for changes may have
- * heard nothing for a second before its history was dropped, and a request is on its way for a while.
+ * Safety margin of the time for which keys are honoured without a new proof, ms: covers a watch that was silent before its
+ * history was dropped, and requests under way.
  */
 export const KEY_PROOF_MARGIN_MS = 1500;
 
-/** Retry-After of a refusal for want of room, s, lower and upper end: spreads those who return. */
+/** Retry-After range when saturated, s; randomised to spread retries. */
 export const BUSY_RETRY_S = { least: 1.0, most: 2.5 } as const;
 /**
- * Retry-After of a refusal while no endpoint of a group serves, s: a group that has lost a rank is back
- * after seconds, and callers wait for a third of the time they have left at most, 2.6 s.
+ * Retry-After range while no endpoint of a group serves, s: a group that lost a rank is back after seconds, and callers wait for
+ * a third of their remaining time at most.
  */
 export const OUTAGE_RETRY_S = { least: 2.1, most: 2.6 } as const;
 
-/** Time beyond the end of the first rest after which those who were refused for it may come back, s: spreads them. */
+/** Random addition to Retry-After while all endpoints are in backoff, s; spreads retries. */
 export const REST_RETRY_SPREAD_S = 0.5;
 
-/** Retry-After where another entry can serve at once, s. */
+/** Retry-After if another entry can serve at once, s. */
 export const ELSEWHERE_RETRY_S = 0.05;
 
-/** Entries among which the shared retry allowance is split at least: before a group tells how many there are. */
+/** Number of entries assumed to share the retry allowance until a group tells how many there are. */
 export const RETRY_SHARERS = 48;
-/** Part of the shared retry ratio that an entry uses: the rest covers windows that do not align. */
+/** Part of the shared retry ratio that is used; the rest covers windows that do not align. */
 export const RETRY_SHARE_USED = 0.7;
 
-/** After the signal to stop, new requests are served for this long, ms: callers are sent elsewhere by then. */
+/** Time after SIGTERM in which new requests are served, ms; the balancer removes the entry meanwhile. */
 export const STOP_SERVING_MS = 2500;
-/** Time before the kill at which what still runs is cut, ms. */
+/** Time before SIGKILL at which requests under way are aborted, ms. */
 export const STOP_CUT_MS = 700;
-/** How often a stopping entry looks whether it is done, ms. */
+/** Polling period of a stopping entry, ms. */
 export const STOP_POLL_MS = 50;
--- a/src/gateway/deliver.ts
+++ b/src/gateway/deliver.ts
@@ -10,7 +10,7 @@
 /** Statuses that promise that a request has not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 /** Least status by which an endpoint says that it failed. */
-export const LEAST_FAILURE = 500;
+export const MIN_ERROR_STATUS = 500;
 
 async function deliverWhole(
   work: Work,
@@ -24,7 +24,7 @@
     noteFault(work, target, body.val);
     return undefined;
   }
-  if (status >= LEAST_FAILURE || NOT_RUN_STATUSES.has(status)) {
+  if (status >= MIN_ERROR_STATUS || NOT_RUN_STATUSES.has(status)) {
     noteFault(work, target, { kind: 'broke', detail: `endpoint answered ${status}` });
     // A status that promises too much is not passed on; any other failure is, when no try is left.
     if (NOT_RUN_STATUSES.has(status)) return undefined;
@@ -89,7 +89,7 @@
   const { ctx, request } = work;
   if (request.route.kind === 'stream') return deliverStream(work, target, answer, sentAtMs);
   const end = await deliverWhole(work, target, answer);
-  if (end?.kind === 'answered' && end.status < LEAST_FAILURE)
+  if (end?.kind === 'answered' && end.status < MIN_ERROR_STATUS)
     ctx.endpoints.noteGood(target, sentAtMs);
   return end;
 }
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -14,7 +14,7 @@
 import { FreshPool } from '../runtime/fresh-pool.js';
 import { endpointConnector } from './connect.js';
 import type { EngineSight } from './group-sight.js';
-import { CONNECTION_SHARERS, IDLE_CONNECTION_MS, MOST_CONNECTIONS } from './consts.js';
+import { CONNECTION_SHARERS, IDLE_CONNECTION_MS, MAX_CONNECTIONS } from './consts.js';
 
 /** Weight of the newest outcome in an endpoint's share of failures. */
 const FAILURE_WEIGHT = 0.15;
@@ -208,7 +208,7 @@
     const made: EndpointState = {
       endpoint,
       connections: new FreshPool(`http://${endpoint.address}`, {
-        connections: Math.max(2, Math.min(MOST_CONNECTIONS, share)),
+        connections: Math.max(2, Math.min(MAX_CONNECTIONS, share)),
         pipelining: 1,
         connect: endpointConnector(),
         keepAliveTimeout: IDLE_CONNECTION_MS,
--- a/src/gateway/work.ts
+++ b/src/gateway/work.ts
@@ -4,7 +4,7 @@
 import {
   BUSY_RETRY_S,
   FINAL_ANSWER_MS,
-  LEAST_ATTEMPT_MS,
+  MIN_ATTEMPT_MS,
   OUTAGE_RETRY_S,
   REST_RETRY_SPREAD_S,
 } from './consts.js';
@@ -75,7 +75,7 @@
 /** Whether another attempt is allowed after what has happened so far. */
 export function mayTryAgain(work: Work): boolean {
   const { route } = work.request;
-  if (work.tried.size >= route.maxAttempts || leftMs(work) < LEAST_ATTEMPT_MS) return false;
+  if (work.tried.size >= route.maxAttempts || leftMs(work) < MIN_ATTEMPT_MS) return false;
   if (!work.mayHaveRun) return true;
   if (route.kind === 'once') return false;
   return route.kind === 'repeatable' || route.resumable;
