--- a/bench/rate-limits/fleet.ts
+++ b/bench/rate-limits/fleet.ts
@@ -81,6 +81,8 @@
   readonly most: number;
   /** Share of the limits that was used while they stood. */
   readonly used: number;
+  /** Calls/s from others to the busiest entry, a relay. */
+  readonly busiestCallsPerS: number;
 }
 
 const WINDOW_MS = 4000;
@@ -322,7 +324,8 @@
   return spans;
 }
 
-function outcomeOf(targets: readonly Target[], { limitAt, seconds }: FleetPlay): FleetOutcome {
+function outcomeOf({ targets, network, play }: Fleet): FleetOutcome {
+  const { limitAt, seconds } = play;
   let most = 0;
   let excess = Number.NEGATIVE_INFINITY;
   let got = 0;
@@ -338,7 +341,8 @@
     for (let atMs = fromMs; atMs < seconds * 1000; atMs += 10)
       allowed += (limitAt(atMs) ?? 0) / 100;
   }
-  return { most, excess, used: allowed > 0 ? got / allowed : 0 };
+  const busiestCallsPerS = Math.max(0, ...network.calls.values()) / seconds;
+  return { most, excess, used: allowed > 0 ? got / allowed : 0, busiestCallsPerS };
 }
 
 /**
@@ -351,5 +355,5 @@
   for (const instance of fleet.instances) fleet.callAt(instance);
   scheduleFaults(fleet);
   await fleet.time.runUntil(play.seconds * 1000);
-  return outcomeOf(fleet.targets, play);
+  return outcomeOf(fleet);
 }
--- a/bench/rate-limits/network.ts
+++ b/bench/rate-limits/network.ts
@@ -26,6 +26,9 @@
 
 /** A network in virtual time. */
 export class Network {
+  /** Calls to each node, by index. */
+  readonly calls = new Map<number, number>();
+
   constructor(private readonly parts: NetworkParts) {}
 
   /** Whether a node runs. */
@@ -40,6 +43,7 @@
    */
   call<T>(from: Node, to: Node, handle: () => T | Promise<T>, withinMs: number): Promise<T> {
     const { time } = this.parts;
+    this.calls.set(to.index, (this.calls.get(to.index) ?? 0) + 1);
     const lives = [from.life, to.life];
     const isSame = (): boolean => from.life === lives[0] && to.life === lives[1];
     return new Promise((resolve, reject) => {
--- a/bench/soak/asking.ts
+++ b/bench/soak/asking.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { NO_ASKS, type EngineAsks } from '../../fakes/platform-engine/index.js';
 import type { Deployment, SoakEndpoint } from './deployment.js';
-import { entryTrouble, nextLeaving } from './faults.js';
+import { entryTrouble, nextLeaving, pick } from './faults.js';
 
 /** Rests that are asked for, s; the callers' own time is 3 s. */
 const RESTS_S = [0.75, 1.5, 2.2];
@@ -21,10 +21,6 @@
 const LIMIT_MS = { least: 8000, more: 3000 } as const;
 const PAUSE_MS = 600;
 
-function pick<T>(items: readonly T[], random: () => number): T {
-  return items[Math.floor(random() * items.length)] as T;
-}
-
 /** Endpoints of one service that ask at once. */
 function someOf({ endpoints }: Deployment, random: () => number): SoakEndpoint[] {
   const service = pick(['plain', 'model'], random);
@@ -52,7 +48,7 @@
 }
 
 /** Lets endpoints name a limit for a while. */
-async function inNeed(
+export async function inNeed(
   { needs, nowMs }: Deployment,
   endpoints: readonly SoakEndpoint[],
   limitPerS: number,
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { entryAddress, KEYS, type Deployment, type SoakInstance } from './deployment.js';
+import { pick } from './faults.js';
 import type { Ask, AskKind } from './record.js';
 
 /** Pause between two requests, ms. */
@@ -27,10 +28,6 @@
 };
 const KINDS: readonly AskKind[] = ['once', 'repeatable', 'stream', 'stream'];
 
-function pick<T>(items: readonly T[], random: () => number): T {
-  return items[Math.floor(random() * items.length)] as T;
-}
-
 function isReady(entry: SoakInstance): Promise<boolean> {
   const { host, port } = entryAddress(entry).ready;
   return new Promise((resolve) => {
@@ -96,7 +93,8 @@
 
   private async askOn(): Promise<void> {
     while (!this.isStopped) {
-      if (this.ready.length > 0) this.ask(pick(this.ready, this.random));
+      if (this.ready.length > 0 && !this.deployment.isQuiet)
+        this.ask(pick(this.ready, this.random));
       const pauseMs = PAUSE_MS * (0.5 + this.random());
       await sleep(pauseMs);
     }
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -90,6 +90,8 @@
   readonly needs: Need[];
   /** Paths of requests that crash what runs them; callers send them among the others. */
   readonly crashingPaths: string[];
+  /** Whether callers send nothing for now. */
+  isQuiet: boolean;
   /** Ms since the start. */
   readonly nowMs: () => number;
   publish(): void;
@@ -330,6 +332,7 @@
     falls,
     needs: [],
     crashingPaths,
+    isQuiet: false,
     nowMs,
     config,
     publish: () => {
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -76,7 +76,8 @@
   withdrawals.push({ what: 'endpoint', name: id, atMs: nowMs() });
 }
 
-function pick<T>(items: readonly T[], random: () => number): T {
+/** Any of some items. */
+export function pick<T>(items: readonly T[], random: () => number): T {
   return items[Math.floor(random() * items.length)] as T;
 }
 
@@ -290,3 +291,12 @@
 export function entryTrouble(deployment: Deployment, random: () => number): Promise<void> {
   return pick(ENTRY_FAULTS, random)({ deployment, random, among: deployment.entries });
 }
+
+/**
+ * Does one thing to a relay.
+ * @example await relayTrouble(deployment, random);
+ */
+export function relayTrouble(deployment: Deployment, random: () => number): Promise<void> {
+  const among = deployment.entries.slice(0, deployment.relayLinks.length);
+  return pick(ENTRY_FAULTS, random)({ deployment, random, among });
+}
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -16,6 +16,7 @@
 import { crashEndpoints } from './crashing.js';
 import { disturb } from './faults.js';
 import { silenceWhileThingsChange, silenceWithoutRelays } from './silence.js';
+import { nameLimits } from './limits.js';
 import type { SoakRecord } from './record.js';
 
 const NS_PER_MS = 1e6;
@@ -74,6 +75,7 @@
   copies: comeBackFromCopies,
   crashing: crashEndpoints,
   asking: askThings,
+  limits: nameLimits,
 } as const;
 
 /** The size for plays in which endpoints leave one after the other. */
