--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -1,15 +1,7 @@
 /** One gateway process: starts its parts, follows the published state, stops when told to. */
 import { createServer } from 'node:http';
-import {
-  RateLimitGossip,
-  LimitUpdates,
-  RelayLimiters,
-  shardCount,
-  TOKEN_TIMEOUT_MS,
-  TokenGrants,
-} from '../core/backpressure/index.js';
 import { sleep, SuspensionClock, systemClock } from '../core/clock/index.js';
-import { errorText, type HarriergladeError } from '../core/errors/index.js';
+import type { HarriergladeError } from '../core/errors/index.js';
 import { newIncarnation } from '../core/ids/index.js';
 import { createLog, type Log } from '../core/logging/index.js';
 import { Metrics } from '../core/metrics/index.js';
@@ -38,6 +30,7 @@
 import { createContext, type GatewayContext } from './context.js';
 import { createGateway, type Gateway } from './gateway.js';
 import { GroupSight } from './group-sight.js';
+import { createRateLimits } from './rate-limits.js';
 import { relayTeller } from './tell-relays.js';
 import type { CallerInterface, InstanceSettings } from './types.js';
 
@@ -49,7 +42,7 @@
 /** Time to tell another entry what was seen here, ms. */
 const TELL_MS = 500;
 /** Period of updates on rate limits to the relays, ms. */
-const TELL_LIMITS_MS = 400;
+const LIMIT_UPDATES_MS = 400;
 /** How often the places of this entry are logged, ms. */
 const TURNS_LOG_MS = 1000;
 /** How often endpoints that are gone are dropped, ms. */
@@ -96,32 +89,14 @@
   const tellOne = (address: string, news: AskNews): Promise<void> =>
     peers.at(address).asks.mutate(news, { signal: AbortSignal.timeout(TELL_MS) });
   const tellLeaving = relayTeller({ ...telling, tellOne, event: 'asks.untold' });
-  const gossip = new RateLimitGossip({
-    clock: ageClock,
-    isListed: (id) => state.list.has(id),
-    onChange: (change) => log.info('rate-limit.changed', { ...change }),
-  });
-  const limiting = { clock: ageClock, random: Math.random, limits: gossip.limits };
-  const grants = new TokenGrants({ ...limiting, shards: shardCount(settings.relays.length) });
-  const limiters = new RelayLimiters({
-    ...limiting,
-    log,
-    own: settings.instance,
-    relays: settings.relays,
-    ask: (relay, request) =>
-      relay === place.own
-        ? Promise.resolve(grants.take(request))
-        : peers.at(relay).token.mutate(request, { signal: AbortSignal.timeout(TOKEN_TIMEOUT_MS) }),
+  const rateLimits = createRateLimits({
+    ...known,
+    ...place,
+    settings,
+    peers,
+    tellOne,
     countKnown: () => groups.entriesKnown,
-    onResult: (result) => metrics.count('rate_limit_tokens_total', { result }),
-  });
-  metrics.gauge('rate_limit_peers', () => limiters.peersAssumed);
-  const updates = new LimitUpdates({
-    clock: ageClock,
-    relays: place.relays,
-    describe: (id) => gossip.limits.describe(id),
-    send: (relay, limits) => tellOne(relay, { from: settings.instance, leaving: [], limits }),
-    onFailed: (relay, err) => log.info('asks.untold', { relay, detail: errorText(err) }),
+    onChange: () => relay.wake(),
   });
   const ctx: GatewayContext = createContext({
     ...shared,
@@ -136,8 +111,8 @@
       relay.noteLearnt();
       tellLeaving({ from: settings.instance, leaving: [endpoint], limits: [] });
     },
-    limits: gossip.limits,
-    limiterOf: (endpoint) => limiters.of(endpoint),
+    limits: rateLimits.gossip.limits,
+    limiterOf: (endpoint) => rateLimits.limiterOf(endpoint),
     settings: settings.gateway,
     retryShare: () => settings.retryShare,
     callers: parts.callers,
@@ -157,14 +132,14 @@
     pace: ENTRY_RELAYED,
     wantsConfig: () => true,
     crashes,
-    asks: gossip,
+    asks: rateLimits.gossip,
   });
   const relay = new PublishedRelay({
     ...known,
     life: newIncarnation(systemClock.wallMs()),
     isDirect: () => source.isDirect,
     crashes,
-    asks: gossip,
+    asks: rateLimits.gossip,
   });
   const onLearnt = (): void => relay.noteLearnt();
   const pace = place.isRelay ? RELAY_PACE : entryPace(settings.contactMs);
@@ -172,12 +147,7 @@
   void groups.run(ending.signal);
   setInterval(() => ctx.endpoints.prune(), PRUNE_MS).unref();
   setInterval(() => logTurns(ctx), TURNS_LOG_MS).unref();
-  setInterval(() => {
-    const changed = gossip.pendingUpdates();
-    if (changed.length > 0) relay.wake();
-    updates.flush(changed);
-    grants.forget();
-  }, TELL_LIMITS_MS).unref();
+  setInterval(() => rateLimits.flush(), LIMIT_UPDATES_MS).unref();
   watchSettings(parts.reread, settings, log);
   process.on('SIGTERM', () => {
     void stop(gateway, settings, log).then(() => process.exit(0));
@@ -187,15 +157,9 @@
     crashes: (news) => {
       if (crashes.take(news)) relay.wake();
     },
-    token: (request) => {
-      const before = gossip.limits.version;
-      const grant = grants.take(request);
-      if (gossip.limits.version > before) relay.wake();
-      metrics.count('rate_limit_grants_total', { granted: String(grant.isGranted) });
-      return grant;
-    },
+    token: (request) => rateLimits.grant(request),
     asks: (news) => {
-      if (gossip.mergeFromPeer(news)) relay.wake();
+      rateLimits.merge(news);
       if (takeLeaving(ctx, news)) relay.noteLearnt();
     },
   };
