Send a single probe after a backoff while tokens are asked for

Found on reading the mend again: between the choice of an endpoint and its send a token may be asked for, and only a backoff that runs was looked at after it. Five callers in that time made six requests at an endpoint in half-open state in place of two.

--- a/src/core/backpressure/endpoint-gate.ts
+++ b/src/core/backpressure/endpoint-gate.ts
@@ -26,6 +26,11 @@
     return { atMs: limitedAtMs, why: 'limit' };
   }
 
+  /** Whether the backoff allows a request now. */
+  mayProbe(nowMs: number): boolean {
+    return this.backoff.opensAtMs(nowMs) <= nowMs;
+  }
+
   /**
    * Consumes a token of the rate limit; to be called right before a request is sent.
    * @example if (await gate.acquire()) send(request);
--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -36,8 +36,8 @@
     if (!target) return undefined;
     const hasToken = await target.gate.acquire();
     if (request.gone.aborted) return undefined;
-    // It may have asked for rest while the token was asked for.
-    if (hasToken && !ctx.endpoints.isResting(target)) return target;
+    // A backoff or the probe of another request may have begun meanwhile.
+    if (hasToken && target.gate.mayProbe(ctx.ageClock.nowMs())) return target;
     denied.add(target.endpoint.id);
     if (!hasToken) noteDenied(work, target);
   } while (ctx.ageClock.nowMs() < untilMs);
--- a/test/gateway/asks.test.ts
+++ b/test/gateway/asks.test.ts
@@ -240,3 +240,21 @@
   assert.match(body, /"reason":"limited"/);
   assert.ok(tookMs < 300, `refused after ${tookMs} ms`);
 });
+
+test('a single probe is sent after a backoff while tokens are asked for', async () => {
+  const only = await startAskingEndpoint();
+  only.behaviour = () => resting(0.3);
+  const slow: RateLimiter = { nextTokenAtMs: (nowMs) => nowMs, acquire: () => wait(40, true) };
+  const listed = [endpoint('e-0', only.address)];
+  const under = await startGateway(config([route()]), listed, { limiterOf: () => slow });
+  try {
+    await under.ask(requestId('entry0', 0));
+    await wait(500);
+    only.behaviour = () => ({ headers: [], workMs: 200 });
+    await Promise.all([1, 2, 3, 4, 5].map((n) => under.ask(requestId('entry0', n))));
+    assert.equal(only.arrivals.length, 2);
+  } finally {
+    under.close();
+    only.close();
+  }
+});
