--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -20,8 +20,10 @@
 const FAILURE_EWMA_WEIGHT = 0.15;
 /** Weight of the newest response in an endpoint's moving average of response times. */
 const RESPONSE_TIME_EWMA_WEIGHT = 0.15;
-/** Weight of the failure share in an endpoint's score: one that fails half of its requests is chosen
- * only if the others have four times its load. */
+/**
+ * Weight of the squared failure share in an endpoint's score: one that fails half of its requests is
+ * chosen only if the others have three times its load.
+ */
 const FAILURE_PENALTY = 8;
 
 /** Pace above which an engine is chosen only as a last resort: it slows down its whole group. */
