--- a/bench/harness/caller.ts
+++ b/bench/harness/caller.ts
@@ -1,6 +1,6 @@
 /** HTTP client that sends requests to an entry and verifies the response body. */
 import { request, type Dispatcher } from 'undici';
-import { EventSplitter } from '../../src/gateway/event-splitter.js';
+import { EventSplitter } from '../../src/gateway/requests/event-splitter.js';
 import { MODEL, SERVICE, testKey } from './cluster-spec.js';
 
 /** Outcome of a request: `unknown` if it may have run, `broken` if the response is incomplete. */
--- a/src/gateway/backpressure-signals.ts
+++ b/src/gateway/backpressure/backpressure-signals.ts
@@ -1,12 +1,12 @@
 /** Records backpressure signals of endpoints, from their responses and from other entries. */
-import type { BackpressureSignals, SignalName } from '../core/backpressure/index.js';
-import { asId } from '../core/ids/index.js';
-import type { LogFields } from '../core/logging/index.js';
-import type { BackpressureUpdate } from '../generated/messages.types.js';
-import type { GatewayContext } from './context.js';
-import type { EndpointState } from './endpoints.js';
-import type { ResponseHead } from './types.js';
-import type { ActiveRequest } from './active-request.js';
+import type { BackpressureSignals, SignalName } from '../../core/backpressure/index.js';
+import { asId } from '../../core/ids/index.js';
+import type { LogFields } from '../../core/logging/index.js';
+import type { BackpressureUpdate } from '../../generated/messages.types.js';
+import type { GatewayContext } from '../context.js';
+import type { EndpointState } from '../endpoints/endpoints.js';
+import type { ResponseHead } from '../types.js';
+import type { ActiveRequest } from '../requests/active-request.js';
 
 /** Status of a server that is not the endpoint that the request was addressed to. */
 const STATUS_MISDIRECTED_REQUEST = 421;
--- a/src/gateway/limit-shares.ts
+++ b/src/gateway/backpressure/limit-shares.ts
@@ -5,8 +5,8 @@
   type KnownLimits,
   type LimitShare,
   type LimitPeers,
-} from '../core/backpressure/index.js';
-import type { PublishedEndpoint, PublishedState } from '../core/published/index.js';
+} from '../../core/backpressure/index.js';
+import type { PublishedEndpoint, PublishedState } from '../../core/published/index.js';
 
 /** Dependencies of `shareOf`. */
 export interface LimitShareDeps {
--- a/src/gateway/rate-limits.ts
+++ b/src/gateway/backpressure/rate-limits.ts
@@ -7,19 +7,19 @@
   TOKEN_TIMEOUT_MS,
   TokenGrants,
   type RateLimiter,
-} from '../core/backpressure/index.js';
-import type { Clock } from '../core/clock/index.js';
-import { errorText } from '../core/errors/index.js';
-import type { Log } from '../core/logging/index.js';
-import type { Metrics } from '../core/metrics/index.js';
-import type { PublishedEndpoint, PublishedState } from '../core/published/index.js';
+} from '../../core/backpressure/index.js';
+import type { Clock } from '../../core/clock/index.js';
+import { errorText } from '../../core/errors/index.js';
+import type { Log } from '../../core/logging/index.js';
+import type { Metrics } from '../../core/metrics/index.js';
+import type { PublishedEndpoint, PublishedState } from '../../core/published/index.js';
 import type {
   BackpressureUpdate,
   RateLimitTokenReply,
   RateLimitTokenRequest,
-} from '../generated/messages.types.js';
-import type { Peers } from '../rpc/peers.js';
-import type { InstanceSettings } from './types.js';
+} from '../../generated/messages.types.js';
+import type { Peers } from '../../rpc/peers.js';
+import type { InstanceSettings } from '../types.js';
 
 /** Dependencies of `createRateLimits`. */
 export interface RateLimitDeps {
--- a/src/gateway/relay-broadcast.ts
+++ b/src/gateway/backpressure/relay-broadcast.ts
@@ -1,7 +1,7 @@
 /** Sends updates observed at this entry to the relays, which pass them on to all other daemons. */
-import { sleep } from '../core/clock/index.js';
-import { errorText } from '../core/errors/index.js';
-import type { Log } from '../core/logging/index.js';
+import { sleep } from '../../core/clock/index.js';
+import { errorText } from '../../core/errors/index.js';
+import type { Log } from '../../core/logging/index.js';
 
 /** Delays before an update that failed is sent again, ms; a starting relay is reachable after a second. */
 const RETRY_DELAYS_MS = [500, 3000] as const;
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -4,13 +4,13 @@
 import type { EngineInfo, PublishedEndpoint, ServiceId } from '../core/published/index.js';
 import { RetryBudget } from '../core/retry/index.js';
 import { KEY_FRESHNESS_MARGIN_MS, ASSUMED_RETRY_PEERS, RETRY_SHARE_USED } from './consts.js';
-import { CrashDetector } from './crash-detector.js';
-import { Endpoints, type EndpointsDeps } from './endpoints.js';
+import { CrashDetector } from './requests/crash-detector.js';
+import { Endpoints, type EndpointsDeps } from './endpoints/endpoints.js';
 import type { GroupId } from '../core/ids/index.js';
 import type { CrashUpdate, EndpointProcess } from '../generated/messages.types.js';
-import type { GroupLoad } from './group-status.js';
-import { ServiceGroups } from './service-groups.js';
-import type { ServiceState } from './service-state.js';
+import type { GroupLoad } from './groups/group-status.js';
+import { ServiceGroups } from './groups/service-groups.js';
+import type { ServiceState } from './groups/service-state.js';
 import type { CallerApi, GatewaySettings } from './types.js';
 
 /** Dependencies of a gateway. */
--- a/src/gateway/choose-endpoint.ts
+++ b/src/gateway/endpoints/choose-endpoint.ts
@@ -1,10 +1,10 @@
 /** Chooses the endpoint of a request's next attempt. */
-import type { EndpointId } from '../core/ids/index.js';
-import type { PublishedEndpoint } from '../core/published/index.js';
-import { MAX_TOKEN_WAIT_MS } from './consts.js';
+import type { EndpointId } from '../../core/ids/index.js';
+import type { PublishedEndpoint } from '../../core/published/index.js';
+import { MAX_TOKEN_WAIT_MS } from '../consts.js';
 import type { EndpointState } from './endpoints.js';
-import type { GroupQueue } from './service-groups.js';
-import type { ActiveRequest } from './active-request.js';
+import type { GroupQueue } from '../groups/service-groups.js';
+import type { ActiveRequest } from '../requests/active-request.js';
 
 const NO_ENDPOINTS: ReadonlySet<EndpointId> = new Set();
 
--- a/src/gateway/connect.ts
+++ b/src/gateway/endpoints/connect.ts
@@ -1,7 +1,7 @@
 /** Connections to endpoints, and classification of connection errors. */
 import type { Socket } from 'node:net';
 import { buildConnector, type Dispatcher } from 'undici';
-import { CONNECT_TIMEOUT_MS } from './consts.js';
+import { CONNECT_TIMEOUT_MS } from '../consts.js';
 
 /** Error code of undici for a connection that broke during a request. */
 const BROKEN_CONNECTION = 'UND_ERR_SOCKET';
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints/endpoints.ts
@@ -1,20 +1,24 @@
 /** Endpoints as seen by this entry: connections, in-flight requests, health and endpoint selection. */
-import { EndpointGate, type Opening, type RateLimiter } from '../core/backpressure/index.js';
-import type { Clock } from '../core/clock/index.js';
-import type { EndpointId } from '../core/ids/index.js';
-import type { Log } from '../core/logging/index.js';
-import type { Metrics } from '../core/metrics/index.js';
+import { EndpointGate, type Opening, type RateLimiter } from '../../core/backpressure/index.js';
+import type { Clock } from '../../core/clock/index.js';
+import type { EndpointId } from '../../core/ids/index.js';
+import type { Log } from '../../core/logging/index.js';
+import type { Metrics } from '../../core/metrics/index.js';
 import type {
   DataCentreId,
   PublishedEndpoint,
   PublishedState,
   ServiceId,
-} from '../core/published/index.js';
-import { EndpointHealth } from '../core/routing/index.js';
-import { ReplaceablePool } from '../runtime/replaceable-pool.js';
+} from '../../core/published/index.js';
+import { EndpointHealth } from '../../core/routing/index.js';
+import { ReplaceablePool } from '../../runtime/replaceable-pool.js';
 import { createEndpointConnector } from './connect.js';
-import type { EngineStatus } from './group-status.js';
-import { ASSUMED_CONNECTION_PEERS, IDLE_CONNECTION_TIMEOUT_MS, MAX_CONNECTIONS } from './consts.js';
+import type { EngineStatus } from '../groups/group-status.js';
+import {
+  ASSUMED_CONNECTION_PEERS,
+  IDLE_CONNECTION_TIMEOUT_MS,
+  MAX_CONNECTIONS,
+} from '../consts.js';
 
 /** Weight of the newest outcome in an endpoint's moving average of failures. */
 const FAILURE_EWMA_WEIGHT = 0.15;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -16,9 +16,9 @@
   STOP_SERVING_MS,
 } from './consts.js';
 import type { GatewayContext } from './context.js';
-import { sendRefusal, type Refusal } from './refuse.js';
-import { serveRequest } from './serve-request.js';
-import type { RequestOutcome, RequestSummary } from './active-request.js';
+import { sendRefusal, type Refusal } from './requests/refuse.js';
+import { serveRequest } from './requests/serve-request.js';
+import type { RequestOutcome, RequestSummary } from './requests/active-request.js';
 import type { RequestHead, GatewayRequest } from './types.js';
 
 /** The running gateway. */
--- a/src/gateway/group-status.ts
+++ b/src/gateway/groups/group-status.ts
@@ -1,17 +1,17 @@
 /** Status of the engine groups behind an entry, polled from the agents beside the engines. */
-import { sleep, type Clock } from '../core/clock/index.js';
-import { errorText } from '../core/errors/index.js';
-import { asId, type EndpointId, type GroupId } from '../core/ids/index.js';
-import type { Log } from '../core/logging/index.js';
-import type { Metrics } from '../core/metrics/index.js';
+import { sleep, type Clock } from '../../core/clock/index.js';
+import { errorText } from '../../core/errors/index.js';
+import { asId, type EndpointId, type GroupId } from '../../core/ids/index.js';
+import type { Log } from '../../core/logging/index.js';
+import type { Metrics } from '../../core/metrics/index.js';
 import {
   hostOf,
   type DataCentreId,
   type PublishedEndpoint,
   type PublishedState,
   type ServiceId,
-} from '../core/published/index.js';
-import type { GroupDigest } from '../generated/messages.types.js';
+} from '../../core/published/index.js';
+import type { GroupDigest } from '../../generated/messages.types.js';
 
 /** Interval between polls, ms; a group digest is produced every 0.1 to 0.5 s. */
 const POLL_INTERVAL_MS = 150;
--- a/src/gateway/returning-callers.ts
+++ b/src/gateway/groups/returning-callers.ts
@@ -1,5 +1,5 @@
 /** Distinguishes returning callers, which have been refused before, from new ones. */
-import type { RouteId } from '../core/published/index.js';
+import type { RouteId } from '../../core/published/index.js';
 
 /**
  * Range of the threshold, as a share of the longest deadline seen on a route: callers with shorter
--- a/src/gateway/service-groups.ts
+++ b/src/gateway/groups/service-groups.ts
@@ -2,9 +2,9 @@
  * Engine groups of one service at this entry: a slot queue for each, and the choice of a group for each attempt.
  * Groups are independent: one may be full or in an outage while the others serve.
  */
-import type { Clock } from '../core/clock/index.js';
-import { asId, type EndpointId, type GroupId } from '../core/ids/index.js';
-import type { DataCentreId, EngineInfo, PublishedEndpoint } from '../core/published/index.js';
+import type { Clock } from '../../core/clock/index.js';
+import { asId, type EndpointId, type GroupId } from '../../core/ids/index.js';
+import type { DataCentreId, EngineInfo, PublishedEndpoint } from '../../core/published/index.js';
 import type { GroupLoad } from './group-status.js';
 import { ReturningCallers } from './returning-callers.js';
 import { SlotQueue } from './slot-queue.js';
--- a/src/gateway/service-state.ts
+++ b/src/gateway/groups/service-state.ts
@@ -1,6 +1,6 @@
 /** Per-service state of an entry. */
-import type { ServiceId } from '../core/published/index.js';
-import type { RetryBudget } from '../core/retry/index.js';
+import type { ServiceId } from '../../core/published/index.js';
+import type { RetryBudget } from '../../core/retry/index.js';
 import type { ServiceGroups } from './service-groups.js';
 
 /** Retry budget and engine groups of one service at this entry. */
--- a/src/gateway/slot-queue.ts
+++ b/src/gateway/groups/slot-queue.ts
@@ -1,5 +1,5 @@
 /** Slots of this entry at a group of lock-step engines, and the admission queue of requests that wait for one. */
-import type { Clock } from '../core/clock/index.js';
+import type { Clock } from '../../core/clock/index.js';
 import {
   OutageDetector,
   StreamCountHistory,
@@ -9,9 +9,9 @@
   WaitQueue,
   type GroupStreamCount,
   type StepModel,
-} from '../core/limits/index.js';
-import type { LogFields } from '../core/logging/index.js';
-import type { EngineInfo } from '../core/published/index.js';
+} from '../../core/limits/index.js';
+import type { LogFields } from '../../core/logging/index.js';
+import type { EngineInfo } from '../../core/published/index.js';
 import type { GroupLoad } from './group-status.js';
 
 /** Slots of an entry before the first status of the group. */
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,6 +1,6 @@
-export { applyLeaving } from './backpressure-signals.js';
+export { applyLeaving } from './backpressure/backpressure-signals.js';
 export * from './context.js';
 export * from './gateway.js';
-export { shareOf } from './limit-shares.js';
-export * from './refuse.js';
+export { shareOf } from './backpressure/limit-shares.js';
+export * from './requests/refuse.js';
 export * from './types.js';
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -26,12 +26,12 @@
 import { orderRelays } from '../runtime/relays.js';
 import { watchSettings } from '../runtime/settings-watch.js';
 import { STOP_ABORT_MS, STOP_POLL_MS, STOP_SERVING_MS } from './consts.js';
-import { applyLeaving } from './backpressure-signals.js';
+import { applyLeaving } from './backpressure/backpressure-signals.js';
 import { createContext, type GatewayContext } from './context.js';
 import { createGateway, type Gateway } from './gateway.js';
-import { GroupStatus } from './group-status.js';
-import { createRateLimits } from './rate-limits.js';
-import { createRelayBroadcast } from './relay-broadcast.js';
+import { GroupStatus } from './groups/group-status.js';
+import { createRateLimits } from './backpressure/rate-limits.js';
+import { createRelayBroadcast } from './backpressure/relay-broadcast.js';
 import type { CallerApi, InstanceSettings } from './types.js';
 
 /** Port of the metrics address; the deployment file must use the same one. */
--- a/src/gateway/active-request.ts
+++ b/src/gateway/requests/active-request.ts
@@ -1,20 +1,20 @@
 /** State of a request in flight: its attempts so far, and whether another one is allowed. */
-import type { Opening } from '../core/backpressure/index.js';
-import type { EndpointId } from '../core/ids/index.js';
+import type { Opening } from '../../core/backpressure/index.js';
+import type { EndpointId } from '../../core/ids/index.js';
 import {
   BUSY_RETRY_S,
   FINAL_RESPONSE_MARGIN_MS,
   MIN_ATTEMPT_TIME_MS,
   OUTAGE_RETRY_S,
   BACKOFF_RETRY_JITTER_S,
-} from './consts.js';
-import type { GatewayContext } from './context.js';
-import type { EndpointState } from './endpoints.js';
+} from '../consts.js';
+import type { GatewayContext } from '../context.js';
+import type { EndpointState } from '../endpoints/endpoints.js';
 import type { Refusal } from './refuse.js';
 import type { StreamProgress } from './relay-stream.js';
-import type { GroupQueue } from './service-groups.js';
-import type { ServiceState } from './service-state.js';
-import type { AttemptFault, GatewayRequest } from './types.js';
+import type { GroupQueue } from '../groups/service-groups.js';
+import type { ServiceState } from '../groups/service-state.js';
+import type { AttemptFault, GatewayRequest } from '../types.js';
 
 const MS_PER_S = 1000;
 
--- a/src/gateway/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -1,11 +1,11 @@
 /** One attempt at an endpoint: sends the request and checks the response headers. */
 import type { Dispatcher } from 'undici';
-import { errorText } from '../core/errors/index.js';
-import { Err, Ok, type Result } from '../core/result/index.js';
-import { wasNotSent, withStartCallback } from './connect.js';
-import { STALLED_CONNECTION_MS } from './consts.js';
-import type { EndpointState } from './endpoints.js';
-import type { ResponseHead, AttemptFault, GatewayRequest, CallerApi } from './types.js';
+import { errorText } from '../../core/errors/index.js';
+import { Err, Ok, type Result } from '../../core/result/index.js';
+import { wasNotSent, withStartCallback } from '../endpoints/connect.js';
+import { STALLED_CONNECTION_MS } from '../consts.js';
+import type { EndpointState } from '../endpoints/endpoints.js';
+import type { ResponseHead, AttemptFault, GatewayRequest, CallerApi } from '../types.js';
 
 /** A response whose headers have been checked; its body has yet to be read. */
 export interface AttemptResponse {
--- a/src/gateway/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -1,10 +1,10 @@
 /** The attempts of one request: chooses endpoints and timeouts, and decides on retries. */
-import { recordSignals } from './backpressure-signals.js';
+import { recordSignals } from '../backpressure/backpressure-signals.js';
 import { sendAttempt } from './attempt.js';
-import { acquireEndpoint, chooseOtherGroup } from './choose-endpoint.js';
-import { OTHER_ENTRY_RETRY_S, RETRY_TIMEOUT_FACTOR, STREAM_IDLE_TIMEOUT_MS } from './consts.js';
+import { acquireEndpoint, chooseOtherGroup } from '../endpoints/choose-endpoint.js';
+import { OTHER_ENTRY_RETRY_S, RETRY_TIMEOUT_FACTOR, STREAM_IDLE_TIMEOUT_MS } from '../consts.js';
 import { deliverResponse, MIN_SERVER_ERROR_STATUS } from './deliver.js';
-import type { EndpointState } from './endpoints.js';
+import type { EndpointState } from '../endpoints/endpoints.js';
 import {
   failureOutcome,
   hasRetryBudget,
--- a/src/gateway/crash-detector.ts
+++ b/src/gateway/requests/crash-detector.ts
@@ -3,13 +3,13 @@
  * takes all ranks out of service for seconds, and each retry by its caller the next group.
  */
 import { connect } from 'node:net';
-import type { Clock } from '../core/clock/index.js';
-import { CrashEvidence, fingerprintOf, type Fingerprint } from '../core/crashes/index.js';
-import type { Log } from '../core/logging/index.js';
-import type { Metrics } from '../core/metrics/index.js';
-import { hostOf, portOf, type PublishedEndpoint } from '../core/published/index.js';
-import type { CrashUpdate } from '../generated/messages.types.js';
-import type { AttemptFault, GatewayRequest } from './types.js';
+import type { Clock } from '../../core/clock/index.js';
+import { CrashEvidence, fingerprintOf, type Fingerprint } from '../../core/crashes/index.js';
+import type { Log } from '../../core/logging/index.js';
+import type { Metrics } from '../../core/metrics/index.js';
+import { hostOf, portOf, type PublishedEndpoint } from '../../core/published/index.js';
+import type { CrashUpdate } from '../../generated/messages.types.js';
+import type { AttemptFault, GatewayRequest } from '../types.js';
 
 /**
  * Timeout of the connection that probes for a crash, ms: a crashed endpoint refuses it within the
--- a/src/gateway/deliver.ts
+++ b/src/gateway/requests/deliver.ts
@@ -1,8 +1,8 @@
 /** Forwards the response of one attempt to the caller. */
 import type { AttemptResponse } from './attempt.js';
-import { hasAlternative } from './choose-endpoint.js';
-import { STREAM_IDLE_TIMEOUT_MS } from './consts.js';
-import type { EndpointState } from './endpoints.js';
+import { hasAlternative } from '../endpoints/choose-endpoint.js';
+import { STREAM_IDLE_TIMEOUT_MS } from '../consts.js';
+import type { EndpointState } from '../endpoints/endpoints.js';
 import { relayStream, type StreamOutcome } from './relay-stream.js';
 import { readFullResponse } from './read-response.js';
 import {
--- a/src/gateway/read-response.ts
+++ b/src/gateway/requests/read-response.ts
@@ -1,9 +1,9 @@
 /** Reads responses that are not streamed to the end before they are forwarded. */
-import { errorText } from '../core/errors/index.js';
-import { Err, Ok, type Result } from '../core/result/index.js';
+import { errorText } from '../../core/errors/index.js';
+import { Err, Ok, type Result } from '../../core/result/index.js';
 import type { AttemptResponse } from './attempt.js';
-import { MAX_RESPONSE_BYTES } from './consts.js';
-import type { AttemptFault } from './types.js';
+import { MAX_RESPONSE_BYTES } from '../consts.js';
+import type { AttemptFault } from '../types.js';
 
 /**
  * Reads a response to its end within `timeoutMs`; a truncated response is an error.
--- a/src/gateway/refuse.ts
+++ b/src/gateway/requests/refuse.ts
@@ -7,8 +7,8 @@
   toProblem,
   outcomeUnknown,
   type Reason,
-} from '../core/errors/index.js';
-import type { Metrics } from '../core/metrics/index.js';
+} from '../../core/errors/index.js';
+import type { Metrics } from '../../core/metrics/index.js';
 
 /** A refusal or failure that the entry reports to the caller. */
 export interface Refusal {
--- a/src/gateway/relay-stream.ts
+++ b/src/gateway/requests/relay-stream.ts
@@ -4,7 +4,7 @@
  */
 import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
-import { errorText } from '../core/errors/index.js';
+import { errorText } from '../../core/errors/index.js';
 import type { AttemptResponse } from './attempt.js';
 import { EventSplitter, type StreamEvent } from './event-splitter.js';
 
--- a/src/gateway/serve-request.ts
+++ b/src/gateway/requests/serve-request.ts
@@ -1,11 +1,11 @@
 /** Serves one request: waits for a slot, runs the attempts, and returns a single outcome. */
-import { pickService } from '../core/published/index.js';
-import { queueTerms } from '../core/limits/index.js';
+import { pickService } from '../../core/published/index.js';
+import { queueTerms } from '../../core/limits/index.js';
 import { refuseCrashingRequest, runAttempts } from './attempts.js';
-import { BUSY_RETRY_S, DEFAULT_DEADLINE_MS, OUTAGE_RETRY_S } from './consts.js';
-import type { GatewayContext } from './context.js';
-import type { ServiceGroups } from './service-groups.js';
-import type { GatewayRequest } from './types.js';
+import { BUSY_RETRY_S, DEFAULT_DEADLINE_MS, OUTAGE_RETRY_S } from '../consts.js';
+import type { GatewayContext } from '../context.js';
+import type { ServiceGroups } from '../groups/service-groups.js';
+import type { GatewayRequest } from '../types.js';
 import {
   failureOutcome,
   remainingMs,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -10,7 +10,7 @@
   Route,
 } from '../core/published/index.js';
 import type { Result } from '../core/result/index.js';
-import type { Refusal } from './refuse.js';
+import type { Refusal } from './requests/refuse.js';
 
 /** Address on which a server listens. */
 export interface ListenAddress {
--- a/test/gateway/backpressure-signals.test.ts
+++ b/test/gateway/backpressure/backpressure-signals.test.ts
@@ -11,9 +11,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
-import type { RateLimiter } from '../../src/core/backpressure/index.js';
-import type { EndpointProcess } from '../../src/generated/messages.types.js';
-import { applyLeaving } from '../../src/gateway/index.js';
+import type { RateLimiter } from '../../../src/core/backpressure/index.js';
+import type { EndpointProcess } from '../../../src/generated/messages.types.js';
+import { applyLeaving } from '../../../src/gateway/index.js';
 import {
   maxAllowedInLimitWindow,
   announceLeaving,
@@ -24,7 +24,7 @@
   requestBackoff,
   startSignallingEndpoint,
   type SignallingEndpoint,
-} from './signalling-endpoint.js';
+} from '../signalling-endpoint.js';
 import {
   config,
   endpoint,
@@ -32,7 +32,7 @@
   startGateway,
   type TestGateway,
   type TestResponse,
-} from './harness.js';
+} from '../harness.js';
 
 /** Interval at which the configuration is confirmed as current, ms. */
 const CONFIRM_INTERVAL_MS = 500;
--- a/test/gateway/endpoints.test.ts
+++ b/test/gateway/endpoints/endpoints.test.ts
@@ -1,17 +1,17 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ShareLimiter } from '../../src/core/backpressure/index.js';
-import { systemClock } from '../../src/core/clock/index.js';
-import { asId } from '../../src/core/ids/index.js';
-import { silentLog } from '../../src/core/logging/index.js';
-import { Metrics } from '../../src/core/metrics/index.js';
+import { ShareLimiter } from '../../../src/core/backpressure/index.js';
+import { systemClock } from '../../../src/core/clock/index.js';
+import { asId } from '../../../src/core/ids/index.js';
+import { silentLog } from '../../../src/core/logging/index.js';
+import { Metrics } from '../../../src/core/metrics/index.js';
 import {
   PublishedState,
   type DataCentreId,
   type PublishedEndpoint,
-} from '../../src/core/published/index.js';
-import { Endpoints } from '../../src/gateway/endpoints.js';
-import { endpoint, SERVICE } from './harness.js';
+} from '../../../src/core/published/index.js';
+import { Endpoints } from '../../../src/gateway/endpoints/endpoints.js';
+import { endpoint, SERVICE } from '../harness.js';
 
 /** Endpoints of an entry in data centre `a`; only engines of a group have a status. */
 function endpointsOf(
--- a/test/gateway/group-status.test.ts
+++ b/test/gateway/groups/group-status.test.ts
@@ -1,21 +1,25 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
-import { seededRandom, systemClock } from '../../src/core/clock/index.js';
-import { asId, type GroupId } from '../../src/core/ids/index.js';
-import { silentLog } from '../../src/core/logging/index.js';
-import { Metrics } from '../../src/core/metrics/index.js';
+import { seededRandom, systemClock } from '../../../src/core/clock/index.js';
+import { asId, type GroupId } from '../../../src/core/ids/index.js';
+import { silentLog } from '../../../src/core/logging/index.js';
+import { Metrics } from '../../../src/core/metrics/index.js';
 import {
   PublishedState,
   type PublishedEndpoint,
   type ServiceId,
   type ServiceInfo,
-} from '../../src/core/published/index.js';
-import { GroupStatus, type PollGroup, type GroupLoad } from '../../src/gateway/group-status.js';
-import type { GroupDigest } from '../../src/generated/messages.types.js';
-import { config } from './harness.js';
-import { ENGINE_INFO, groupDigest } from '../fixtures/engine.js';
-import { until } from '../fixtures/until.js';
+} from '../../../src/core/published/index.js';
+import {
+  GroupStatus,
+  type PollGroup,
+  type GroupLoad,
+} from '../../../src/gateway/groups/group-status.js';
+import type { GroupDigest } from '../../../src/generated/messages.types.js';
+import { config } from '../harness.js';
+import { ENGINE_INFO, groupDigest } from '../../fixtures/engine.js';
+import { until } from '../../fixtures/until.js';
 
 const SMALL = asId<ServiceId>('small');
 const LARGE = asId<ServiceId>('large');
--- a/test/gateway/groups.test.ts
+++ b/test/gateway/groups/groups.test.ts
@@ -2,15 +2,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
-import { asId, type GroupId } from '../../src/core/ids/index.js';
+import { asId, type GroupId } from '../../../src/core/ids/index.js';
 import {
   responseHead,
   okResponse,
   startRawEndpoint,
   type RawResponder,
   type RawEndpoint,
-} from '../../fakes/raw-endpoint/index.js';
-import { ENGINE_INFO } from '../fixtures/engine.js';
+} from '../../../fakes/raw-endpoint/index.js';
+import { ENGINE_INFO } from '../../fixtures/engine.js';
 import {
   config,
   endpoint,
@@ -19,7 +19,7 @@
   startGateway,
   type TestGateway,
   type TestResponse,
-} from './harness.js';
+} from '../harness.js';
 
 const RANKS = 3;
 const ok: RawResponder = (req) => req.socket.write(okResponse(req, 'fine'));
--- a/test/gateway/returning-callers.test.ts
+++ b/test/gateway/groups/returning-callers.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { seededRandom } from '../../src/core/clock/index.js';
-import { asId } from '../../src/core/ids/index.js';
-import type { RouteId } from '../../src/core/published/index.js';
-import { ReturningCallers } from '../../src/gateway/returning-callers.js';
+import { seededRandom } from '../../../src/core/clock/index.js';
+import { asId } from '../../../src/core/ids/index.js';
+import type { RouteId } from '../../../src/core/published/index.js';
+import { ReturningCallers } from '../../../src/gateway/groups/returning-callers.js';
 
 const ROUTE = asId<RouteId>('r-1');
 
--- a/test/gateway/service-groups.test.ts
+++ b/test/gateway/groups/service-groups.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { asId, type EndpointId, type GroupId } from '../../src/core/ids/index.js';
-import type { DataCentreId, PublishedEndpoint } from '../../src/core/published/index.js';
-import { ServiceGroups } from '../../src/gateway/service-groups.js';
-import { ENGINE_INFO } from '../fixtures/engine.js';
-import { endpoint } from './harness.js';
+import { asId, type EndpointId, type GroupId } from '../../../src/core/ids/index.js';
+import type { DataCentreId, PublishedEndpoint } from '../../../src/core/published/index.js';
+import { ServiceGroups } from '../../../src/gateway/groups/service-groups.js';
+import { ENGINE_INFO } from '../../fixtures/engine.js';
+import { endpoint } from '../harness.js';
 
 const NEAR = asId<GroupId>('near');
 const FAR = asId<GroupId>('far');
--- a/test/gateway/shared-slots.test.ts
+++ b/test/gateway/groups/shared-slots.test.ts
@@ -7,9 +7,9 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { seededRandom } from '../../src/core/clock/index.js';
-import { SlotQueue } from '../../src/gateway/slot-queue.js';
-import { ENGINE_INFO } from '../fixtures/engine.js';
+import { seededRandom } from '../../../src/core/clock/index.js';
+import { SlotQueue } from '../../../src/gateway/groups/slot-queue.js';
+import { ENGINE_INFO } from '../../fixtures/engine.js';
 
 const RANKS = 63;
 /** Gives each entry eight slots, as 40 entries have with a limit of 331. */
--- a/test/gateway/slot-queue.test.ts
+++ b/test/gateway/groups/slot-queue.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Clock } from '../../src/core/clock/index.js';
-import type { GroupLoad } from '../../src/gateway/group-status.js';
-import { SlotQueue } from '../../src/gateway/slot-queue.js';
-import { ENGINE_INFO } from '../fixtures/engine.js';
+import type { Clock } from '../../../src/core/clock/index.js';
+import type { GroupLoad } from '../../../src/gateway/groups/group-status.js';
+import { SlotQueue } from '../../../src/gateway/groups/slot-queue.js';
+import { ENGINE_INFO } from '../../fixtures/engine.js';
 
 /** Clock that advances by 10 ms per read, so that machine load has no effect. */
 class StepClock implements Clock {
--- a/test/gateway/buffered-response.test.ts
+++ b/test/gateway/requests/buffered-response.test.ts
@@ -9,9 +9,9 @@
   startRawEndpoint,
   type RawResponder,
   type RawEndpoint,
-} from '../../fakes/raw-endpoint/index.js';
-import type { PublishedConfig, Route } from '../../src/core/published/index.js';
-import { systemClock } from '../../src/core/clock/index.js';
+} from '../../../fakes/raw-endpoint/index.js';
+import type { PublishedConfig, Route } from '../../../src/core/published/index.js';
+import { systemClock } from '../../../src/core/clock/index.js';
 import {
   config,
   endpoint,
@@ -19,7 +19,7 @@
   TEST_SETTINGS,
   startGateway,
   type TestGateway,
-} from './harness.js';
+} from '../harness.js';
 
 interface TestSetup {
   readonly testGateway: TestGateway;
--- a/test/gateway/crashing-request.test.ts
+++ b/test/gateway/requests/crashing-request.test.ts
@@ -7,8 +7,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
-import type { CrashUpdate } from '../../src/generated/messages.types.js';
-import { startRawEndpoint } from '../../fakes/raw-endpoint/index.js';
+import type { CrashUpdate } from '../../../src/generated/messages.types.js';
+import { startRawEndpoint } from '../../../fakes/raw-endpoint/index.js';
 import {
   config,
   endpoint,
@@ -16,8 +16,8 @@
   startGateway,
   type TestGateway,
   type TestResponse,
-} from './harness.js';
-import { CrashingEndpoint } from './crashing-endpoint.js';
+} from '../harness.js';
+import { CrashingEndpoint } from '../crashing-endpoint.js';
 
 /** Number of endpoints of a test, and how often the crashing request is sent. */
 const ENDPOINTS = 6;
--- a/test/gateway/stream.test.ts
+++ b/test/gateway/requests/stream.test.ts
@@ -10,11 +10,11 @@
   type RawResponder,
   type RawEndpoint,
   type RawRequest,
-} from '../../fakes/raw-endpoint/index.js';
-import type { PublishedEndpoint } from '../../src/core/published/index.js';
-import { EventSplitter } from '../../src/gateway/event-splitter.js';
-import type { EngineStatus } from '../../src/gateway/group-status.js';
-import { config, endpoint, route, startGateway, type TestGateway } from './harness.js';
+} from '../../../fakes/raw-endpoint/index.js';
+import type { PublishedEndpoint } from '../../../src/core/published/index.js';
+import { EventSplitter } from '../../../src/gateway/requests/event-splitter.js';
+import type { EngineStatus } from '../../../src/gateway/groups/group-status.js';
+import { config, endpoint, route, startGateway, type TestGateway } from '../harness.js';
 
 const STREAM_ROUTE = route({
   kind: 'stream',
