Release a large group within 2 s of an agent that freezes during a map switch

Callers of a group of 72 ranks were served nothing for the 4 s in which one instance was frozen (group held 3.9 s, logs of the agents). The frozen agent's rank holds the group at the step of the switch. Its coordinator waited 0.6 s for the arm order and three times 0.43 s for the decision. After that, polls during the blocked round returned the last complete poll, and a new round was started from it, which was blocked in turn and kept the polls from showing the missing rank: recovery never began (arm:600,abort:1290, then promise:600 twice, until the instance woke up).

Now a decision that ranks leave unanswered ends the round at its first attempt, the coordinator completes the switch at their engines at once, and only a poll to which all ranks replied may start a round. The product's own agents, which reach engines in no other way, repeat a decision as before. Ruled out: the takeover of the coordinator (it was not the frozen one), the protocol (no mixed maps before or after).

--- a/src/core/groups/switch-round.ts
+++ b/src/core/groups/switch-round.ts
@@ -32,6 +32,11 @@
   readonly base?: ExpertMap | undefined;
   /** Map that this coordinator already holds, so that ranks need not send it. */
   readonly known: ExpertMap | undefined;
+  /**
+   * Whether a decision is given up at the first attempt that ranks leave unanswered, since the
+   * caller then reaches their engines by other means and the group stands still meanwhile.
+   */
+  readonly endsAtSilence?: boolean;
   /** Whether promises include the tokens counted since the previous promise. */
   readonly wantsCounts: boolean;
   /**
@@ -84,15 +89,22 @@
   return replies.every((r) => r?.done === true);
 }
 
-function blockedOutcome(replies: readonly (RankReply | undefined)[], phase: string): SwitchOutcome {
+function blockedOutcome(
+  replies: readonly (RankReply | undefined)[],
+  phase: string,
+  silent: readonly number[] = [],
+): SwitchOutcome {
   const failedRanks = replies.flatMap((r, rank) =>
     r?.done ? [] : [`${rank}${r?.detail ? ` (${r.detail})` : ''}`],
   );
   const highest = Math.max(0, ...replies.map((r) => r?.promised ?? 0));
-  return { kind: 'blocked', detail: `${phase} failed on ranks ${failedRanks.join(', ')}`, highest };
+  const detail = `${phase} failed on ranks ${failedRanks.join(', ')}`;
+  return { kind: 'blocked', detail, highest, silent };
 }
 
-/** Delivers a decision to every rank, with retries: armed ranks do not proceed without it. */
+/**
+ * Delivers a decision to every rank, with retries: armed ranks do not proceed without it.
+ */
 async function deliverDecision(
   ctx: SwitchContext,
   kind: 'confirm' | 'abort',
@@ -104,6 +116,8 @@
   for (let attempt = 0; attempt < MAX_DECISION_ATTEMPTS; attempt += 1) {
     replies = await sendOrder(ctx, { group: ctx.group, kind, epoch, target }, promises);
     if (areAllDone(replies)) return undefined;
+    const silent = replies.flatMap((reply, rank) => (reply ? [] : [rank]));
+    if (ctx.endsAtSilence && silent.length > 0) return blockedOutcome(replies, kind, silent);
   }
   return blockedOutcome(replies, kind);
 }
--- a/src/core/groups/types.ts
+++ b/src/core/groups/types.ts
@@ -36,7 +36,13 @@
   /** The new map was aborted before any rank confirmed it. */
   | { readonly kind: 'aborted'; readonly detail: string }
   /** A rank did not reply, refused, or has promised a higher epoch; a later round continues. */
-  | { readonly kind: 'blocked'; readonly detail: string; readonly highest: number };
+  | {
+      readonly kind: 'blocked';
+      readonly detail: string;
+      readonly highest: number;
+      /** Ranks that did not answer the decision of an open switch: they may hold the group. */
+      readonly silent: readonly number[];
+    };
 
 /** State of the group as reported in the promises of all ranks. */
 export interface GroupSnapshot {
--- a/src/group/coordinator-task.ts
+++ b/src/group/coordinator-task.ts
@@ -3,7 +3,14 @@
  * outweighs the copies.
  */
 import { errorText } from '../core/errors/index.js';
-import type { ExpertMap, GroupSnapshot, RankOrder, RankReply } from '../core/groups/index.js';
+import type {
+  ChooseMap,
+  ExpertMap,
+  GroupSnapshot,
+  RankOrder,
+  RankReply,
+  SwitchOutcome,
+} from '../core/groups/index.js';
 import type { Log } from '../core/logging/index.js';
 import type { Metrics } from '../core/metrics/index.js';
 import { hostOf, type EngineInfo } from '../core/published/index.js';
@@ -25,7 +32,7 @@
 import { LatestDigest } from './latest-digest.js';
 import { toExpertMap, MapPlanner } from './map-planner.js';
 import { RoundTimes } from './round-times.js';
-import { SwitchRounds } from './switch-rounds.js';
+import { SwitchRounds, type SwitchRoundOptions } from './switch-rounds.js';
 
 /** Dependencies of the coordinator. */
 export interface CoordinatorDeps extends GroupPollerDeps {
@@ -114,7 +121,8 @@
     this.rounds.recordEpochs(polled.replies);
     this.planner.addCounts(polled.fresh);
     // Polling continues during a switch: entries and the next plan need its results.
-    if (!this.isSwitching) this.advance(polled.replies, polled.addresses);
+    // Replies of an earlier poll must not start a round that a rank may leave unanswered.
+    if (!this.isSwitching && polled.isWhole) this.advance(polled.replies, polled.addresses);
   }
 
   /**
@@ -215,11 +223,30 @@
     const isOpen = ordered.some((reply) => reply.armed);
     this.trackSwitch(
       isOpen
-        ? this.rounds.run(addressByRank, () => undefined)
+        ? this.runSwitch(ordered, addressByRank, () => undefined)
         : this.rebalance(ordered, addressByRank),
     );
   }
 
+  /**
+   * Runs a round. If ranks leave its decision unanswered, their agents may be frozen while their
+   * engines hold the group: the switch is then completed at the engines directly, without waiting
+   * for polls to show it.
+   */
+  private async runSwitch(
+    ordered: GroupReplies,
+    addressByRank: readonly string[],
+    choose: ChooseMap,
+    options?: SwitchRoundOptions,
+  ): Promise<SwitchOutcome> {
+    const end = await this.rounds.run(addressByRank, choose, { ...options, endsAtSilence: true });
+    if (end.kind !== 'blocked' || end.silent.length === 0) return end;
+    const silent = new Set(end.silent);
+    const replies = ordered.map((reply, rank) => (silent.has(rank) ? undefined : reply));
+    await this.recover(addressByRank, replies);
+    return end;
+  }
+
   private async rebalance(replies: GroupReplies, addressByRank: readonly string[]): Promise<void> {
     const current = this.maps.inUse(replies);
     const plan = current && this.planner.plan(current, replies, this.deps.engine());
@@ -236,7 +263,7 @@
       return map;
     };
     const times = new RoundTimes(this.deps.clock);
-    const end = await this.rounds.run(addressByRank, choose, { base, times });
+    const end = await this.runSwitch(replies, addressByRank, choose, { base, times });
     this.deps.log.info('group.switch', {
       end: end.kind,
       detail: 'detail' in end ? end.detail : undefined,
--- a/src/group/switch-rounds.ts
+++ b/src/group/switch-rounds.ts
@@ -39,6 +39,8 @@
   readonly base?: ExpertMap;
   /** Collects the durations of the round's phases. */
   readonly times?: RoundTimes;
+  /** Whether a decision is given up at the first attempt that ranks leave unanswered. */
+  readonly endsAtSilence?: boolean;
 }
 
 const NO_AGENTS: ReadonlySet<string> = new Set();
@@ -79,6 +81,7 @@
       silent: unresponsive = NO_AGENTS,
       base,
       times = new RoundTimes(this.deps.clock),
+      endsAtSilence = false,
     }: SwitchRoundOptions = {},
   ): Promise<SwitchOutcome> {
     const ownRank = addressByRank.indexOf(this.deps.self);
@@ -93,6 +96,7 @@
       callRanks,
       base,
       known: undefined,
+      endsAtSilence,
       wantsCounts: false,
       marginSteps: () => this.margin.steps(this.stepMs()),
     };
--- a/test/group/large-group.test.ts
+++ b/test/group/large-group.test.ts
@@ -131,3 +131,44 @@
     );
   }
 });
+
+/**
+ * Guards against a large group that stands still for almost as long as one of its instances is
+ * frozen. The rank of a frozen agent holds the group at the step of the switch. Its coordinator
+ * waited for the arm order, for three attempts at the decision and for two polls, each with the
+ * longer timeouts of a large group, before it gave the decision to the engine itself.
+ */
+test('a large group held by a frozen agent is released within 2 s', async () => {
+  // An arm order takes effect at an engine some milliseconds after it was sent.
+  const freezes = [
+    { kind: 'arm', afterMs: 5 },
+    { kind: 'confirm', afterMs: 1 },
+  ] as const;
+  for (const { kind, afterMs } of freezes) {
+    for (let seed = 1; seed <= 4; seed += 1) {
+      const simulation = startCoordinators({
+        seed,
+        ranks: 72,
+        coordinators: 2,
+        stepMs: 60,
+        copyMs: 100,
+        lateShare: 0,
+        shiftSteps: 60,
+        usesElection: true,
+      });
+      await simulation.time.runUntil(4000);
+      const seen = simulation.orders.length;
+      const hasBegun = (): boolean =>
+        simulation.orders.slice(seen).some((order) => order.kind === kind);
+      while (!hasBegun()) await simulation.time.runUntil(simulation.time.nowMs() + 1);
+      await simulation.time.runUntil(simulation.time.nowMs() + afterMs * seed);
+      simulation.frozen.add(10 + seed);
+      await simulation.time.runUntil(simulation.time.nowMs() + 4000);
+      simulation.frozen.clear();
+      await simulation.time.runUntil(simulation.time.nowMs() + 4000);
+      const { longestHoldMs, mixedSteps } = simulation.group;
+      assert.ok(longestHoldMs < 2000, `${kind}, seed ${seed}: held for ${longestHoldMs} ms`);
+      assert.deepEqual(mixedSteps, [], `${kind}, seed ${seed}`);
+    }
+  }
+});
