Send nothing new to the endpoints of an evacuated data centre

The record is read with the configuration and watched by the relays. Its set is part of the published state, excludes the endpoints there as leaving ones are excluded, and goes whole with each update of a relay. Attempts that wait for a connection or a token there go elsewhere; a service with no other endpoint is refused as `evacuated`. The limit of streams of a group counts the ranks that accept.

Weighed: a range of its own for the records (one more call of each full read, which the store may turn away) against one range that contains the configuration as well (no more calls, one revision); the latter. A field of the request that asks for the set was ruled out: a relay of the previous release refuses requests with unknown fields. Deltas were ruled out: the set has a few names.

--- a/src/core/errors/kinds.ts
+++ b/src/core/errors/kinds.ts
@@ -90,6 +90,7 @@
     'Do not send the same request again; change it, or report it to the operators.',
     300,
   ),
+  evacuated: kind(503, 'Endpoints are evacuated', (f) => f, RETRY_LATER, 2),
   'no-endpoint': kind(503, 'No endpoint can accept the request', (f) => f, RETRY_LATER, 2),
   'not-run': kind(503, 'No endpoint ran the request', (f) => f, RETRY_LATER, 1),
   'id-missing': kind(400, 'No request id', (f) => f, 'Send a unique id with each request.'),
--- a/src/core/published/first-read.ts
+++ b/src/core/published/first-read.ts
@@ -5,7 +5,7 @@
 import type { Result } from '../result/index.js';
 import type { RelayClient } from './relay-client.js';
 import type { PublishedRead, ReadFault } from './source.js';
-import type { PublishedEndpoint } from './types.js';
+import type { DataCentreId, PublishedEndpoint } from './types.js';
 
 /** A relay and what was read from it. */
 interface RelayResult {
@@ -14,8 +14,8 @@
 }
 
 /**
- * Reads the store and the other relays concurrently. A newer configuration version and leaving
- * endpoints are taken from the relays.
+ * Reads the store and the other relays concurrently. A newer configuration version, leaving
+ * endpoints and evacuations are taken from the relays.
  * @example await readStoreAndRelays(() => store.readAll(), otherRelays)
  */
 export async function readStoreAndRelays(
@@ -27,7 +27,12 @@
   const results = (await pendingResults).filter((each) => each !== undefined);
   if (read.err) return read;
   const endpoints = markLeaving(read.val.endpoints, results);
-  return read.map((val) => ({ ...val, endpoints, ...pendingIfNewer(val, results) }));
+  return read.map((val) => ({
+    ...val,
+    endpoints,
+    evacuatedAtPeers: evacuatedAtPeers(val, results),
+    ...pendingIfNewer(val, results),
+  }));
 }
 
 async function readRelay(relay: RelayClient): Promise<RelayResult | undefined> {
@@ -50,6 +55,15 @@
   return isNewer ? { config: { kind: 'pending' } } : {};
 }
 
+function evacuatedAtPeers(
+  { evacuated = [] }: PublishedRead,
+  results: readonly RelayResult[],
+): DataCentreId[] {
+  const atPeers = new Set(results.flatMap(({ read }) => read.evacuated ?? []));
+  for (const dataCentre of evacuated) atPeers.delete(dataCentre);
+  return [...atPeers];
+}
+
 function markLeaving(
   listed: readonly PublishedEndpoint[],
   results: readonly RelayResult[],
--- a/src/core/published/follow.ts
+++ b/src/core/published/follow.ts
@@ -8,7 +8,13 @@
 import type { FollowPace } from './pace.js';
 import type { PublishedState } from './published-state.js';
 import { SourceHealth } from './source-health.js';
-import type { ConfigUpdate, PublishedSource, ReadFault, ReadTime } from './source.js';
+import type {
+  ConfigUpdate,
+  PublishedRead,
+  PublishedSource,
+  ReadFault,
+  ReadTime,
+} from './source.js';
 import { StateUpdater } from './state-updater.js';
 
 /** Factor by which the pause grows with each consecutive failure. */
@@ -26,7 +32,8 @@
 export const OUTAGE_GRACE_MS = 1900;
 /**
  * Time after which a removed endpoint no longer appears in a list restored from an older copy, ms:
- * its record expires after three heartbeats of 1.2 s, and the update needs time to arrive.
+ * its record expires after three heartbeats of 1.2 s, and the update needs time to arrive. Lost
+ * records of evacuations are rewritten within `REWRITE_WINDOW_MS` and have arrived by then as well.
  */
 const RESTORED_RECORD_LAPSE_MS = 4500;
 
@@ -99,6 +106,7 @@
     const keepsMissing = this.handleSuccess(read.val);
     this.applyConfig(read.val.config, askedAtMs, read.val);
     this.stateUpdater.logListChange(state.offerList(read.val.endpoints, keepsMissing));
+    this.applyEvacuations(read.val);
     this.stateUpdater.logInvalid(read.val.invalid);
     this.revision = read.val.revision;
     this.noteRefresh();
@@ -120,12 +128,13 @@
       this.revision = undefined;
       return;
     }
-    const { config, endpoints, invalid, revision } = watched.val;
+    const { config, endpoints, evacuations, invalid, revision } = watched.val;
     const keepsMissing = this.handleSuccess(watched.val);
     const isUnchanged = config.kind === 'same' && endpoints.length === 0;
     const heldForMs = isUnchanged ? watchHeldMs(waitMs, clock.nowMs() - askedAtMs) : 0;
     this.applyConfig(config, askedAtMs, { confirmedAfterMs: heldForMs, ...watched.val });
     this.stateUpdater.logListChange(state.applyChanges(endpoints, keepsMissing));
+    this.stateUpdater.logEvacuations(state.offerEvacuations(evacuations));
     this.stateUpdater.logInvalid(invalid);
     this.revision = revision;
     this.noteRefresh();
@@ -133,6 +142,15 @@
     if (!isUnchanged && !this.isConfigPending) await sleep(pace.changePauseMs, this.signal);
   }
 
+  private applyEvacuations({ evacuated, evacuatedAtPeers = [] }: PublishedRead): void {
+    const { state } = this.deps;
+    const update = evacuated && { kind: 'whole' as const, dataCentres: evacuated };
+    this.stateUpdater.logEvacuations(state.offerEvacuations(update));
+    if (evacuatedAtPeers.length === 0) return;
+    this.stateUpdater.logEvacuations(state.keepEvacuations(evacuatedAtPeers));
+    void this.markListCurrentLater(state.era);
+  }
+
   private isOtherEra({ era = 0 }: ReadTime): boolean {
     return era !== this.deps.state.era;
   }
@@ -215,7 +233,7 @@
     const { state, onRefresh } = this.deps;
     await sleep(RESTORED_RECORD_LAPSE_MS, this.signal);
     if (this.signal.aborted || state.era !== era) return;
-    state.markListCurrent();
+    this.stateUpdater.logEvacuations(state.markListCurrent());
     onRefresh?.();
   }
 
--- a/src/core/published/published-state.ts
+++ b/src/core/published/published-state.ts
@@ -5,8 +5,15 @@
  */
 import type { EndpointId } from '../ids/index.js';
 import { DepartedEndpoints } from './departed-endpoints.js';
-import type { EndpointChange } from './source.js';
-import type { EndpointProcess, PublishedConfig, PublishedEndpoint, ServiceId } from './types.js';
+import { Evacuations, type EvacuationChange } from './evacuations.js';
+import type { EndpointChange, EvacuationUpdate } from './source.js';
+import type {
+  DataCentreId,
+  EndpointProcess,
+  PublishedConfig,
+  PublishedEndpoint,
+  ServiceId,
+} from './types.js';
 
 /** Changes of the endpoint list. */
 export interface ListChange {
@@ -15,6 +22,8 @@
   readonly gone: readonly EndpointId[];
 }
 
+const NO_EVACUATION_CHANGE: EvacuationChange = { began: [], ended: [] };
+
 const NO_CHANGE: ListChange = { joined: [], leaving: [], gone: [] };
 
 /**
@@ -35,6 +44,7 @@
   private confirmableFromMs = Number.NEGATIVE_INFINITY;
   private endpoints = new Map<EndpointId, PublishedEndpoint>();
   private readonly departed = new DepartedEndpoints();
+  private readonly evacuations = new Evacuations();
   /** Endpoints that are no longer listed but still kept. */
   private readonly missing = new Set<EndpointId>();
 
@@ -83,14 +93,47 @@
     if (!isOtherEra) return false;
     this.confirmableFromMs = nowMs + REWRITE_WINDOW_MS;
     this.departed.markListOutdated();
+    this.evacuations.markListOutdated();
     return true;
   }
 
   /**
-   * Trusts the list again; call this when records of removed endpoints must have expired from it.
+   * Trusts the list again; call this when records of removed endpoints must have expired from it
+   * and lost records of evacuations must have been rewritten.
    */
-  markListCurrent(): void {
+  markListCurrent(): EvacuationChange {
     this.departed.markListCurrent();
+    return this.evacuations.markListCurrent();
+  }
+
+  /** Data centres whose endpoints receive no new requests. */
+  get evacuated(): ReadonlySet<DataCentreId> {
+    return this.evacuations.all;
+  }
+
+  /**
+   * Applies what a read says about evacuated data centres; without word of them the last set holds.
+   * @example state.offerEvacuations({ kind: 'whole', dataCentres: [dataCentre] }).began
+   */
+  offerEvacuations(update: EvacuationUpdate | undefined): EvacuationChange {
+    return update ? this.evacuations.apply(update) : NO_EVACUATION_CHANGE;
+  }
+
+  /** Keeps evacuations that only a peer knows of, until `markListCurrent`. */
+  keepEvacuations(dataCentres: readonly DataCentreId[]): EvacuationChange {
+    return this.evacuations.keep(dataCentres);
+  }
+
+  /** Returns whether a service has endpoints that only the evacuation of their data centres excludes. */
+  isEvacuated(service: ServiceId): boolean {
+    if (this.evacuated.size === 0) return false;
+    let hasEvacuated = false;
+    for (const endpoint of this.endpoints.values()) {
+      if (endpoint.service !== service || this.isDeparted(endpoint)) continue;
+      if (!this.evacuated.has(endpoint.dataCentre)) return false;
+      hasEvacuated = true;
+    }
+    return hasEvacuated;
   }
 
   /**
@@ -119,13 +162,17 @@
   /** Returns whether an endpoint receives new requests. */
   isAvailable(id: EndpointId): boolean {
     const endpoint = this.endpoints.get(id);
-    return endpoint !== undefined && !this.isDeparted(endpoint);
+    return endpoint !== undefined && this.acceptsRequests(endpoint);
   }
 
   /** Iterates over the endpoints of a service that receive new requests. */
   *availableEndpoints(service: ServiceId): Iterable<PublishedEndpoint> {
     for (const endpoint of this.endpoints.values())
-      if (endpoint.service === service && !this.isDeparted(endpoint)) yield endpoint;
+      if (endpoint.service === service && this.acceptsRequests(endpoint)) yield endpoint;
+  }
+
+  private acceptsRequests(endpoint: PublishedEndpoint): boolean {
+    return !this.evacuated.has(endpoint.dataCentre) && !this.isDeparted(endpoint);
   }
 
   /**
--- a/src/core/published/relay-client.ts
+++ b/src/core/published/relay-client.ts
@@ -10,6 +10,7 @@
 import type { PublishedRequest, PublishedUpdate } from '../../generated/messages.types.js';
 import type { PublishedState } from './published-state.js';
 import { endpointFrom, RELAY_STALE_MS } from './relay.js';
+import type { DataCentreId } from './types.js';
 import type {
   ConfigUpdate,
   ConfigRead,
@@ -113,7 +114,13 @@
     const result = await this.fetchUpdate(START_CURSOR, 0);
     if (result.err) return result;
     const { update, ...read } = result.val;
-    return Ok({ ...read, endpoints: update.written.map(endpointFrom), revision: 0 });
+    const evacuated = evacuatedOf(update);
+    return Ok({
+      ...read,
+      endpoints: update.written.map(endpointFrom),
+      ...(evacuated && { evacuated }),
+      revision: 0,
+    });
   }
 
   /**
@@ -124,7 +131,14 @@
     const result = await this.fetchUpdate(this.cursor, waitMs);
     if (result.err) return result;
     const { update, ...read } = result.val;
-    return Ok({ ...read, kind: 'changes', endpoints: changesOf(update), revision: 0 });
+    const evacuated = evacuatedOf(update);
+    return Ok({
+      ...read,
+      kind: 'changes',
+      endpoints: changesOf(update),
+      ...(evacuated && { evacuations: { kind: 'whole', dataCentres: evacuated } }),
+      revision: 0,
+    });
   }
 
   /** Reads the relay's configuration with its document. */
@@ -254,6 +268,11 @@
   return { era, confirmedAfterMs: waitedMs - provedAgoMs, contactAfterMs: waitedMs - heardAgoMs };
 }
 
+/** Returns undefined for a relay of a release that does not follow evacuations. */
+function evacuatedOf({ evacuated }: PublishedUpdate): DataCentreId[] | undefined {
+  return evacuated?.map((dataCentre) => asId<DataCentreId>(dataCentre));
+}
+
 function changesOf(update: PublishedUpdate): EndpointChange[] {
   return [
     ...update.written.map((relayed) => ({
--- a/src/core/published/relay.ts
+++ b/src/core/published/relay.ts
@@ -16,7 +16,7 @@
   RelayedEndpoint,
 } from '../../generated/messages.types.js';
 import type { PublishedState } from './published-state.js';
-import type { PublishedEndpoint } from './types.js';
+import type { DataCentreId, PublishedEndpoint } from './types.js';
 
 /**
  * Number of changes kept. Clients that missed more receive the whole list. A release replaces 129
@@ -27,12 +27,15 @@
 /** The fields of an update that concern crashes. */
 type CrashFields = Pick<PublishedUpdate, 'crashVersion' | 'crashes'>;
 
-/** One change of the list. */
-interface Change {
-  readonly id: EndpointId;
-  /** The current endpoint; undefined if it was removed. */
-  readonly endpoint: PublishedEndpoint | undefined;
-}
+/** One change of the list, or of the evacuated data centres, which each update contains whole. */
+type Change =
+  | {
+      readonly kind: 'endpoint';
+      readonly id: EndpointId;
+      /** The current endpoint; undefined if it was removed. */
+      readonly endpoint: PublishedEndpoint | undefined;
+    }
+  | { readonly kind: 'evacuations' };
 
 /** Dependencies of `PublishedRelay`. */
 export interface RelayDeps {
@@ -68,6 +71,7 @@
   /** Number of changes recorded so far. */
   private sequence = 0;
   private sentList: ReadonlyMap<EndpointId, PublishedEndpoint> = new Map();
+  private sentEvacuated: readonly DataCentreId[] = [];
   private readonly wakeCallbacks = new Set<() => void>();
 
   constructor(private readonly deps: RelayDeps) {}
@@ -77,10 +81,13 @@
     const list = this.deps.state.listForPeers();
     for (const endpoint of list.values())
       if (!isSameEndpoint(endpoint, this.sentList.get(endpoint.id)))
-        this.recordChange({ id: endpoint.id, endpoint });
+        this.recordChange({ kind: 'endpoint', id: endpoint.id, endpoint });
     for (const id of this.sentList.keys())
-      if (!list.has(id)) this.recordChange({ id, endpoint: undefined });
+      if (!list.has(id)) this.recordChange({ kind: 'endpoint', id, endpoint: undefined });
     this.sentList = list;
+    const evacuated = [...this.deps.state.evacuated].sort();
+    if (evacuated.join() !== this.sentEvacuated.join()) this.recordChange({ kind: 'evacuations' });
+    this.sentEvacuated = evacuated;
     this.wake();
   }
 
@@ -193,6 +200,7 @@
       isWhole: !canSendChanges,
       written: [...changes.values()].filter((endpoint) => endpoint !== undefined),
       removed: [...changes].flatMap(([id, endpoint]) => (endpoint ? [] : [id])),
+      evacuated: [...this.sentEvacuated],
       ...(version !== undefined && { configVersion: version }),
       ...(request.wantsDocument && state.config?.document && { document: state.config.document }),
       era: state.era,
@@ -210,7 +218,11 @@
   private changesSince(sequence: number): Map<EndpointId, PublishedEndpoint | undefined> {
     const missedCount = this.sequence - sequence;
     const since = missedCount > 0 ? this.changes.slice(-missedCount) : [];
-    return new Map(since.map(({ id, endpoint }) => [id, endpoint]));
+    return new Map(
+      since.flatMap((change) =>
+        change.kind === 'endpoint' ? [[change.id, change.endpoint] as const] : [],
+      ),
+    );
   }
 }
 
--- a/src/core/published/source.ts
+++ b/src/core/published/source.ts
@@ -4,7 +4,7 @@
  */
 import type { EndpointId } from '../ids/index.js';
 import type { Result } from '../result/index.js';
-import type { PublishedConfig, PublishedEndpoint } from './types.js';
+import type { DataCentreId, PublishedConfig, PublishedEndpoint } from './types.js';
 
 /** Why a read failed. */
 export interface ReadFault {
@@ -19,6 +19,17 @@
   | { readonly kind: 'written'; readonly endpoint: PublishedEndpoint }
   | { readonly kind: 'removed'; readonly id: EndpointId };
 
+/** What a read says about the evacuated data centres: all of them, or changes in their order. */
+export type EvacuationUpdate =
+  | { readonly kind: 'whole'; readonly dataCentres: readonly DataCentreId[] }
+  | {
+      readonly kind: 'changes';
+      readonly changes: readonly {
+        readonly kind: 'begun' | 'ended';
+        readonly dataCentre: DataCentreId;
+      }[];
+    };
+
 /** What a read says about the configuration. */
 export type ConfigUpdate =
   | { readonly kind: 'read'; readonly config: PublishedConfig }
@@ -52,6 +63,10 @@
 export interface PublishedRead extends ReadTime {
   readonly config: ConfigUpdate;
   readonly endpoints: readonly PublishedEndpoint[];
+  /** The evacuated data centres; undefined if the source does not know them. */
+  readonly evacuated?: readonly DataCentreId[];
+  /** Data centres that a peer knows as evacuated, which the store does not. */
+  readonly evacuatedAtPeers?: readonly DataCentreId[];
   readonly revision: number;
   /** Records that were skipped, each with field, value and remedy. */
   readonly invalid: readonly string[];
@@ -70,6 +85,8 @@
       readonly config: ConfigUpdate;
       /** In the order in which they were made. */
       readonly endpoints: readonly EndpointChange[];
+      /** Undefined if nothing changed, or if the source does not know. */
+      readonly evacuations?: EvacuationUpdate;
       readonly revision: number;
       readonly invalid: readonly string[];
     })
--- a/src/core/published/state-updater.ts
+++ b/src/core/published/state-updater.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../clock/index.js';
 import type { Log, LogFields } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
+import type { EvacuationChange } from './evacuations.js';
 import type { ListChange, PublishedState } from './published-state.js';
 import type { SourceHealth } from './source-health.js';
 import type { ConfigUpdate, PublishedSource } from './source.js';
@@ -77,6 +78,14 @@
       log.info('endpoint.gone', { endpoint, ...this.originFields() });
   }
 
+  /** Logs data centres whose evacuation began or ended. */
+  logEvacuations({ began, ended }: EvacuationChange): void {
+    for (const dataCentre of began)
+      this.deps.log.info('evacuation.began', { dataCentre, ...this.originFields() });
+    for (const dataCentre of ended)
+      this.deps.log.info('evacuation.ended', { dataCentre, ...this.originFields() });
+  }
+
   /** Logs skipped records. */
   logInvalid(records: readonly string[]): void {
     for (const detail of records) this.deps.log.warn('published.invalid', { detail });
--- a/src/gateway/endpoints/choose-endpoint.ts
+++ b/src/gateway/endpoints/choose-endpoint.ts
@@ -39,8 +39,9 @@
     if (!target) return undefined;
     const hasToken = await target.gate.acquire();
     if (request.gone.aborted) return undefined;
-    // A backoff or the probe by another request may have begun meanwhile.
-    if (hasToken && target.gate.mayProbe(ctx.ageClock.nowMs())) return target;
+    // A backoff, the probe by another request or an evacuation may have begun meanwhile.
+    const isAvailable = ctx.state.isAvailable(target.endpoint.id);
+    if (hasToken && isAvailable && target.gate.mayProbe(ctx.ageClock.nowMs())) return target;
     denied.add(target.endpoint.id);
     if (!hasToken) recordTokenDenied(active, target);
   } while (ctx.ageClock.nowMs() < untilMs);
--- a/src/gateway/endpoints/endpoints.ts
+++ b/src/gateway/endpoints/endpoints.ts
@@ -61,6 +61,10 @@
   return isSlowEngine(status) ? SLOW_PENALTY * status.pace : 1;
 }
 
+function cancelUnsent(state: EndpointState, reason: string): void {
+  for (const cancel of [...state.cancelUnsent]) cancel(reason);
+}
+
 /** State of one endpoint process at this entry. */
 export interface EndpointState {
   readonly endpoint: PublishedEndpoint;
@@ -68,8 +72,8 @@
   readonly health: EndpointHealth;
   /** Admits requests according to the endpoint's backpressure signals. */
   readonly gate: EndpointGate;
-  /** Cancels each attempt that waits for a connection and is not sent yet. */
-  readonly cancelUnsent: Set<() => void>;
+  /** Cancels each attempt that waits for a connection and is not sent yet, with the reason. */
+  readonly cancelUnsent: Set<(reason: string) => void>;
   /** Requests in flight. */
   running: number;
   /** Exponential moving average of failed attempts, 0 to 1. */
@@ -257,7 +261,16 @@
   /** Starts the backoff that an endpoint requested; also cancels attempts that still wait for a connection. */
   noteBackoff(state: EndpointState, restMs: number): void {
     state.gate.backoff.note(restMs, this.deps.clock.nowMs(), this.deps.random);
-    for (const cancel of [...state.cancelUnsent]) cancel();
+    cancelUnsent(state, 'the endpoint requested a backoff before the request was sent');
+  }
+
+  /** Cancels attempts that still wait for a connection to an endpoint of an evacuated data centre. */
+  cancelEvacuated(): void {
+    const { evacuated } = this.deps.state;
+    if (evacuated.size === 0) return;
+    for (const state of [...this.byId.values(), ...this.previousProcesses])
+      if (evacuated.has(state.endpoint.dataCentre))
+        cancelUnsent(state, 'the data centre was evacuated before the request was sent');
   }
 
   /** Records the first byte of a successful response to an attempt that was sent at `sentAtMs`. */
--- a/src/gateway/groups/group-status.ts
+++ b/src/gateway/groups/group-status.ts
@@ -37,6 +37,7 @@
 
 /** Load of a whole group. */
 export interface GroupLoad {
+  /** Ranks that accept requests; the others take part in each step, but bear none of the load. */
   readonly ranks: number;
   /** Streams in flight or queued at all its engines. */
   readonly running: number;
@@ -211,14 +212,16 @@
     const countedAtMs = this.parts.clock.nowMs() - digest.ageMs;
     if (countedAtMs < (this.results.get(group)?.size.countedAtMs ?? 0)) return;
     const engines = new Map<EndpointId, EngineStatus>();
+    let accepting = 0;
     for (const engine of listed) {
       const rank = digest.hosts.indexOf(hostOf(engine.address));
       if (rank < 0) continue;
       engines.set(engine.id, { pace: digest.pace[rank] ?? 1, load: digest.load[rank] ?? 0 });
       this.groupByEngine.set(engine.id, group);
+      if (this.parts.state.isAvailable(engine.id)) accepting += 1;
     }
     const size: GroupLoad = {
-      ranks: digest.hosts.length,
+      ranks: accepting,
       running: digest.running,
       entries: digest.entries,
       countedAtMs,
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -146,7 +146,11 @@
     crashes,
     asks: rateLimits.gossip,
   });
-  const onReceived = (): void => relay.recordChanges();
+  const onReceived = (): void => {
+    relay.recordChanges();
+    ctx.endpoints.cancelEvacuated();
+  };
+  metrics.gauge('evacuated_data_centres', () => state.evacuated.size);
   const pace = relayRole.isRelay ? RELAY_PACE : entryPace(settings.contactMs);
   void followPublished({ ...agingDeps, source, pace, onRefresh: onReceived }, shutdown.signal);
   void groups.run(shutdown.signal);
--- a/src/gateway/requests/active-request.ts
+++ b/src/gateway/requests/active-request.ts
@@ -117,6 +117,12 @@
   return refuseWith('resting', detail, untilS + ctx.random() * BACKOFF_RETRY_JITTER_S);
 }
 
+function refuseEvacuated({ ctx, service }: ActiveRequest): RequestOutcome {
+  const names = [...ctx.state.evacuated].sort().join(', ');
+  const detail = `all endpoints of service "${service.id}" are in evacuated data centres (${names})`;
+  return refuseWith('evacuated', detail, randomRetryAfterS(ctx, OUTAGE_RETRY_S));
+}
+
 function rateLimitDetail({ ctx, service }: ActiveRequest, untilS: number): string {
   const count = [...ctx.state.availableEndpoints(service.id)].length;
   const reached = `rate limit reached on all ${count} endpoints of service "${service.id}"`;
@@ -135,6 +141,7 @@
   // A retry that is not expected would be mistaken for a new caller with a short deadline.
   active.service.groups?.returningCallers.recordRefusal(active.ctx.ageClock.nowMs());
   const opening = active.ctx.endpoints.firstOpening(active.service.id);
+  if (!opening && active.ctx.state.isEvacuated(active.service.id)) return refuseEvacuated(active);
   if (opening?.why) return refuseForBackpressure(active, opening);
   if (opening && active.isRateLimited)
     return refuseForBackpressure(active, { ...opening, why: 'limit' });
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -90,15 +90,15 @@
     hasTimedOut = true;
     closeStalled(options.responseTimeoutMs);
   }, options.responseTimeoutMs);
-  let isBackingOff = false;
-  const cancelForBackoff = (): void => {
-    isBackingOff = true;
+  let cancelReason: string | undefined;
+  const cancelUnsent = (reason: string): void => {
+    cancelReason = reason;
     close();
   };
-  target.cancelUnsent.add(cancelForBackoff);
+  target.cancelUnsent.add(cancelUnsent);
   try {
     const res = await withStartCallback(pool, () =>
-      target.cancelUnsent.delete(cancelForBackoff),
+      target.cancelUnsent.delete(cancelUnsent),
     ).request({
       method: request.req.method as Dispatcher.HttpMethod,
       path: upstreamPathOf(callerApi, request),
@@ -126,14 +126,10 @@
         'silent',
         `no response within ${Math.round(options.responseTimeoutMs)} ms`,
       );
-    if (isBackingOff)
-      return attemptFault(
-        'resting',
-        'the endpoint requested a backoff before the request was sent',
-      );
+    if (cancelReason !== undefined) return attemptFault('resting', cancelReason);
     return attemptFault(wasNotSent(err) ? 'not-run' : 'broke', errorText(err));
   } finally {
-    target.cancelUnsent.delete(cancelForBackoff);
+    target.cancelUnsent.delete(cancelUnsent);
     clearTimeout(timer);
   }
 }
--- a/test/core/published/relay-fleet.ts
+++ b/test/core/published/relay-fleet.ts
@@ -16,6 +16,7 @@
   PublishedState,
   RELAY_PACE,
   RelayedSource,
+  type DataCentreId,
   type PublishedEndpoint,
   type PublishedStore,
   type ReadFault,
@@ -42,6 +43,7 @@
 export class FakeStore implements PublishedStore {
   readonly name = 'store';
   endpoints: PublishedEndpoint[] = [A];
+  evacuated: DataCentreId[] = [];
   version = 1;
   /** Rises each time the store is restored from a copy. */
   era = 0;
@@ -81,8 +83,9 @@
   readonly readAll: PublishedStore['readAll'] = () => {
     this.calls.all += 1;
     if (this.isRejecting) return Promise.resolve(Err(this.rejection));
-    const { endpoints, revision, era } = this;
-    return Promise.resolve(Ok({ config: this.config(), endpoints, revision, invalid: [], era }));
+    const { endpoints, evacuated, revision, era } = this;
+    const config = this.config();
+    return Promise.resolve(Ok({ config, endpoints, evacuated, revision, invalid: [], era }));
   };
   readonly readConfig: PublishedStore['readConfig'] = () => {
     this.calls.config += 1;
@@ -109,6 +112,7 @@
       kind: 'changes',
       config: isNew ? this.config() : { kind: 'same' },
       endpoints: isNew ? this.endpoints.map((e) => ({ kind: 'written', endpoint: e })) : [],
+      ...(isNew && { evacuations: { kind: 'whole', dataCentres: [...this.evacuated] } }),
       revision: this.revision,
       invalid: [],
       era: this.era,
@@ -205,6 +209,8 @@
     daemon.state.offerConfig(pending.config.config, confirmedAtMs);
   else daemon.state.confirmConfig(confirmedAtMs);
   daemon.state.offerList(read.endpoints, false);
+  if (read.evacuated) daemon.state.offerEvacuations({ kind: 'whole', dataCentres: read.evacuated });
+  daemon.state.keepEvacuations(read.evacuatedAtPeers ?? []);
   daemon.relay.recordChanges();
 }
 
--- a/test/gateway/groups/group-status.test.ts
+++ b/test/gateway/groups/group-status.test.ts
@@ -71,10 +71,12 @@
   dataCentre = 'a',
   random: () => number = () => 0.5,
   isEnough: (status: GroupStatus) => Promise<void> = () => wait(400),
+  prepare: (state: PublishedState) => void = () => undefined,
 ): Promise<{ status: GroupStatus; polled: Set<string> }> {
   const state = new PublishedState();
   state.offerConfig(config([], { services: new Map([service(SMALL), service(LARGE)]) }), 0);
   state.offerList(ENGINES, false);
+  prepare(state);
   const polled = new Set<string>();
   const status = new GroupStatus({
     state,
@@ -125,6 +127,27 @@
   );
 });
 
+/**
+ * Ranks of an evacuated data centre take part in each step but accept no requests. With the limit
+ * of streams based on all ranks, the others were given half as many streams again as they bear.
+ */
+test('only the ranks that accept requests count for the load of a group', async () => {
+  const hosts = ['127.0.0.2', '127.0.0.3'];
+  const evacuate = (state: PublishedState): void =>
+    void state.offerEvacuations({ kind: 'whole', dataCentres: [asId('b')] });
+  const { status } = await pollGroups(
+    () => Promise.resolve(digest(hosts, [5, 6])),
+    'a',
+    () => 0.5,
+    () => wait(400),
+    evacuate,
+  );
+  const rank = ENGINES[2] as PublishedEndpoint;
+  const load = status.loadOf(status.groupOf(rank) as GroupId);
+  assert.deepEqual([load?.ranks, load?.running], [1, 11]);
+  assert.equal(status.statusOf(rank)?.load, 6);
+});
+
 test('a group whose poll fails or whose digest is incomplete has no status', async () => {
   const { status } = await pollGroups((address) =>
     address.startsWith('127.0.0.1')
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -181,6 +181,73 @@
   });
 });
 
+test('evacuated data centres are read with the configuration, without another call', async () => {
+  await withStore(async (store, source) => {
+    store.put('op/evacuate/a', {});
+    store.put('op/evacuate/b', {});
+    const read = await readAll(source);
+    assert.deepEqual(read.evacuated, ['a', 'b']);
+    assert.equal(read.config.kind, 'read');
+    assert.deepEqual([...store.calls.values()], [2]);
+  });
+});
+
+test('a watch reports the evacuations that begin and end, in order, but not with the scope endpoints', async () => {
+  const change = async (store: FakeStore, source: PublishedSource) => {
+    const { revision, evacuated } = await readAll(source);
+    store.put('op/evacuate/a', {});
+    store.put('op/evacuate/b', {});
+    store.remove('op/evacuate/a');
+    store.put('servers/i-1', ENDPOINT);
+    return { evacuated, watched: await watch(source, revision, 5000) };
+  };
+  await withStore(async (store, source) => {
+    const { evacuated, watched } = await change(store, source);
+    assert.deepEqual(evacuated, []);
+    assert.deepEqual(watched.evacuations, {
+      kind: 'changes',
+      changes: [
+        { kind: 'begun', dataCentre: 'a' },
+        { kind: 'begun', dataCentre: 'b' },
+        { kind: 'ended', dataCentre: 'a' },
+      ],
+    });
+    assert.equal(watched.endpoints.length, 1);
+  });
+  await withStore(async (store, source) => {
+    const { evacuated, watched } = await change(store, source);
+    assert.deepEqual([evacuated, watched.evacuations], [undefined, undefined]);
+  }, 'endpoints');
+});
+
+/**
+ * Other writers may leave records beside the operators' own. An invalid one must neither evacuate a
+ * data centre nor end the evacuation of one, nor keep the others from being read.
+ */
+test('an invalid evacuation record is reported and skipped, and does not affect others', async () => {
+  await withStore(async (store, source) => {
+    const { revision } = await readAll(source);
+    store.put('op/evacuate/a', {});
+    store.put('op/evacuate/', {});
+    store.put('op/evacuate/b/c', {});
+    store.put('op/evacuate/d', 'yes');
+    store.putRaw('op/evacuate/e', '%%%');
+    store.putRaw('op/evacuate/a', '%%%');
+    store.remove('op/evacuate/');
+    const { evacuations, invalid } = await watch(source, revision, 5000);
+    assert.deepEqual(evacuations, {
+      kind: 'changes',
+      changes: [{ kind: 'begun', dataCentre: 'a' }],
+    });
+    assert.equal(invalid.length, 6);
+    assert.match(invalid[0] ?? '', /op\/evacuate\/: "" is not the name of a data centre; publish/);
+    assert.match(invalid[2] ?? '', /op\/evacuate\/d: "yes" is not an object; publish an object/);
+    store.put('op/evacuate/a', {});
+    const read = await readAll(source);
+    assert.deepEqual([read.evacuated, read.config.kind], [['a'], 'read']);
+  });
+});
+
 test('an invalid endpoint record is reported by field, value and remedy, and does not affect others', async () => {
   await withStore(async (store, source) => {
     store.put('servers/i-1', { ...ENDPOINT, address: 7 });
