Decide how many bytes an entry buffers, and whose response ends first

Cause: nothing bounds what an entry keeps for callers and endpoints that read slowly, although it counts against the instance's memory.

A budget for the whole process, a fifth of the instance's memory: an account for each response, and reservations for request bodies (half of the budget at most). Once it is spent, the response whose oldest unread byte is the oldest is ended, never one whose caller keeps up; one response may take a quarter.

Weighed: ending the largest response first. A caller that reads a long stream steadily would be ended for callers that have stopped reading.

The memory of the instance is a neutral setting: limits.memory-mb of the boot file, limits.memoryMb of a settings file; 256 MB where none is given.

--- /dev/null
+++ b/src/core/buffering/memory-budget.ts
@@ -0,0 +1,195 @@
+/**
+ * Budget of the bytes that a process buffers: request bodies, responses that are read to their end
+ * before they are forwarded, and the unread part of streams. It answers the load of callers that read
+ * more slowly than their endpoints write. Once the budget is spent, the response with the oldest
+ * unread byte is ended first: its caller is the least likely to come back to it.
+ */
+import {
+  BODY_BUDGET_SHARE,
+  BUFFER_MEMORY_SHARE,
+  KEEPS_UP_MS,
+  RESPONSE_BUDGET_SHARE,
+} from './consts.js';
+import type { BudgetLimits, EndedResponse, EndReason } from './types.js';
+
+/**
+ * Sizes of the budget on an instance.
+ * @example budgetLimits(250e6).totalBytes // 50_000_000
+ */
+export function budgetLimits(memoryBytes: number): BudgetLimits {
+  const totalBytes = memoryBytes * BUFFER_MEMORY_SHARE;
+  return {
+    totalBytes,
+    bodyBytes: totalBytes * BODY_BUDGET_SHARE,
+    responseBytes: totalBytes * RESPONSE_BUDGET_SHARE,
+  };
+}
+
+/** Bytes buffered for one response. */
+export interface ResponseAccount {
+  readonly heldBytes: number;
+  /** Since when the caller's oldest unread byte waits, ms; undefined if it has read everything. */
+  unreadSinceMs: number | undefined;
+}
+
+interface OpenAccount extends ResponseAccount {
+  heldBytes: number;
+  readonly end: (ended: EndedResponse) => void;
+}
+
+/** Whether a caller reads as fast as its response arrives. */
+function keepsUp(account: ResponseAccount, nowMs: number): boolean {
+  return account.unreadSinceMs === undefined || nowMs - account.unreadSinceMs <= KEEPS_UP_MS;
+}
+
+/**
+ * Chooses the response to end while the budget is spent: the one whose oldest unread byte is the
+ * oldest. Undefined if all callers keep up.
+ * @example chooseStalest([{ heldBytes: 9, unreadSinceMs: 0 }], 1000)?.heldBytes // 9
+ */
+export function chooseStalest<Account extends ResponseAccount>(
+  accounts: Iterable<Account>,
+  nowMs: number,
+): Account | undefined {
+  let stalest: Account | undefined;
+  let oldestMs = Number.POSITIVE_INFINITY;
+  for (const account of accounts) {
+    if (keepsUp(account, nowMs)) continue;
+    const { unreadSinceMs = nowMs } = account;
+    if (unreadSinceMs >= oldestMs) continue;
+    stalest = account;
+    oldestMs = unreadSinceMs;
+  }
+  return stalest;
+}
+
+/** The bytes of one request body, reserved until the request ends. */
+export class BodyReservation {
+  private reservedBytes = 0;
+
+  constructor(private readonly budget: MemoryBudget) {}
+
+  /**
+   * Extends the reservation to a number of bytes; false if they do not fit.
+   * @example if (!reservation.extendTo(contentLength)) return refuse();
+   */
+  extendTo(bytes: number): boolean {
+    if (bytes <= this.reservedBytes) return true;
+    if (!this.budget.reserveBody(bytes - this.reservedBytes)) return false;
+    this.reservedBytes = bytes;
+    return true;
+  }
+
+  /** Frees the bytes. */
+  release(): void {
+    this.budget.releaseBody(this.reservedBytes);
+    this.reservedBytes = 0;
+  }
+}
+
+/** The buffered bytes of one process. */
+export class MemoryBudget {
+  private readonly accounts = new Set<OpenAccount>();
+  private bodies = 0;
+  private used = 0;
+  private peak = 0;
+
+  constructor(
+    readonly limits: BudgetLimits,
+    private readonly nowMs: () => number,
+  ) {}
+
+  /** Bytes buffered now. */
+  get usedBytes(): number {
+    return this.used;
+  }
+
+  /** Most bytes buffered at once. */
+  get peakBytes(): number {
+    return this.peak;
+  }
+
+  /**
+   * Reserves the bytes of a request body; false if they do not fit. No response is ended for it: a
+   * request that is refused has cost nothing yet.
+   * @example if (!budget.reserveBody(4096)) return refuse();
+   */
+  reserveBody(bytes: number): boolean {
+    if (this.bodies + bytes > this.limits.bodyBytes) return false;
+    if (this.used + bytes > this.limits.totalBytes) return false;
+    this.bodies += bytes;
+    this.add(bytes);
+    return true;
+  }
+
+  /** Returns the bytes of a request body. */
+  releaseBody(bytes: number): void {
+    this.bodies -= bytes;
+    this.used -= bytes;
+  }
+
+  /** Opens the account of a response; `end` is called at most once if the response must be ended. */
+  open(end: (ended: EndedResponse) => void): ResponseAccount {
+    const account: OpenAccount = { heldBytes: 0, unreadSinceMs: undefined, end };
+    this.accounts.add(account);
+    return account;
+  }
+
+  /** Closes an account and frees its bytes. */
+  close(account: ResponseAccount): void {
+    if (this.accounts.delete(account as OpenAccount)) this.used -= account.heldBytes;
+  }
+
+  /**
+   * Adds bytes to a response; false if the response has been ended. A response of which no byte is
+   * unread yet is ended itself if there is no other to end.
+   * @example if (!budget.hold(account, chunk.length)) return;
+   */
+  hold(account: ResponseAccount, bytes: number): boolean {
+    const own = account as OpenAccount;
+    if (!this.accounts.has(own)) return false;
+    own.heldBytes += bytes;
+    this.add(bytes);
+    if (own.heldBytes > this.limits.responseBytes) this.end(own, 'response-limit');
+    while (this.used > this.limits.totalBytes) {
+      const stalest = chooseStalest(this.accounts, this.nowMs());
+      if (!stalest) break;
+      this.end(stalest, 'budget');
+    }
+    if (this.used > this.limits.totalBytes && own.unreadSinceMs === undefined)
+      this.end(own, 'budget');
+    return this.accounts.has(own);
+  }
+
+  /** Frees bytes of a response that its caller has read. */
+  release(account: ResponseAccount, bytes: number): void {
+    const own = account as OpenAccount;
+    if (!this.accounts.has(own)) return;
+    own.heldBytes -= bytes;
+    this.used -= bytes;
+  }
+
+  /** Describes a response that is ended now. */
+  describe(account: ResponseAccount, reason: EndReason): EndedResponse {
+    const { unreadSinceMs, heldBytes } = account;
+    return {
+      reason,
+      heldBytes,
+      oldestMs: unreadSinceMs === undefined ? undefined : this.nowMs() - unreadSinceMs,
+      usedBytes: this.used,
+      budgetBytes: this.limits.totalBytes,
+    };
+  }
+
+  private add(bytes: number): void {
+    this.used += bytes;
+    this.peak = Math.max(this.peak, this.used);
+  }
+
+  private end(account: OpenAccount, reason: EndReason): void {
+    if (!this.accounts.has(account)) return;
+    const ended = this.describe(account, reason);
+    this.close(account);
+    account.end(ended);
+  }
+}
--- a/src/core/settings/settings.ts
+++ b/src/core/settings/settings.ts
@@ -79,7 +79,14 @@
   '/platform': ['url'],
   '/listen': ['callers', 'daemons', 'operators'],
   '/endpoint': ['id', 'url', 'checksFences'],
-  '/limits': ['headerBytes', 'bodyBytes', 'bodyMs', 'streamsPerOrganisation', 'defaultDeadlineMs'],
+  '/limits': [
+    'headerBytes',
+    'bodyBytes',
+    'bodyMs',
+    'memoryMb',
+    'streamsPerOrganisation',
+    'defaultDeadlineMs',
+  ],
   '/timing': ['watchMs', 'fallbackMs', 'pauseMs', 'drainMs', 'startMs', 'groupMs'],
 };
 
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -17,6 +17,8 @@
 const RETRY_BUDGET_EXTRA = 480;
 /** Window of the retry budget, ms: over it the extra retries and the share of requests are counted. */
 const RETRY_BUDGET_WINDOW_MS = 10_000;
+/** Bytes per MB of memory. */
+const BYTES_PER_MB = 1e6;
 /** Idle timeout of a caller's connection, ms: longer than the clients' own timeouts. */
 const CALLER_IDLE_TIMEOUT_MS = 65_000;
 /** How often the state of removed endpoints is deleted, ms. */
@@ -90,6 +92,7 @@
       configApplyMs: Number.POSITIVE_INFINITY,
       bodyMs: settings.limits.bodyMs,
       parserHeaderBytes: settings.limits.headerBytes,
+      memoryBytes: settings.limits.memoryMb * BYTES_PER_MB,
       retryExtra: RETRY_BUDGET_EXTRA,
       retryWindowMs: RETRY_BUDGET_WINDOW_MS,
     },
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -33,6 +33,8 @@
   readonly bodyMs?: number;
   /** Maximum size of a request header that the HTTP parser accepts, bytes. */
   readonly parserHeaderBytes: number;
+  /** Memory of the instance, bytes; a share of it may be used for buffered bodies and responses. */
+  readonly memoryBytes: number;
   /** Retries of all entries together that are allowed in addition to the retry share. */
   readonly retryExtra: number;
   /** Sliding window of the retry budget, for both the extra retries and the retry share. */
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -89,6 +89,7 @@
   keyFreshnessMs: 5000,
   configApplyMs: 2000,
   parserHeaderBytes: 64 * 1024,
+  memoryBytes: 256e6,
   retryExtra: 480,
   retryWindowMs: 10_000,
 };
--- a/test/platform/boot-file.test.ts
+++ b/test/platform/boot-file.test.ts
@@ -18,6 +18,9 @@
   assert.equal(settings.gateway.retryExtra, 90);
   assert.equal(settings.gateway.retryWindowMs, 10_000);
   assert.deepEqual([settings.relays, settings.control], [['127.0.0.1:8229'], undefined]);
+  assert.equal(settings.gateway.memoryBytes, 256e6);
+  const withMemory = decode(`${bootText()}\n[limits]\nmemory-mb = 350\n`);
+  assert.equal(withMemory.unwrap().gateway.memoryBytes, 350e6);
   const control = bootText().replace('[listen]', '[listen]\ncontrol = "127.0.0.1:8229"');
   assert.deepEqual(decode(control).unwrap().control, { host: '127.0.0.1', port: 8229 });
   const withoutSeedNodes = bootText().replace(/^seed-nodes.*$/m, '');
@@ -63,6 +66,11 @@
     bootText({ 'seed-nodes': '"127.0.0.1:8229"' }),
     /seed-nodes: .* a list/,
   ],
+  [
+    'no memory',
+    `${bootText()}\n[limits]\nmemory-mb = 0\n`,
+    /limits\.memory-mb: value 0; write a number from 1 to 1048576/,
+  ],
   [
     'a string for the port range',
     bootText({ 'internal-port-range': '"7340"' }),
