Read endpoints at their own speed, however slowly the caller reads

Cause: writeEvent awaited 'drain' without a bound. A caller that stopped reading stopped the reading from its endpoint: connection, engine memory and the slot of the group waited for the caller, then the idle timeout blamed the endpoint, gave up its connections and resumed the stream elsewhere. A response that was written and not read was no longer in flight, so a stopping entry cut it off and no deadline ended it.

Now a writer buffers what the caller has not read, within the memory budget. The slot is free when the endpoint has finished; the request stays in flight, with its deadline, until the caller has everything, is cut off or leaves. Over the budget the connection is closed inside the response, or, if nothing was sent, the request ends as answer-lost; the endpoint is not blamed.

Weighed: leaving the bytes in the buffer of the connection alone. Each event then costs four entries there, several times its bytes, and its age is unknown. So one write is outstanding at a time and later bytes are copied into 4 kB segments. Node reports 'finish' also for a connection that is destroyed with unsent bytes, hence the check of the socket.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,4 +1,5 @@
 /** State shared by all requests of one gateway. */
+import { budgetLimits, MemoryBudget } from '../core/buffering/index.js';
 import type { KnownLimits } from '../core/backpressure/index.js';
 import type { Clock } from '../core/clock/index.js';
 import type { EngineInfo, PublishedEndpoint, ServiceId } from '../core/published/index.js';
@@ -39,6 +40,8 @@
 export interface GatewayContext extends GatewayDeps {
   readonly crashes: CrashDetector;
   readonly endpoints: Endpoints;
+  /** Budget of the bytes that this process buffers. */
+  readonly memory: MemoryBudget;
   readonly serviceOf: (id: ServiceId) => ServiceState;
   /** Whether the configuration was confirmed as current recently enough to honour keys. */
   readonly areKeysConfirmed: () => boolean;
@@ -57,6 +60,14 @@
   return Math.max(MIN_RETRY_EXTRA, extra / Math.max(ASSUMED_RETRY_PEERS, knownEntries));
 }
 
+function createMemoryBudget({ settings, clock, metrics }: GatewayDeps): MemoryBudget {
+  const memory = new MemoryBudget(budgetLimits(settings.memoryBytes), () => clock.nowMs());
+  metrics.gauge('buffered_bytes', () => memory.usedBytes);
+  metrics.gauge('buffered_peak_bytes', () => memory.peakBytes);
+  metrics.gauge('buffered_budget_bytes', () => memory.limits.totalBytes);
+  return memory;
+}
+
 /**
  * Creates the endpoint table, crash watch and per-service state of a gateway.
  * @example const ctx = createContext(deps);
@@ -93,6 +104,7 @@
   return {
     ...deps,
     endpoints,
+    memory: createMemoryBudget(deps),
     crashes: new CrashDetector({ ...deps, clock: ageClock, publish: deps.broadcastCrashes }),
     areKeysConfirmed: () =>
       state.confirmedAgoMs(ageClock.nowMs()) <= settings.keyFreshnessMs - KEY_FRESHNESS_MARGIN_MS,
--- a/src/gateway/requests/active-request.ts
+++ b/src/gateway/requests/active-request.ts
@@ -12,6 +12,7 @@
 import type { EndpointState } from '../endpoints/endpoints.js';
 import type { Refusal } from './refuse.js';
 import type { StreamProgress } from './relay-stream.js';
+import type { ResponseWriter } from './response-writer.js';
 import type { GroupQueue } from '../groups/service-groups.js';
 import type { ServiceState } from '../groups/service-state.js';
 import type { AttemptFault, GatewayRequest } from '../types.js';
@@ -50,6 +51,8 @@
   readonly summary: RequestSummary;
   readonly tried: Set<EndpointId>;
   readonly progress: StreamProgress;
+  /** Writes the response to the caller. */
+  readonly writer: ResponseWriter;
   /** Whether any attempt may have run the request. */
   mayHaveRun: boolean;
   lastFault: AttemptFault | undefined;
--- a/src/gateway/requests/deliver.ts
+++ b/src/gateway/requests/deliver.ts
@@ -10,6 +10,7 @@
   remainingMs,
   mayRetry,
   recordFault,
+  refuseWith,
   type RequestOutcome,
   type ActiveRequest,
 } from './active-request.js';
@@ -24,39 +25,48 @@
   target: EndpointState,
   response: AttemptResponse,
 ): Promise<RequestOutcome | undefined> {
-  const { request } = active;
+  const { request, writer } = active;
   const { status } = response.head;
-  const body = await readFullResponse(response, remainingMs(active));
+  const body = await readFullResponse(response, remainingMs(active), (bytes) => writer.hold(bytes));
   if (body.err) {
+    if (body.val.kind === 'over-budget') return responseOverBudget(active, target);
+    writer.discard();
     recordFault(active, target, body.val);
     return undefined;
   }
   if (status >= MIN_SERVER_ERROR_STATUS || NOT_RUN_STATUSES.has(status)) {
     recordFault(active, target, { kind: 'broke', detail: `endpoint answered ${status}` });
     // A status that wrongly claims "not run" is never forwarded; others are after the last attempt.
-    if (NOT_RUN_STATUSES.has(status)) return undefined;
-    if (mayRetry(active) && hasRetryBudget(active)) return undefined;
+    if (NOT_RUN_STATUSES.has(status) || (mayRetry(active) && hasRetryBudget(active))) {
+      writer.discard();
+      return undefined;
+    }
   } else {
     active.summary.tries.push(`${target.endpoint.id}:${status}`);
   }
   if (request.res.destroyed) return { kind: 'gone' };
-  request.res.writeHead(status, { ...response.head.headers, 'content-length': body.val.length });
-  request.res.end(body.val);
+  writer.writeWhole(status, response.head.headers, body.val);
   return { kind: 'answered', status };
 }
 
+/** The request has run, and its response cannot be kept: the outcome is unknown to the caller. */
+function responseOverBudget(active: ActiveRequest, target: EndpointState): RequestOutcome {
+  active.summary.tries.push(`${target.endpoint.id}:over-budget`);
+  return refuseWith('answer-lost', 'the response did not fit into the memory of this entry');
+}
+
 async function deliverStream(
   active: ActiveRequest,
   target: EndpointState,
   response: AttemptResponse,
   sentAtMs: number,
 ): Promise<RequestOutcome | undefined> {
-  const { ctx, request, progress, service } = active;
+  const { ctx, request, progress, service, writer } = active;
   const { status } = response.head;
   if (status < 200 || status >= 300) return deliverBuffered(active, target, response);
   const outcome: StreamOutcome = await relayStream(
     {
-      res: request.res,
+      writer,
       progress,
       nowMs: () => ctx.clock.nowMs(),
       idleTimeoutMs: STREAM_IDLE_TIMEOUT_MS,
@@ -78,7 +88,7 @@
   );
   if (outcome.kind === 'whole') {
     active.summary.tries.push(`${target.endpoint.id}:whole`);
-    request.res.end();
+    writer.end();
     return { kind: 'answered', status };
   }
   if (request.gone.aborted) return { kind: 'gone' };
--- a/src/gateway/requests/read-response.ts
+++ b/src/gateway/requests/read-response.ts
@@ -5,14 +5,19 @@
 import { MAX_RESPONSE_BYTES } from '../consts.js';
 import type { AttemptFault } from '../types.js';
 
+/** The response did not fit into the memory budget of the entry, through no fault of the endpoint. */
+export const OVER_BUDGET = { kind: 'over-budget' } as const;
+
 /**
- * Reads a response to its end within `timeoutMs`; a truncated response is an error.
- * @example const body = await readFullResponse(response, 400); if (body.ok) res.end(body.val);
+ * Reads a response to its end within `timeoutMs`; a truncated response is an error. `hold` counts its
+ * bytes, and returns false if the entry cannot buffer them.
+ * @example const body = await readFullResponse(response, 400, hold); if (body.ok) res.end(body.val);
  */
 export async function readFullResponse(
   response: AttemptResponse,
   timeoutMs: number,
-): Promise<Result<Buffer, AttemptFault>> {
+  hold: (bytes: number) => boolean,
+): Promise<Result<Buffer, AttemptFault | typeof OVER_BUDGET>> {
   const chunks: Buffer[] = [];
   let size = 0;
   let hasTimedOut = false;
@@ -30,9 +35,14 @@
           detail: `the response is larger than ${MAX_RESPONSE_BYTES} bytes`,
         });
       }
+      if (!hold(chunk.length)) {
+        response.close();
+        return Err(OVER_BUDGET);
+      }
       chunks.push(chunk);
     }
-    return Ok(Buffer.concat(chunks));
+    const [first] = chunks;
+    return Ok(first && chunks.length === 1 ? first : Buffer.concat(chunks));
   } catch (err) {
     if (hasTimedOut)
       return Err({
--- a/src/gateway/requests/relay-stream.ts
+++ b/src/gateway/requests/relay-stream.ts
@@ -1,18 +1,18 @@
 /**
- * Relays event streams: each event is forwarded immediately, in order and exactly once. A broken
- * stream may be resumed on another endpoint.
+ * Relays event streams: each event is accepted immediately, in order and exactly once. The endpoint is
+ * read at its own speed, however slowly the caller reads. A broken stream may be resumed on another
+ * endpoint.
  */
-import { once } from 'node:events';
-import type { ServerResponse } from 'node:http';
 import { errorText } from '../../core/errors/index.js';
 import type { AttemptResponse } from './attempt.js';
 import { EventSplitter, type StreamEvent } from './event-splitter.js';
+import type { ResponseWriter } from './response-writer.js';
 
 /** Progress of a caller's stream over all attempts. */
 export interface StreamProgress {
-  /** Id of the last event written to the caller; undefined before the first. */
+  /** Id of the last event accepted for the caller; undefined before the first. */
   lastEventId: number | undefined;
-  /** Number of events written to the caller. */
+  /** Number of events accepted for the caller. */
   events: number;
   /** Monotonic time of the last event, ms. */
   lastEventAtMs: number;
@@ -29,7 +29,7 @@
 
 /** Options of relaying one attempt's part of a stream. */
 export interface StreamRelayOptions {
-  readonly res: ServerResponse;
+  readonly writer: Pick<ResponseWriter, 'writeHead' | 'write'>;
   readonly progress: StreamProgress;
   readonly nowMs: () => number;
   /** Timeout between two events, ms. */
@@ -50,22 +50,28 @@
   return lastEventId === undefined || event.id === lastEventId + 1;
 }
 
-async function writeEvent(
+/** Records an event that is accepted for the caller. */
+function acceptEvent(
   options: StreamRelayOptions,
   response: AttemptResponse,
   event: StreamEvent,
-): Promise<void> {
-  const { res, progress } = options;
+): void {
+  const { writer, progress } = options;
   const nowMs = options.nowMs();
-  if (progress.events === 0) res.writeHead(response.head.status, response.head.headers);
+  if (progress.events === 0) writer.writeHead(response.head.status, response.head.headers);
   else {
     const pauseMs = nowMs - progress.lastEventAtMs;
     progress.longestPauseMs = Math.max(progress.longestPauseMs, pauseMs);
   }
   progress.events += 1;
   progress.lastEventId = event.id;
-  const hasCapacity = res.write(event.bytes);
-  if (!hasCapacity && !res.destroyed) await Promise.race([once(res, 'drain'), once(res, 'close')]);
+  progress.lastEventAtMs = nowMs;
+}
+
+/** Writes events that arrived together. */
+function writeEvents(options: StreamRelayOptions, accepted: readonly Buffer[]): void {
+  const [first] = accepted;
+  if (first) options.writer.write(accepted.length === 1 ? first : Buffer.concat(accepted));
 }
 
 /**
@@ -90,8 +96,10 @@
   let timer = startIdleTimer();
   try {
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
+      const accepted: Buffer[] = [];
       for (const event of splitter.push(chunk)) {
         if (!isNextEvent(event, progress.lastEventId)) {
+          writeEvents(options, accepted);
           response.close();
           return {
             kind: 'broke',
@@ -101,9 +109,10 @@
         if (isFirst) options.onFirstEvent();
         else options.onPause(options.nowMs() - progress.lastEventAtMs);
         isFirst = false;
-        await writeEvent(options, response, event);
-        progress.lastEventAtMs = options.nowMs();
+        acceptEvent(options, response, event);
+        accepted.push(event.bytes);
       }
+      writeEvents(options, accepted);
       if (progress.events > 0 && options.shouldSwitchEndpoint()) {
         response.close();
         return { kind: 'slow', detail: 'the endpoint is slow' };
