Refuse a request whose body the entry cannot buffer

Cause: bodies are read to their end and kept for retries, without a bound on all of them together: a few hundred large ones end the process by its memory.

The declared length is reserved before the body is read, a chunked body as it arrives, and freed when the response has closed. What does not fit is refused as not run, reason buffers-full, with a Retry-After; no response is ended for it. The rest of the body is read and dropped, so the connection stays usable and the refusal reaches the caller.

slow-reader.test has a declared, a chunked and a still arriving body, and an endpoint that reads no body: it holds it until the timeout of the attempt (was so before, now shown).

--- a/src/core/errors/kinds.ts
+++ b/src/core/errors/kinds.ts
@@ -79,6 +79,7 @@
   'no-config': kind(503, 'No configuration yet', (f) => f, RETRY_NOW, 2),
   'proof-old': kind(503, 'Configuration is not confirmed as current', (f) => f, RETRY_NOW),
   stopping: kind(503, 'Entry is stopping', (f) => f, RETRY_NOW, 1),
+  'buffers-full': kind(503, 'Entry has no memory for the body', (f) => f, RETRY_LATER, 1),
   busy: kind(503, 'All slots are taken', (f) => f, RETRY_LATER, 1),
   outage: kind(503, 'No endpoint is serving', (f) => f, RETRY_LATER, 2),
   resting: kind(503, 'Endpoints requested a backoff', (f) => f, RETRY_LATER, 2),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,6 +1,7 @@
 /** HTTP server of an entry: accepts and validates requests, and ends each with exactly one final response. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { errorText } from '../core/errors/index.js';
+import { BodyReservation } from '../core/buffering/index.js';
+import { errorText, type HarriergladeError } from '../core/errors/index.js';
 import {
   findRoute,
   type Organisation,
@@ -8,17 +9,23 @@
   type Route,
 } from '../core/published/index.js';
 import { Err, Ok, type Result } from '../core/result/index.js';
-import { readBody } from '../runtime/read-body.js';
 import {
+  BUSY_RETRY_S,
   DEFAULT_DEADLINE_MS,
   OTHER_ENTRY_RETRY_S,
   FINAL_RESPONSE_MARGIN_MS,
   STOP_SERVING_MS,
 } from './consts.js';
 import type { GatewayContext } from './context.js';
+import { readRequestBody } from './requests/read-request-body.js';
 import { sendRefusal, type Refusal } from './requests/refuse.js';
 import { serveRequest } from './requests/serve-request.js';
-import type { RequestOutcome, RequestSummary } from './requests/active-request.js';
+import {
+  randomRetryAfterS,
+  refuseWith,
+  type RequestOutcome,
+  type RequestSummary,
+} from './requests/active-request.js';
 import type { RequestHead, GatewayRequest } from './types.js';
 
 /** The running gateway. */
@@ -192,7 +199,14 @@
     const allowedMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
     const deadlineAtMs = ageClock.nowMs() + allowedMs;
     const bodyMs = Math.min(settings.bodyMs ?? allowedMs, allowedMs);
-    const body = await readBody(req, config.limits.bodyBytes, bodyMs);
+    const reservation = new BodyReservation(ctx.memory);
+    // The response to the caller is closed or complete before the body is freed.
+    res.on('close', () => reservation.release());
+    const body = await readRequestBody(req, {
+      reservation,
+      maxBytes: config.limits.bodyBytes,
+      maxMs: bodyMs,
+    });
     const request: GatewayRequest = {
       id,
       req,
@@ -206,17 +220,20 @@
       gone: disconnected.signal,
     };
     if (body.err) {
-      const { reason, message } = body.val;
-      const end: RequestOutcome =
-        reason === 'body-cut'
-          ? { kind: 'gone' }
-          : { kind: 'refused', refusal: { reason, detail: message, close: true } };
-      return finish(request, id, res, end, note);
+      return finish(request, id, res, outcomeOfBody(body.val), note);
     }
     const end = await serveAdmitted(request, note);
     finish(request, id, res, end, note);
   }
 
+  /** The outcome of a request whose body could not be read. */
+  function outcomeOfBody({ reason, message: detail }: HarriergladeError): RequestOutcome {
+    if (reason === 'body-cut') return { kind: 'gone' };
+    if (reason === 'buffers-full')
+      return refuseWith(reason, detail, randomRetryAfterS(ctx, BUSY_RETRY_S));
+    return refuseWith(reason, detail, undefined, true);
+  }
+
   /** Serves a request whose body was read, if the caller interface admits it. */
   async function serveAdmitted(
     request: GatewayRequest,
--- /dev/null
+++ b/src/gateway/requests/read-request-body.ts
@@ -0,0 +1,33 @@
+/** Reads the body of a request within the limits of the configuration and the memory budget. */
+import type { IncomingMessage } from 'node:http';
+import type { BodyReservation } from '../../core/buffering/index.js';
+import { notRun, type HarriergladeError } from '../../core/errors/index.js';
+import { Err, type Result } from '../../core/result/index.js';
+import { readBody } from '../../runtime/read-body.js';
+
+/** Options of reading a request body. */
+export interface RequestBodyOptions {
+  readonly reservation: BodyReservation;
+  readonly maxBytes: number;
+  readonly maxMs: number;
+}
+
+/**
+ * Resolves to the body. A request whose declared body does not fit into the budget is refused before
+ * its body is read.
+ * @example const body = await readRequestBody(req, { reservation, maxBytes: 4096, maxMs: 800 });
+ */
+export async function readRequestBody(
+  req: IncomingMessage,
+  { reservation, maxBytes, maxMs }: RequestBodyOptions,
+): Promise<Result<Buffer, HarriergladeError>> {
+  const declaredBytes = Math.min(Number(req.headers['content-length'] ?? 0), maxBytes);
+  const body = reservation.extendTo(declaredBytes)
+    ? await readBody(req, maxBytes, maxMs, (bytes) => reservation.extendTo(bytes))
+    : Err(
+        notRun('buffers-full', `The entry cannot buffer the ${declaredBytes} bytes of the body.`),
+      );
+  // The rest of the body must not be parsed as the next request.
+  if (body.err && body.val.reason === 'buffers-full') req.resume();
+  return body;
+}
--- a/src/runtime/read-body.ts
+++ b/src/runtime/read-body.ts
@@ -4,13 +4,15 @@
 import { notRun, type HarriergladeError } from '../core/errors/index.js';
 
 /**
- * Resolves to the complete body, or to the error that ended it.
+ * Resolves to the complete body, or to the error that ended it. `hasRoom` is called with the number of
+ * bytes received so far, and returns false if they cannot be buffered.
  * @example const body = await readBody(req, 1_048_576, 10_000); if (body.err) return refuse(body.val);
  */
 export function readBody(
   req: IncomingMessage,
   maxBytes: number,
   maxMs: number,
+  hasRoom: (bytes: number) => boolean = () => true,
 ): Promise<Result<Buffer, HarriergladeError>> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -32,6 +34,8 @@
       chunks.push(chunk);
       if (size > maxBytes)
         settle(() => Err(notRun('body-large', `The body is larger than ${maxBytes} bytes.`)));
+      else if (!hasRoom(size))
+        settle(() => Err(notRun('buffers-full', 'The entry cannot buffer the body.')));
     };
     const timer = setTimeout(
       () => settle(() => Err(notRun('body-late', `The body took longer than ${maxMs} ms.`))),
--- a/test/gateway/requests/slow-reader.test.ts
+++ b/test/gateway/requests/slow-reader.test.ts
@@ -4,13 +4,14 @@
  * endpoint for the silence, gave up its connections and resumed the stream elsewhere.
  */
 import assert from 'node:assert/strict';
-import { connect, type Socket } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { Agent } from 'node:http';
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
 import {
   chunk,
   event,
+  okResponse,
   responseHead,
   startRawEndpoint,
   type RawEndpoint,
@@ -347,3 +348,61 @@
     assert.equal(under.ctx.memory.usedBytes, 0);
   });
 });
+
+test('a request whose declared body does not fit into the memory is refused at once, as not run', async () => {
+  const answer: RawResponder = (req) => void req.socket.write(okResponse(req, 'fine'));
+  // A budget of 50 kB for bodies.
+  const options = { memoryBytes: 500e3, change: { kind: 'once' } } as const;
+  await withEndpoints([answer], options, async ({ under, endpoints }) => {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const refused = await under.send('q-1', { body: 'x'.repeat(60_000), agent });
+    assert.equal(refused.status, 503);
+    const problem = JSON.parse(refused.body) as { reason: string; outcome: string };
+    assert.deepEqual([problem.reason, problem.outcome], ['buffers-full', 'not-run']);
+    assert.ok(Number(refused.headers['retry-after']) >= 1);
+    const chunked = { 'transfer-encoding': 'chunked' };
+    const late = await under.send('q-2', { body: 'x'.repeat(60_000), headers: chunked, agent });
+    assert.equal(late.status, 503);
+    const small = await under.send('q-3', { body: 'x'.repeat(40_000), agent });
+    assert.equal(small.status, 200);
+    assert.deepEqual(
+      endpoints[0]?.requests.map((req) => req.headers['x-request-id']),
+      ['q-3'],
+    );
+    await until('all bodies are free', () => under.ctx.memory.usedBytes === 0);
+    agent.destroy();
+  });
+});
+
+test('bodies that are being sent count before they have arrived', async () => {
+  const answer: RawResponder = (req) => void req.socket.write(okResponse(req, 'fine'));
+  const options = { memoryBytes: 500e3, change: { kind: 'once' } } as const;
+  await withEndpoints([answer], options, async ({ under }) => {
+    const { port } = under.gateway.server.address() as AddressInfo;
+    const sending = connect(port, '127.0.0.1');
+    const headers = 'X-Request-Id: q-1\r\nAuthorization: Bearer key-1\r\nContent-Length: 40000';
+    sending.write(`POST /x/1 HTTP/1.1\r\nHost: a.example\r\n${headers}\r\n\r\nx`);
+    await until('the body is reserved', () => under.ctx.memory.usedBytes === 40_000);
+    assert.equal((await under.send('q-2', { body: 'x'.repeat(20_000) })).status, 503);
+    sending.destroy();
+    await until('the body is free', () => under.ctx.memory.usedBytes === 0);
+    assert.equal((await under.send('q-3', { body: 'x'.repeat(20_000) })).status, 200);
+  });
+});
+
+test('an endpoint that does not read a body holds it no longer than the attempt may take', async () => {
+  const server = createServer((socket) => socket.pause().on('error', () => undefined));
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const options = { change: { kind: 'once', timeoutMs: 600 } } as const;
+  await withEndpoints([], options, async ({ under }) => {
+    under.state.offerList([endpoint('e-slow', `127.0.0.1:${port}`)], false);
+    // More than the system buffers for a connection.
+    const response = await under.send('q-1', { body: 'x'.repeat(12e6) });
+    assert.equal(response.status, 504);
+    assert.ok(response.tookMs < 1000, `${response.tookMs} ms`);
+    assert.ok(under.ctx.memory.peakBytes >= 12e6);
+    await until('the body is free', () => under.ctx.memory.usedBytes === 0);
+  });
+  server.close();
+});
