--- a/src/core/buffering/index.ts
+++ b/src/core/buffering/index.ts
@@ -1,3 +1,3 @@
-export { KEEPS_UP_MS } from './consts.js';
+export { BUFFER_MEMORY_SHARE, KEEPS_UP_MS } from './consts.js';
 export * from './memory-budget.js';
 export * from './types.js';
--- a/src/core/buffering/memory-budget.ts
+++ b/src/core/buffering/memory-budget.ts
@@ -14,7 +14,7 @@
 
 /**
  * Sizes of the budget on an instance.
- * @example budgetLimits(250e6).totalBytes // 50_000_000
+ * @example budgetLimits(250e6).totalBytes // 30_000_000
  */
 export function budgetLimits(memoryBytes: number): BudgetLimits {
   const totalBytes = memoryBytes * BUFFER_MEMORY_SHARE;
