Reset a cut response that would look complete to an HTTP/1.0 caller

Cause: a response that has neither chunks nor a length ends with its connection. For an HTTP/1.0 caller a stream is such a response, and an entry that cut it closed the connection as after a complete one.

Such a response is cut by a reset; others are closed as before, since a reset may drop events that the caller's system has received. The new test in stream.test covers a whole and a cut stream.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
   STOP_SERVING_MS,
 } from './consts.js';
 import type { GatewayContext } from './context.js';
+import { cutResponse } from './requests/cut-response.js';
 import { readRequestBody } from './requests/read-request-body.js';
 import { sendRefusal, type Refusal } from './requests/refuse.js';
 import { serveRequest } from './requests/serve-request.js';
@@ -165,8 +166,8 @@
         end.kind === 'refused' ? end.refusal.detail : end.kind === 'cut' ? end.detail : undefined,
     });
     if (end.kind === 'refused') sendRefusal(res, metrics, end.refusal);
-    // A stream that was cut must not look complete to its caller: the connection is closed.
-    if (end.kind === 'cut' || end.kind === 'gone') res.destroy();
+    if (end.kind === 'cut') cutResponse(res);
+    if (end.kind === 'gone') res.destroy();
   }
 
   async function serveCaller(req: IncomingMessage, res: ServerResponse): Promise<void> {
--- a/src/gateway/requests/response-writer.ts
+++ b/src/gateway/requests/response-writer.ts
@@ -9,16 +9,15 @@
   type MemoryBudget,
   type ResponseAccount,
 } from '../../core/buffering/index.js';
+import { cutResponse, type CuttableResponse } from './cut-response.js';
 import { UnreadQueue } from './unread-queue.js';
 
 /** The parts of a response that the writer uses. */
-export type ResponseSink = Pick<
-  ServerResponse,
-  'writeHead' | 'write' | 'end' | 'destroy' | 'destroyed' | 'headersSent' | 'socket'
-> & {
-  readonly prependOnceListener: (event: 'finish', listener: () => void) => unknown;
-  readonly once: (event: 'finish' | 'close', listener: () => void) => unknown;
-};
+export type ResponseSink = Pick<ServerResponse, 'writeHead' | 'write' | 'end' | 'destroyed'> &
+  CuttableResponse & {
+    readonly prependOnceListener: (event: 'finish', listener: () => void) => unknown;
+    readonly once: (event: 'finish' | 'close', listener: () => void) => unknown;
+  };
 
 /** Dependencies of `ResponseWriter`. */
 export interface ResponseWriterDeps {
@@ -42,8 +41,8 @@
     this.account = deps.budget.open((ended) => {
       this.ended = ended;
       this.queue.clear();
-      // Without its end the response cannot look complete. Before its start a refusal may replace it.
-      if (deps.res.headersSent) deps.res.destroy();
+      // Before its start a refusal may replace it.
+      if (deps.res.headersSent) cutResponse(deps.res);
     });
     // Node also emits 'finish' when a connection that has not sent everything is destroyed.
     deps.res.prependOnceListener('finish', () => (this.isFinished = !deps.res.socket?.destroyed));
--- a/test/gateway/requests/response-writer.test.ts
+++ b/test/gateway/requests/response-writer.test.ts
@@ -23,6 +23,7 @@
   readonly sink = {
     destroyed: false,
     headersSent: true,
+    chunkedEncoding: true,
     socket: null,
     writeHead: () => undefined,
     write: (bytes: Buffer, done: () => void) => {
--- a/test/gateway/requests/stream.test.ts
+++ b/test/gateway/requests/stream.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { connect, type AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
 import fc from 'fast-check';
@@ -235,3 +236,21 @@
     backingOff.close();
   }
 });
+
+/** Without chunks, an HTTP/1.0 caller takes the end of the connection for the end of the response. */
+test('a stream that is cut does not look complete to an HTTP/1.0 caller', async () => {
+  for (const end of [endStream, resetConnection])
+    await withStreamEndpoints([sendEvents(1, 3, end)], async (testGateway) => {
+      const { port } = testGateway.gateway.server.address() as AddressInfo;
+      const caller = connect(port, '127.0.0.1');
+      let text = '';
+      let isReset = false;
+      caller.on('data', (bytes) => (text += bytes.toString('latin1')));
+      caller.on('error', () => (isReset = true));
+      const headers = 'Host: a.example\r\nX-Request-Id: q-1\r\nAuthorization: Bearer key-1';
+      caller.write(`POST /x/1 HTTP/1.0\r\n${headers}\r\n\r\n`);
+      await new Promise((resolve) => caller.on('close', resolve));
+      assert.ok(text.endsWith(event(3)));
+      assert.equal(isReset, end === resetConnection);
+    });
+});
