--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -163,6 +163,60 @@
   }
 });
 
+/** Longer than a stopping entry serves new requests: it exits then unless requests are in flight. */
+const READS_AFTER_MS = 3200;
+
+/**
+ * A response that the entry had written but not sent was no longer counted as in flight, so that a planned stop cut it off.
+ */
+test('a stopping entry waits for a caller that reads its response slowly', async () => {
+  const store = await startStore();
+  // Beyond what the system buffers for a connection.
+  const body = 'x'.repeat(7_000_000);
+  const endpoint = await startRawEndpoint((req) => req.socket.write(okResponse(req, body)));
+  const [route] = CONFIG.routes;
+  store.put('op/config', { ...CONFIG, routes: [{ ...route, 'timeout-ms': 6000 }] });
+  store.put('servers/i-1', {
+    service: 's-1',
+    address: endpoint.address,
+    zone: 'a',
+    slots: 4,
+    state: 'ready',
+  });
+  const entry = startProgram('entry', {
+    front: `"${OWN_IP}:${FRONT_PORT}"`,
+    ready: `"${OWN_IP}:${READY_PORT}"`,
+    address: `"127.0.0.1:${store.port}"`,
+  });
+  try {
+    await until(
+      'ready',
+      async () => (await sendRequest(READY_PORT, '/harrierglade/readiness')).status === 200,
+    );
+    let length = 0;
+    const isComplete = new Promise<boolean>((resolve) => {
+      const options = { host: OWN_IP, port: FRONT_PORT, path: '/x/1', agent: false };
+      const req = http.get({ ...options, headers: callerHeaders('q-1') }, (res) => {
+        res.on('data', (piece: Buffer) => (length += piece.length)).pause();
+        setTimeout(() => res.resume(), READS_AFTER_MS);
+        res.on('error', () => undefined);
+        res.on('close', () => resolve(res.complete));
+      });
+      req.on('error', () => resolve(false));
+    });
+    await until('the request at the endpoint', () => endpoint.requests.length === 1);
+    await wait(200);
+    entry.child.kill('SIGTERM');
+    assert.deepEqual([await isComplete, length], [true, body.length]);
+    assert.equal(await entry.ended, 0);
+    assert.match(entry.output(), /event=process\.stopped .*cut=0/);
+  } finally {
+    entry.child.kill('SIGKILL');
+    endpoint.close();
+    store.close();
+  }
+});
+
 /** Addresses of an instance whose engine and store are unreachable. */
 const UNREACHABLE = {
   front: `"${OWN_IP}:${FRONT_PORT}"`,
