--- /dev/null
+++ b/src/core/buffering/index.ts
@@ -0,0 +1,3 @@
+export { BUFFER_MEMORY_SHARE, KEEPS_UP_MS } from './consts.js';
+export * from './memory-budget.js';
+export * from './types.js';
