--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -1,2 +1,4 @@
 export * from './consts.js';
 export * from './endpoint-health.js';
+export * from './rank-work.js';
+export * from './choose-rank.js';
