Divide the streams of a group among its ranks of normal speed only

Requests go to slow ranks only as a last resort, yet the stream limit counted them: 72 ranks of 7 slots with 29 slow ones were allowed 324 streams at the fallback of 4.5 a rank, 7.5 for each rank that receives any. The group's load now tells the ranks of normal speed, or all if none is. The existing test of two groups has a rank of pace 2, which no longer counts: 1 rank instead of 2.

--- a/src/gateway/endpoints/endpoints.ts
+++ b/src/gateway/endpoints/endpoints.ts
@@ -14,6 +14,7 @@
 import {
   EndpointHealth,
   RANK_TIER,
+  SLOW_PACE,
   chooseRank,
   expectedWork,
   isKnownFull,
@@ -42,9 +43,6 @@
  */
 const FAILURE_PENALTY = 8;
 
-/** Pace above which an engine is chosen only as a last resort: it slows down its whole group. */
-export const SLOW_PACE = 1.3;
-
 /**
  * Time for which an engine that rejected a request counts as full, ms: about the time until the next count of the
  * group arrives.
--- a/src/gateway/groups/group-status.ts
+++ b/src/gateway/groups/group-status.ts
@@ -11,6 +11,7 @@
   type PublishedState,
   type ServiceId,
 } from '../../core/published/index.js';
+import { SLOW_PACE } from '../../core/routing/index.js';
 import type { GroupDigest } from '../../generated/messages.types.js';
 
 /** Interval between polls, ms; a group digest is produced every 0.1 to 0.5 s. */
@@ -41,6 +42,7 @@
 
 /** Load of a whole group. */
 export interface GroupLoad {
+  /** Ranks that receive requests: those of normal speed, or all if none is. */
   readonly ranks: number;
   /** Streams in flight or queued at all its engines. */
   readonly running: number;
@@ -50,6 +52,14 @@
   readonly countedAtMs: number;
 }
 
+/**
+ * Ranks among which the streams of a group are divided. With 40% of the ranks slow, a limit for all of them would put
+ * more streams on the others than they have slots.
+ */
+function usableRanks({ pace }: GroupDigest): number {
+  return pace.filter((one) => one <= SLOW_PACE).length || pace.length;
+}
+
 /** Latest poll result of one group. */
 interface PollResult {
   readonly engines: ReadonlyMap<EndpointId, EngineStatus>;
@@ -228,7 +238,7 @@
       this.groupByEngine.set(engine.id, group);
     }
     const size: GroupLoad = {
-      ranks: digest.hosts.length,
+      ranks: usableRanks(digest),
       running: digest.running,
       entries: digest.entries,
       countedAtMs,
--- a/test/gateway/groups/group-status.test.ts
+++ b/test/gateway/groups/group-status.test.ts
@@ -113,7 +113,8 @@
   assert.deepEqual(small, { ranks: 1, running: 4, entries: 2 });
   assert.ok(systemClock.nowMs() - countedAtMs < 1000);
   assert.deepEqual(loads[1], {
-    ranks: 2,
+    // The second rank is slow.
+    ranks: 1,
     running: 11,
     entries: 2,
     countedAtMs: loads[1]?.countedAtMs,
@@ -125,6 +126,24 @@
   );
 });
 
+/**
+ * Streams go to ranks of normal speed only. A limit for all ranks would let 72 ranks of 7 slots, of which 29 are
+ * slow, run 324 streams on 43 ranks: 7.5 on each.
+ */
+test('slow ranks do not raise the stream limit of a group', async () => {
+  const answer = (paces: readonly number[]): PollGroup => {
+    const hosts = paces.map((_, i) => `127.0.0.${2 + i}`);
+    const load = paces.map(() => 1);
+    return () => Promise.resolve({ ...digest(hosts, load), pace: [...paces] });
+  };
+  const ranksOf = async (paces: readonly number[]): Promise<number | undefined> => {
+    const { status } = await pollGroups(answer(paces));
+    return status.loadOf(status.groupOf(ENGINES[1] as PublishedEndpoint) as GroupId)?.ranks;
+  };
+  assert.equal(await ranksOf([1, 12, 1.1, 12, 1]), 3);
+  assert.equal(await ranksOf([12, 12, 12]), 3);
+});
+
 test('a group whose poll fails or whose digest is incomplete has no status', async () => {
   const { status } = await pollGroups((address) =>
     address.startsWith('127.0.0.1')
