--- a/src/core/routing/choose-rank.ts
+++ b/src/core/routing/choose-rank.ts
@@ -42,9 +42,9 @@
  */
 const FAR_EXTRA_STREAMS = 3;
 /** Decrease of that extra load with each stream by which the mean of the near ranks exceeds that of the far ones. */
-const FAR_MARGIN_SLOPE = 1.5;
+const FAR_MARGIN_SLOPE = 2;
 /** Difference of the means, in streams, that is chance with a single near rank. */
-const MEAN_NOISE = 2;
+const MEAN_NOISE = 4;
 /** Part of the ranks with the fewest own streams that is compared, and the least number of them. */
 const COMPARED_SHARE = 1 / 3;
 const MIN_COMPARED = 2;
