--- a/src/core/routing/choose-rank.ts
+++ b/src/core/routing/choose-rank.ts
@@ -114,5 +114,5 @@
   const far = betterOfTwo(farRanks, random);
   if (!near || !far) return near ?? far;
   const margin = farMargin(nearRanks, farRanks) * far.weight;
-  return totalLoad(far) + margin < totalLoad(near) ? far : near;
+  return totalLoad(far) + margin <= totalLoad(near) ? far : near;
 }
