--- a/src/gateway/groups/group-status.ts
+++ b/src/gateway/groups/group-status.ts
@@ -11,6 +11,7 @@
   type PublishedState,
   type ServiceId,
 } from '../../core/published/index.js';
+import { SLOW_PACE } from '../../core/routing/index.js';
 import type { GroupDigest } from '../../generated/messages.types.js';
 
 /** Interval between polls, ms; a group digest is produced every 0.1 to 0.5 s. */
@@ -33,11 +34,18 @@
   readonly load: number;
   /** Relative step time; 1 is the normal speed, more is slower. */
   readonly pace: number;
+  /** Mean load of the ranks of its group in the same count. */
+  readonly meanLoad: number;
+  /** When the coordinator polled the ranks, monotonic ms of this entry. */
+  readonly countedAtMs: number;
 }
 
 /** Load of a whole group. */
 export interface GroupLoad {
-  /** Ranks that accept requests; the others take part in each step, but bear none of the load. */
+  /**
+   * Ranks that receive requests: those that accept any and have normal speed, or all that accept any if none has. The
+   * others take part in each step, but bear none of the load.
+   */
   readonly ranks: number;
   /** Streams in flight or queued at all its engines. */
   readonly running: number;
@@ -47,6 +55,15 @@
   readonly countedAtMs: number;
 }
 
+/**
+ * Ranks among which the streams of a group are divided. With 40% of the ranks slow, a limit for all of them would put
+ * more streams on the others than they have slots.
+ */
+function usableRanks({ pace, hosts }: GroupDigest, refusing: ReadonlySet<string>): number {
+  const accepting = pace.filter((_, rank) => !refusing.has(hosts[rank] ?? ''));
+  return accepting.filter((one) => one <= SLOW_PACE).length || accepting.length;
+}
+
 /** Latest poll result of one group. */
 interface PollResult {
   readonly engines: ReadonlyMap<EndpointId, EngineStatus>;
@@ -212,16 +229,22 @@
     const countedAtMs = this.parts.clock.nowMs() - digest.ageMs;
     if (countedAtMs < (this.results.get(group)?.size.countedAtMs ?? 0)) return;
     const engines = new Map<EndpointId, EngineStatus>();
-    let accepting = 0;
+    const meanLoad = digest.running / Math.max(1, digest.hosts.length);
+    const refusing = new Set<string>();
     for (const engine of listed) {
       const rank = digest.hosts.indexOf(hostOf(engine.address));
       if (rank < 0) continue;
-      engines.set(engine.id, { pace: digest.pace[rank] ?? 1, load: digest.load[rank] ?? 0 });
+      engines.set(engine.id, {
+        pace: digest.pace[rank] ?? 1,
+        load: digest.load[rank] ?? 0,
+        meanLoad,
+        countedAtMs,
+      });
       this.groupByEngine.set(engine.id, group);
-      if (this.parts.state.isAvailable(engine.id)) accepting += 1;
+      if (!this.parts.state.isAvailable(engine.id)) refusing.add(hostOf(engine.address));
     }
     const size: GroupLoad = {
-      ranks: accepting,
+      ranks: usableRanks(digest, refusing),
       running: digest.running,
       entries: digest.entries,
       countedAtMs,
