An organisation's priority goes before its route's instead of replacing it

Cause: acquire-slot took organisation?.priority ?? route.priority. Where every organisation has a priority (all 1 and one 0 were seen), the route's was never used, and a burst of the least urgent route went before the most urgent one. The platform's decoder also filled in 5 for an organisation that publishes none, which then overrode the route's as well.

The order is now lexicographic: urgencyOf gives 10 x organisation + route, both 0 to 9, so that it stays below the 100 by which returning callers are queued behind first tries. Without a published priority the route's takes its place.

--- a/src/core/limits/queue-terms.ts
+++ b/src/core/limits/queue-terms.ts
@@ -12,7 +12,7 @@
 export interface QueuedCaller {
   /** Whether it has been refused before. */
   readonly isReturning: boolean;
-  /** Priority of its organisation or route; 0 goes first. */
+  /** Urgency by its organisation and route; 0 goes first. */
   readonly priority: number;
   /** Latency target of its answer, ms. */
   readonly targetMs: number;
--- a/src/core/published/types.ts
+++ b/src/core/published/types.ts
@@ -72,7 +72,8 @@
 /** An organisation and the priority of its requests. */
 export interface Organisation {
   readonly id: OrganisationId;
-  readonly priority: number;
+  /** 0 is the most urgent; goes before the route's. Undefined if none is published. */
+  readonly priority: number | undefined;
 }
 
 /** Limits on the size and duration of what callers send. */
--- /dev/null
+++ b/src/core/urgency/index.ts
@@ -0,0 +1,1 @@
+export * from './urgency.js';
--- a/src/gateway/requests/acquire-slot.ts
+++ b/src/gateway/requests/acquire-slot.ts
@@ -1,5 +1,6 @@
 /** Admission of one request to a group of lock-step engines: outage, admission queue, refusals. */
 import { queueTerms } from '../../core/limits/index.js';
+import { urgencyOf } from '../../core/urgency/index.js';
 import { BUSY_RETRY_S, DEFAULT_DEADLINE_MS, OUTAGE_RETRY_S } from '../consts.js';
 import type { GroupQueue, ServiceGroups } from '../groups/service-groups.js';
 import {
@@ -43,7 +44,7 @@
   const queuedAtMs = ctx.ageClock.nowMs();
   const terms = queueTerms({
     isReturning: summary.isReturning,
-    priority: organisation?.priority ?? route.priority,
+    priority: urgencyOf(organisation?.priority, route.priority),
     targetMs: route.targetMs,
     leftMs: remainingMs(active),
   });
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -45,7 +45,10 @@
     { name: 's-2', 'max-connections': 348, engine: { slots: 8, sets: 4, places: 8, spare: 3 } },
   ],
   limits: { 'max-body-bytes': 1000 },
-  tenants: [{ name: 'org-1', 'api-keys': ['k-1', 'k-2'], priority: 1 }],
+  tenants: [
+    { name: 'org-1', 'api-keys': ['k-1', 'k-2'], priority: 1 },
+    { name: 'org-2', 'api-keys': ['k-3'] },
+  ],
 };
 
 const ENDPOINT = { service: 's-1', address: '10.0.0.1:80', zone: 'a', slots: 6, state: 'ready' };
@@ -93,6 +96,8 @@
     assert.equal(findRoute(value, 'a.example', '/x/1')?.kind, 'repeatable');
     assert.equal(findRoute(value, 'a.example', '/y/'), undefined);
     assert.equal(value.organisationsByKey?.get('k-2')?.id, 'org-1');
+    assert.equal(value.organisationsByKey?.get('k-2')?.priority, 1);
+    assert.equal(value.organisationsByKey?.get('k-3')?.priority, undefined);
     assert.equal(value.limits.bodyBytes, 1000);
     const engines = [...value.services.values()].map((service) => service.engine?.slotsPerRank);
     assert.deepEqual(engines, [undefined, 8]);
