Admit requests by urgency, alike at every entry of a group

Entries report their first tries with every second poll; agents hand each report to the coordinator once; the digest carries the sum. From it each entry computes the level and its slots: its part of the limit by its part of the admitted demand, which first tries that the level admits may exceed by the variation of its streams. Returning callers are not refused by the level, and wait as before. Only where the requests of a service differ in urgency.

Agents of an older version reject messages with unknown fields. Entries therefore report only to agents whose digest says that they take it, and the digest carries the sum only while every agent of the group knows the field.

--- a/src/core/urgency/demand-sum.ts
+++ b/src/core/urgency/demand-sum.ts
@@ -11,19 +11,26 @@
 
 /** Age at which a report no longer counts, ms: entries report every 0.3 s. */
 const MAX_REPORT_AGE_MS = 2000;
+/**
+ * Arrivals of one entry that count, as a multiple of the median entry's. Without it, one report of any size would have
+ * all others refuse the classes below it.
+ */
+const MAX_TIMES_MEDIAN = 10;
+/** Arrivals a second of one entry that count in any case. */
+const MIN_COUNTED_PER_S = 20;
 /** Entries kept; a deployment has a few hundred. */
 const MAX_ENTRIES = 4096;
 
 type Counts = Demand['byUrgency'];
 
-/** A demand within bounds, and the fields that were not. */
+/** A demand within bounds, and the fields that were dropped. */
 export interface CheckedDemand {
   readonly demand: Demand;
   readonly invalid: readonly string[];
 }
 
 /**
- * Clamps a reported demand to plausible values and drops what is no number.
+ * Drops values that are implausible or no number from a reported demand.
  * @example checkDemand({ byUrgency: { '12': -3 }, byOrganisation: {} }).invalid // ['byUrgency.12']
  */
 export function checkDemand(reported: Demand): CheckedDemand {
@@ -31,7 +38,7 @@
   const check = (name: string, value: unknown, max: number): number | undefined => {
     if (typeof value === 'number' && value >= 0 && value <= max) return value;
     invalid.push(name);
-    return typeof value === 'number' && value > max ? max : undefined;
+    return undefined;
   };
   const checkAll = (name: string, counts: Counts, maxKeys: number): Record<string, number> => {
     const entries = Object.entries(counts);
@@ -65,9 +72,9 @@
   return Object.values(byUrgency).reduce<number>((sum, perS) => sum + (perS ?? 0), 0);
 }
 
-function addCounts(sums: Map<string, number>, counts: Counts): void {
+function addCounts(sums: Map<string, number>, counts: Counts, scale: number): void {
   for (const [key, perS] of Object.entries(counts))
-    sums.set(key, (sums.get(key) ?? 0) + (perS ?? 0));
+    sums.set(key, (sums.get(key) ?? 0) + (perS ?? 0) * scale);
 }
 
 function medianOf(values: number[]): number | undefined {
@@ -92,12 +99,15 @@
   let others = 0;
   let holdSum = 0;
   let holdWeight = 0;
-  for (const demand of demands) {
-    addCounts(urgencies, demand.byUrgency);
-    addCounts(organisations, demand.byOrganisation);
-    others += demand.othersPerS ?? 0;
+  const totals = demands.map(totalPerS);
+  const maxPerS = Math.max(MIN_COUNTED_PER_S, MAX_TIMES_MEDIAN * (medianOf([...totals]) ?? 0));
+  for (const [i, demand] of demands.entries()) {
+    const weight = Math.min(totals[i] ?? 0, maxPerS);
+    const scale = weight / Math.max(totals[i] ?? 0, weight, Number.MIN_VALUE);
+    addCounts(urgencies, demand.byUrgency, scale);
+    addCounts(organisations, demand.byOrganisation, scale);
+    others += (demand.othersPerS ?? 0) * scale;
     if (typeof demand.holdMs !== 'number') continue;
-    const weight = totalPerS(demand);
     holdSum += demand.holdMs * weight;
     holdWeight += weight;
   }
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -9,6 +9,7 @@
 import type { GroupId } from '../core/ids/index.js';
 import type { CrashUpdate, EndpointProcess } from '../generated/messages.types.js';
 import type { GroupLoad } from './groups/group-status.js';
+import { UrgencyTable } from './groups/urgency-table.js';
 import { ServiceGroups } from './groups/service-groups.js';
 import type { ServiceState } from './groups/service-state.js';
 import type { CallerApi, GatewaySettings } from './types.js';
@@ -64,6 +65,7 @@
 export function createContext(deps: GatewayDeps): GatewayContext {
   const { settings, state, ageClock } = deps;
   const services = new Map<ServiceId, ServiceState>();
+  const urgencies = new UrgencyTable(() => state.config);
   // Backoff times and limits of endpoints keep running while this machine is suspended.
   const endpoints = new Endpoints({ ...deps, clock: ageClock });
   const makeService = (id: ServiceId): ServiceState => {
@@ -86,6 +88,7 @@
           endpoints: () => state.availableEndpoints(id),
           groupOf: deps.groupOf,
           loadOf: deps.groupLoad,
+          urgencies: () => urgencies.of(id),
           isAvailable: (endpoint) => endpoints.isAvailable(endpoint),
         }),
     };
--- a/src/gateway/groups/group-status.ts
+++ b/src/gateway/groups/group-status.ts
@@ -11,7 +11,7 @@
   type PublishedState,
   type ServiceId,
 } from '../../core/published/index.js';
-import type { GroupDigest } from '../../generated/messages.types.js';
+import type { Demand, GroupDigest } from '../../generated/messages.types.js';
 
 /** Interval between polls, ms; a group digest is produced every 0.1 to 0.5 s. */
 const POLL_INTERVAL_MS = 150;
@@ -26,6 +26,8 @@
  * receive a digest every 0.25 s or more, and later in a branch whose first agent is unresponsive.
  */
 const FRESH_DIGEST_MS = 500;
+/** Interval between two reports of this entry's demand, ms; its counts decay over a second. */
+const DEMAND_INTERVAL_MS = 300;
 
 /** Status of one engine as observed by its group's coordinator. */
 export interface EngineStatus {
@@ -44,6 +46,8 @@
   readonly entries: number;
   /** When the coordinator polled the ranks, monotonic ms of this entry. */
   readonly countedAtMs: number;
+  /** Demand at all entries; undefined if the coordinator does not know it. */
+  readonly demand?: Demand;
 }
 
 /** Latest poll result of one group. */
@@ -54,12 +58,13 @@
 
 /**
  * Requests the group digest from the agent at an address; `sends` says whether this entry sends requests to
- * the group.
+ * the group, `demand` what arrives here for it.
  */
 export type PollGroup = (
   address: string,
   sends: boolean,
   withinMs: number,
+  demand?: Demand,
 ) => Promise<GroupDigest | undefined>;
 
 /** Dependencies of `GroupStatus`. */
@@ -75,6 +80,8 @@
   readonly ask: PollGroup;
   /** Whether this entry has requests in flight at a group. */
   readonly hasRequests: (service: ServiceId, group: GroupId) => boolean;
+  /** Returns the demand for a group at this entry; undefined, as without it, if it is not to be reported. */
+  readonly demandOf?: (service: ServiceId, group: GroupId) => Demand | undefined;
   /** Called after each newer poll result of a group. */
   readonly onUpdate: (service: ServiceId, group: GroupId) => void;
 }
@@ -86,6 +93,9 @@
   private readonly groupByEngine = new Map<EndpointId, GroupId>();
   /** The agent of each group whose last digest was fresh. */
   private readonly preferredAgents = new Map<GroupId, EndpointId>();
+  /** Agents that take reports of demand: others would reject the request. */
+  private readonly demandTakers = new Set<EndpointId>();
+  private readonly demandReportedAtMs = new Map<GroupId, number>();
   private round = 0;
   private isFailing = false;
 
@@ -138,6 +148,8 @@
   private forgetUnlisted(): void {
     for (const id of this.groupByEngine.keys())
       if (!this.parts.state.list.has(id)) this.groupByEngine.delete(id);
+    for (const id of this.demandTakers)
+      if (!this.parts.state.list.has(id)) this.demandTakers.delete(id);
   }
 
   /** Polls each known group once, and one engine whose group is unknown. */
@@ -166,11 +178,15 @@
     if (!agent) return;
     try {
       const address = `${hostOf(agent.address)}:${parts.port}`;
-      const digest = await parts.ask(address, sends, POLL_TIMEOUT_MS);
+      const demand = sends ? this.demandDue(service, group, agent) : undefined;
+      const digest = await parts.ask(address, sends, POLL_TIMEOUT_MS, demand);
+      if (digest?.takesDemand) this.demandTakers.add(agent.id);
       if (digest?.whole) this.applyDigest(service, digest, listed);
       this.updatePreferredAgent(group, agent, digest);
     } catch (err) {
       this.updatePreferredAgent(group, agent, undefined);
+      this.demandTakers.delete(agent.id);
+      if (group !== undefined) this.demandReportedAtMs.delete(group);
       parts.metrics.count('group_asks_failed_total');
       if (!this.isFailing)
         parts.log.info('group.lost', { agent: hostOf(agent.address), err: errorText(err) });
@@ -178,6 +194,20 @@
     }
   }
 
+  /** Returns the demand to report to an agent with this poll, if any; records the time. */
+  private demandDue(
+    service: ServiceId,
+    group: GroupId | undefined,
+    agent: PublishedEndpoint,
+  ): Demand | undefined {
+    if (group === undefined || !this.demandTakers.has(agent.id)) return undefined;
+    const nowMs = this.parts.clock.nowMs();
+    const reportedAtMs = this.demandReportedAtMs.get(group) ?? Number.NEGATIVE_INFINITY;
+    if (nowMs - reportedAtMs < DEMAND_INTERVAL_MS) return undefined;
+    this.demandReportedAtMs.set(group, nowMs);
+    return this.parts.demandOf?.(service, group);
+  }
+
   /** Returns the preferred agent of a group if it is among the choices, else a random one. */
   private chooseAgent(
     group: GroupId | undefined,
@@ -222,6 +252,7 @@
       running: digest.running,
       entries: digest.entries,
       countedAtMs,
+      ...(digest.demand && { demand: digest.demand }),
     };
     this.results.set(group, { engines, size });
     if (this.isFailing) this.parts.log.info('group.regained', { group, engines: engines.size });
--- a/src/gateway/groups/service-groups.ts
+++ b/src/gateway/groups/service-groups.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../../core/clock/index.js';
 import { asId, type EndpointId, type GroupId } from '../../core/ids/index.js';
 import type { DataCentreId, EngineInfo, PublishedEndpoint } from '../../core/published/index.js';
+import type { ServiceUrgencies } from '../../core/urgency/index.js';
 import type { GroupLoad } from './group-status.js';
 import { ReturningCallers } from './returning-callers.js';
 import { SlotQueue } from './slot-queue.js';
@@ -22,6 +23,8 @@
   readonly endpoints: () => Iterable<PublishedEndpoint>;
   readonly groupOf: (endpoint: PublishedEndpoint) => GroupId | undefined;
   readonly loadOf: (group: GroupId) => GroupLoad | undefined;
+  /** Returns the urgencies of the service's requests; undefined, as without it, if all are equally urgent. */
+  readonly urgencies?: () => ServiceUrgencies | undefined;
   /** Whether backpressure allows a request to an endpoint now. */
   readonly isAvailable: (endpoint: PublishedEndpoint) => boolean;
 }
@@ -53,8 +56,13 @@
   queueOf(id: GroupId): SlotQueue {
     const existing = this.queues.get(id);
     if (existing) return existing;
-    const { clock, engine, loadOf } = this.deps;
-    const created = new SlotQueue({ clock, engine, size: () => loadOf(id) });
+    const { clock, engine, loadOf, urgencies } = this.deps;
+    const created = new SlotQueue({
+      clock,
+      engine,
+      size: () => loadOf(id),
+      ...(urgencies && { urgencies }),
+    });
     this.queues.set(id, created);
     return created;
   }
--- a/src/gateway/groups/slot-queue.ts
+++ b/src/gateway/groups/slot-queue.ts
@@ -12,10 +12,20 @@
 } from '../../core/limits/index.js';
 import type { LogFields } from '../../core/logging/index.js';
 import type { EngineInfo } from '../../core/published/index.js';
+import {
+  fractionFor,
+  type AdmissionLevel,
+  type ServiceUrgencies,
+} from '../../core/urgency/index.js';
+import type { OrganisationId } from '../../core/ids/index.js';
+import type { Demand } from '../../generated/messages.types.js';
+import { GroupDemand } from './group-demand.js';
 import type { GroupLoad } from './group-status.js';
 
 /** Slots of an entry before the first status of the group. */
 const DEFAULT_SLOTS = 6;
+/** Slots for waiting requests that an entry has at any admission level. */
+const MIN_QUEUE_SLOTS = 2;
 /** Allowed pause between events before the first request sets one, ms. */
 const DEFAULT_PAUSE_MS = 120;
 
@@ -28,6 +38,42 @@
  */
 const POLL_COUNTS_AFTER_MS = 400;
 
+/** Standard deviations of its own streams by which an entry exceeds its slots for requests above the cut. */
+const ABOVE_CUT_DEVIATIONS = 2.5;
+/** Part of the free slots of the group that is handed out at once. */
+const FREE_SLOTS_SHARE = 1;
+/** The same for requests at the cut. */
+const AT_CUT_DEVIATIONS = 0.5;
+
+/** Slots for requests that wait, and for returning callers: while a class is cut, the variation is kept free. */
+function queueSlots({ slots, cut, trust }: AdmissionLevel): number {
+  const reserved = cut === undefined ? 0 : trust * Math.sqrt(slots);
+  return Math.max(MIN_QUEUE_SLOTS, Math.round(slots - reserved));
+}
+
+/** Slots for first tries that the level admits; the level of an old digest allows no excess. */
+function admittedSlots({ slots, trust, free }: AdmissionLevel, isAboveCut: boolean): number {
+  const deviations = isAboveCut ? ABOVE_CUT_DEVIATIONS : AT_CUT_DEVIATIONS;
+  return Math.round(
+    slots + trust * (FREE_SLOTS_SHARE * free * slots + deviations * Math.sqrt(slots)),
+  );
+}
+
+/** Decision of the admission level on a first try. */
+export type AdmissionDecision =
+  /** It has taken a slot. */
+  | { readonly kind: 'admitted' }
+  /** It may queue for a slot; also if no level applies. */
+  | { readonly kind: 'queue' }
+  | {
+      readonly kind: 'refused';
+      /** Fraction of its class and organisation that is admitted. */
+      readonly fraction: number;
+      readonly level: AdmissionLevel;
+      /** Age of the group's status, ms; undefined while it is unknown. */
+      readonly ageMs: number | undefined;
+    };
+
 /** Dependencies of `SlotQueue`. */
 export interface SlotQueueDeps {
   readonly clock: Clock;
@@ -35,6 +81,8 @@
   readonly engine: () => EngineInfo | undefined;
   /** Returns the latest load of the group; undefined if it is unknown or too old. */
   readonly size: () => GroupLoad | undefined;
+  /** Returns the urgencies of the service's requests; undefined, as without it, if all are equally urgent. */
+  readonly urgencies?: () => ServiceUrgencies | undefined;
 }
 
 /** Values that determine the slots of one entry at a group; the fields of the log line `group.seen`. */
@@ -56,6 +104,7 @@
 export class SlotQueue {
   readonly queue: WaitQueue;
   readonly outage = new OutageDetector();
+  readonly demand: GroupDemand;
   private readonly limit = new StreamLimitEstimator();
   private readonly ownCount = new StreamCountHistory();
   private allowedPauseMs = DEFAULT_PAUSE_MS;
@@ -63,14 +112,20 @@
   private lastSlots = DEFAULT_SLOTS;
 
   constructor(private readonly deps: SlotQueueDeps) {
+    this.demand = new GroupDemand(deps.clock);
     this.queue = new WaitQueue(
       () => this.slots,
-      (taken) => this.ownCount.note(taken, deps.clock.nowMs()),
+      (taken) => {
+        this.ownCount.note(taken, deps.clock.nowMs());
+        this.demand.noteTaken(taken);
+      },
     );
   }
 
   /** Maximum number of streams from this entry now. */
   get slots(): number {
+    const level = this.level();
+    if (level) return queueSlots(level);
     const group = this.latest();
     if (!group) return this.lastSlots;
     const { count, model } = group;
@@ -79,6 +134,61 @@
     return this.lastSlots;
   }
 
+  /** Returns the admission level; undefined if all requests are equally urgent, or too little is known. */
+  level(): AdmissionLevel | undefined {
+    const urgencies = this.deps.urgencies?.();
+    if (!urgencies) return undefined;
+    const group = this.latest();
+    const facts = group && {
+      count: group.count,
+      limit: this.limit.maxStreams(this.allowedPauseMs, group.model),
+      demand: group.size.demand,
+    };
+    return this.demand.levelFor(urgencies, facts);
+  }
+
+  /** Whether requests to this group differ in urgency. */
+  get hasUrgencies(): boolean {
+    return this.deps.urgencies?.() !== undefined;
+  }
+
+  /** Age of the group's status, ms; undefined while it is unknown. */
+  private statusAgeMs(): number | undefined {
+    const group = this.latest();
+    return group && Math.round(group.count.ageMs);
+  }
+
+  /** Returns the demand at this entry, to report to the group; undefined if all requests are equally urgent. */
+  reportDemand(): Demand | undefined {
+    if (!this.deps.urgencies?.()) return undefined;
+    const group = this.latest();
+    return this.demand.report(group && this.limit.maxStreams(this.allowedPauseMs, group.model));
+  }
+
+  /**
+   * Counts a first try and decides on it by the admission level. One that is admitted takes a slot, if need be beyond
+   * this entry's own slots: the level keeps the streams of all entries together within the limit.
+   * @example slotQueue.admit(urgencyOf(organisation.priority, route.priority), organisation.id, random).kind
+   */
+  admit(
+    urgency: number,
+    organisation: OrganisationId | undefined,
+    random: () => number,
+  ): AdmissionDecision {
+    if (!this.hasUrgencies) return { kind: 'queue' };
+    this.demand.noteArrival(urgency, organisation);
+    const level = this.level();
+    if (!level) return { kind: 'queue' };
+    const fraction = fractionFor(level, urgency, organisation);
+    if (fraction < 1 && random() >= fraction)
+      return { kind: 'refused', fraction, level, ageMs: this.statusAgeMs() };
+    const leastUrgent = Math.max(...level.fractions.keys());
+    const isAboveCut = urgency < Math.min(level.cut ?? leastUrgent, leastUrgent);
+    const hasSlot =
+      this.queue.running < admittedSlots(level, isAboveCut) && this.queue.tryAcquire(true);
+    return { kind: hasSlot ? 'admitted' : 'queue' };
+  }
+
   /** Returns the log fields of `group.seen`; undefined while the group's status is unknown. */
   logFields(): SlotQueueFields | undefined {
     const group = this.latest();
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -78,10 +78,14 @@
   const groups = new GroupStatus({
     ...agingDeps,
     port: settings.internalPort,
-    ask: (address, sends, withinMs) =>
+    ask: (address, sends, withinMs, demand) =>
       peers
         .at(address)
-        .group.query({ from: settings.instance, sends }, { signal: AbortSignal.timeout(withinMs) }),
+        .group.query(
+          { from: settings.instance, sends, ...(demand && { demand }) },
+          { signal: AbortSignal.timeout(withinMs) },
+        ),
+    demandOf: (service, group) => ctx.serviceOf(service).groups?.queueOf(group).reportDemand(),
     hasRequests: (service, group) =>
       (ctx.serviceOf(service).groups?.queueOf(group).queue.running ?? 0) > 0,
     onUpdate: (service, group) => ctx.serviceOf(service).groups?.queueOf(group).noteCompletePoll(),
--- a/src/gateway/requests/acquire-slot.ts
+++ b/src/gateway/requests/acquire-slot.ts
@@ -3,6 +3,7 @@
 import { urgencyOf } from '../../core/urgency/index.js';
 import { BUSY_RETRY_S, DEFAULT_DEADLINE_MS, OUTAGE_RETRY_S } from '../consts.js';
 import type { GroupQueue, ServiceGroups } from '../groups/service-groups.js';
+import { applyAdmissionLevel } from './admission-step.js';
 import {
   failureOutcome,
   randomRetryAfterS,
@@ -29,7 +30,9 @@
   const deadlineMs = request.head.deadlineMs ?? DEFAULT_DEADLINE_MS;
   summary.isReturning = groups.returningCallers.isReturning(route.id, deadlineMs, nowMs);
   if (group.slotQueue.outage.shouldRefuse(nowMs)) return refuseForOutage(active, groups);
-  if (await waitForSlot(active, group)) {
+  const admission = applyAdmissionLevel(active, group);
+  if (admission.kind === 'refused') return refuseBusy(active, groups, admission.detail);
+  if (admission.kind === 'admitted' || (await waitForSlot(active, group))) {
     active.group = group;
     return undefined;
   }
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -134,6 +134,7 @@
     return {
       ...reply,
       askers: activeEntries.recent(clock.nowMs()),
+      ...(order.from !== undefined && { demands: activeEntries.takeDemands(clock.nowMs()) }),
       ...(otherCoordinator && { heard: otherCoordinator }),
     };
   };
@@ -178,9 +179,10 @@
     rank: serveRank,
     branch: (order) => serveBranch(callAgent, order),
     group: (request) => {
-      if (request.sends) activeEntries.record(request.from, clock.nowMs());
+      if (request.sends) activeEntries.record(request.from, clock.nowMs(), request.demand);
       // A digest that is no longer renewed describes an outdated state of the group.
-      return digest.read(MAX_DIGEST_AGE_MS);
+      const latest = digest.read(MAX_DIGEST_AGE_MS);
+      return latest && { ...latest, takesDemand: true };
     },
   });
   process.on('SIGTERM', () => {
--- a/src/group/coordinator-task.ts
+++ b/src/group/coordinator-task.ts
@@ -73,7 +73,7 @@
 
   constructor(private readonly deps: CoordinatorDeps) {
     this.poller = new GroupPoller(deps);
-    this.digestBuilder = new DigestBuilder(deps.clock);
+    this.digestBuilder = new DigestBuilder(deps.clock, deps.log);
     this.latestDigest = new LatestDigest(deps.clock);
     this.planner = new MapPlanner(deps.clock);
     this.rounds = new SwitchRounds(deps, () => this.latestDigest.read()?.stepMs ?? 0);
--- a/src/group/digest-builder.ts
+++ b/src/group/digest-builder.ts
@@ -2,8 +2,11 @@
  * Summarises a poll of the group for entries: pace and load of each engine, and the time per step.
  */
 import type { Clock } from '../core/clock/index.js';
-import type { GroupDigest } from '../generated/messages.types.js';
+import { silentLog, type Log } from '../core/logging/index.js';
+import { checkDemand, DemandSum } from '../core/urgency/index.js';
+import type { Demand, GroupDigest } from '../generated/messages.types.js';
 import type { RankReply } from '../core/groups/index.js';
+import { LOG_INTERVAL_MS } from './consts.js';
 import { loadOf, totalLoad, type GroupReplies } from './group-view.js';
 
 /** Weight of the newest sample in the moving average of step times. */
@@ -24,7 +27,13 @@
   private lastStepAtMs = 0;
   private stepMs = 0;
 
-  constructor(private readonly clock: Clock) {}
+  private readonly demandSum = new DemandSum();
+  private invalidLoggedAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly log: Log = silentLog,
+  ) {}
 
   /**
    * Builds a digest; `replies` is undefined when the group is incomplete, `answered` holds the
@@ -54,6 +63,7 @@
     // An idle group makes no steps, so the time until its next step is no step time.
     if (!replies.some((reply) => (reply.running ?? 0) > 0)) this.lastStep = undefined;
     this.group = replies[0]?.group ?? '';
+    const demand = this.demandOf(replies, answered);
     return {
       group: this.group,
       whole: true,
@@ -64,9 +74,31 @@
       stepMs: Math.round(this.stepMs),
       entries: new Set(replies.flatMap((reply) => reply.askers ?? [])).size,
       ageMs: 0,
+      ...(demand && { demand }),
     };
   }
 
+  /**
+   * Demand at all entries; undefined unless all agents know the field: others would reject a poll that carries it.
+   */
+  private demandOf(replies: GroupReplies, answered: readonly RankReply[]): Demand | undefined {
+    const nowMs = this.clock.nowMs();
+    for (const { demands } of answered)
+      for (const { from, agoMs, demand } of demands ?? [])
+        this.demandSum.record(from, this.checked(from, demand, nowMs), nowMs - agoMs);
+    const sum = this.demandSum.read(nowMs);
+    return replies.every((reply) => reply.demands !== undefined) ? sum : undefined;
+  }
+
+  private checked(entry: string, reported: Demand, nowMs: number): Demand {
+    const { demand, invalid } = checkDemand(reported);
+    if (invalid.length > 0 && nowMs - this.invalidLoggedAtMs >= LOG_INTERVAL_MS) {
+      this.invalidLoggedAtMs = nowMs;
+      this.log.warn('demand.invalid', { entry, fields: invalid.slice(0, 4).join(',') });
+    }
+    return demand;
+  }
+
   private updateStepMs(step: number): void {
     const nowMs = this.clock.nowMs();
     const steps = this.lastStep === undefined ? 0 : step - this.lastStep;
