--- a/src/gateway/requests/acquire-slot.ts
+++ b/src/gateway/requests/acquire-slot.ts
@@ -1,7 +1,9 @@
 /** Admission of one request to a group of lock-step engines: outage, admission queue, refusals. */
 import { queueTerms } from '../../core/limits/index.js';
+import { urgencyOf } from '../../core/urgency/index.js';
 import { BUSY_RETRY_S, DEFAULT_DEADLINE_MS, OUTAGE_RETRY_S } from '../consts.js';
 import type { GroupQueue, ServiceGroups } from '../groups/service-groups.js';
+import { applyAdmissionLevel } from './admission-step.js';
 import {
   failureOutcome,
   randomRetryAfterS,
@@ -28,7 +30,9 @@
   const deadlineMs = request.head.deadlineMs ?? DEFAULT_DEADLINE_MS;
   summary.isReturning = groups.returningCallers.isReturning(route.id, deadlineMs, nowMs);
   if (group.slotQueue.outage.shouldRefuse(nowMs)) return refuseForOutage(active, groups);
-  if (await waitForSlot(active, group)) {
+  const admission = applyAdmissionLevel(active, group);
+  if (admission.kind === 'refused') return refuseBusy(active, groups, admission.detail);
+  if (admission.kind === 'admitted' || (await waitForSlot(active, group))) {
     active.group = group;
     return undefined;
   }
@@ -43,7 +47,7 @@
   const queuedAtMs = ctx.ageClock.nowMs();
   const terms = queueTerms({
     isReturning: summary.isReturning,
-    priority: organisation?.priority ?? route.priority,
+    priority: urgencyOf(organisation?.priority, route.priority),
     targetMs: route.targetMs,
     leftMs: remainingMs(active),
   });
