Let returning callers wait as long as a slot in time is expected

Cause: a returning caller waited for 0.6 of its target (0.24 s of 403 ms) and was then refused for good, though it had five seconds left and slots come free a second or two later. And as soon as returning callers wait longer, they take each slot as it comes free: a first try finds none and is refused after its 50 ms.

Now they wait in a queue of their own, up to their deadline less a long stream. A place in it needs slots expected to be left over by first tries before then: releases (slots and mean hold time), forecast of first tries with its uncertainty, and the reserve of free slots for first tries that keeps them from finding none. Who loses that prospect is refused at the next review (0.1 s). At their last chance they may pass first tries, within a fifth of the grants and only if those passed over are most likely served on their return. An outage is waited through only if outages before ended in time; nothing is granted meanwhile. A first try whose place cannot come up in its wait is refused at once.

--- a/src/core/limits/index.ts
+++ b/src/core/limits/index.ts
@@ -3,3 +3,5 @@
 export * from './wait-queue.js';
 export * from './queue-terms.js';
 export * from './outage-detector.js';
+export * from './last-chance.js';
+export * from './slot-turnover.js';
--- a/src/core/limits/queue-terms.ts
+++ b/src/core/limits/queue-terms.ts
@@ -39,7 +39,10 @@
  * refused while it still has time to try elsewhere.
  */
 const FIRST_TRY_TARGET_SHARE = 0.125;
-/** The same for a returning caller, which is late already and for which another refusal is final. */
+/**
+ * The same for a returning caller, which is late already and for which another refusal is final, while nothing is known
+ * of how long slots are held.
+ */
 const RETURNING_TARGET_SHARE = 0.6;
 
 /**
@@ -54,3 +57,11 @@
     waitMs: Math.max(0, Math.min(targetMs * share, leftMs)),
   };
 }
+
+/**
+ * Maximum wait of a returning caller, ms: what is left of its time after a stream that runs long.
+ * @example returningWaitMs(5400, 1600) // 3800
+ */
+export function returningWaitMs(leftMs: number, longStreamMs: number): number {
+  return Math.max(0, leftMs - longStreamMs);
+}
--- /dev/null
+++ b/src/core/retry-schedule/index.ts
@@ -0,0 +1,3 @@
+export * from './arrival-forecast.js';
+export * from './return-plan.js';
+export * from './leftover.js';
--- a/src/gateway/groups/slot-queue.ts
+++ b/src/gateway/groups/slot-queue.ts
@@ -11,6 +11,7 @@
   type StepModel,
 } from '../../core/limits/index.js';
 import type { LogFields } from '../../core/logging/index.js';
+import { ReturnPlan } from '../../core/retry-schedule/index.js';
 import type { EngineInfo } from '../../core/published/index.js';
 import type { GroupLoad } from './group-status.js';
 
@@ -50,11 +51,15 @@
   readonly own: number;
   readonly places: number;
   readonly queued: number;
+  /** Returning callers among the queued requests. */
+  readonly returning: number;
 }
 
 /** Slots and admission queue of one group at one entry. */
 export class SlotQueue {
   readonly queue: WaitQueue;
+  /** Estimates for callers that return after a refusal. */
+  readonly returns: ReturnPlan;
   readonly outage = new OutageDetector();
   private readonly limit = new StreamLimitEstimator();
   private readonly ownCount = new StreamCountHistory();
@@ -63,9 +68,21 @@
   private lastSlots = DEFAULT_SLOTS;
 
   constructor(private readonly deps: SlotQueueDeps) {
+    this.returns = new ReturnPlan({
+      nowMs: () => deps.clock.nowMs(),
+      slotState: () => ({
+        slots: this.slots,
+        taken: this.queue.running,
+        downForMs: this.outage.downForMs(deps.clock.nowMs()),
+      }),
+    });
     this.queue = new WaitQueue(
       () => this.slots,
-      (taken) => this.ownCount.note(taken, deps.clock.nowMs()),
+      (taken) => {
+        this.ownCount.note(taken, deps.clock.nowMs());
+        this.returns.noteTaken(taken);
+      },
+      this.returns,
     );
   }
 
@@ -93,6 +110,7 @@
       own: this.queue.running,
       places: this.slots,
       queued: this.queue.queued,
+      returning: this.queue.queuedReturning,
     };
   }
 
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -126,6 +126,7 @@
     groupLoad: (group) => groups.loadOf(group),
     groupOf: (endpoint) => groups.groupOf(endpoint),
   });
+  metrics.gauge('returning_callers_queued', () => countQueuedReturning(ctx));
   const gateway = createGateway(ctx);
   const crashes = ctx.crashes.evidence;
   const source = new RelayedSource({
@@ -172,6 +173,15 @@
   log.info('process.started', { settings: JSON.stringify(settings) });
 }
 
+/** Returning callers that wait for a slot of any group. */
+function countQueuedReturning(ctx: GatewayContext): number {
+  let queued = 0;
+  for (const service of ctx.state.config?.services.values() ?? [])
+    for (const { slotQueue } of ctx.serviceOf(service.id).groups?.all() ?? [])
+      queued += slotQueue.queue.queuedReturning;
+  return queued;
+}
+
 /** Logs the load of each group and the slots of this entry, so that refusals can be explained later. */
 function logSlotQueues(ctx: GatewayContext): void {
   for (const service of ctx.state.config?.services.values() ?? []) {
--- a/src/gateway/requests/acquire-slot.ts
+++ b/src/gateway/requests/acquire-slot.ts
@@ -1,5 +1,10 @@
 /** Admission of one request to a group of lock-step engines: outage, admission queue, refusals. */
-import { queueTerms } from '../../core/limits/index.js';
+import {
+  queueTerms,
+  returningWaitMs,
+  type QueueTerms,
+  type ReturnOutcome,
+} from '../../core/limits/index.js';
 import { BUSY_RETRY_S, DEFAULT_DEADLINE_MS, OUTAGE_RETRY_S } from '../consts.js';
 import type { GroupQueue, ServiceGroups } from '../groups/service-groups.js';
 import {
@@ -22,39 +27,95 @@
   const { ctx, request, summary } = active;
   const group = groups.choose(active.tried);
   if (!group) return failureOutcome(active);
+  const { slotQueue } = group;
   const { route } = request;
-  if (route.gapMs !== undefined) group.slotQueue.setAllowedPause(route.gapMs);
+  if (route.gapMs !== undefined) slotQueue.setAllowedPause(route.gapMs);
   const nowMs = ctx.ageClock.nowMs();
   const deadlineMs = request.head.deadlineMs ?? DEFAULT_DEADLINE_MS;
   summary.isReturning = groups.returningCallers.isReturning(route.id, deadlineMs, nowMs);
-  if (group.slotQueue.outage.shouldRefuse(nowMs)) return refuseForOutage(active, groups);
-  if (await waitForSlot(active, group)) {
+  const terms = termsOf(active);
+  if (!summary.isReturning) slotQueue.returns.noteFirstTry(terms.waitMs);
+  const isOutage = slotQueue.outage.isDown(nowMs);
+  const isProbe = isOutage && !slotQueue.outage.shouldRefuse(nowMs);
+  // A probe must not wait for the end of the outage that it is to detect.
+  const longWaitMs = isProbe ? undefined : longWaitOf(active, group);
+  if (isOutage && !isProbe && !mayOutlastOutage(group, longWaitMs))
+    return refuseForOutage(active, groups);
+  const outcome = await waitForSlot(active, group, terms, longWaitMs);
+  if (outcome === 'granted') {
     active.group = group;
     return undefined;
   }
   if (request.gone.aborted) return { kind: 'gone' };
-  return refuseBusy(active, groups, group.slotQueue.describe());
+  if (slotQueue.outage.isDown(ctx.ageClock.nowMs())) return refuseForOutage(active, groups);
+  const returning = summary.isReturning ? `, returning caller ${outcome}` : '';
+  return refuseBusy(active, groups, slotQueue.describe() + returning);
 }
 
-/** Waits in the admission queue of a group; false if the request gets no slot in time. */
-async function waitForSlot(active: ActiveRequest, { slotQueue }: GroupQueue): Promise<boolean> {
-  const { ctx, request, summary } = active;
-  const { route, organisation, gone } = request;
-  const queuedAtMs = ctx.ageClock.nowMs();
-  const terms = queueTerms({
-    isReturning: summary.isReturning,
+function termsOf(active: ActiveRequest): QueueTerms {
+  const { route, organisation } = active.request;
+  return queueTerms({
+    isReturning: active.summary.isReturning,
     priority: organisation?.priority ?? route.priority,
     targetMs: route.targetMs,
     leftMs: remainingMs(active),
   });
-  const hasSlot = await slotQueue.queue.acquire(terms.order, terms.waitMs, gone);
+}
+
+/** How long a returning caller may wait, ms; undefined while the hold time of slots is unknown. */
+function longWaitOf(active: ActiveRequest, { slotQueue }: GroupQueue): number | undefined {
+  const { longStreamMs } = slotQueue.returns;
+  if (!active.summary.isReturning || longStreamMs === undefined) return undefined;
+  return returningWaitMs(remainingMs(active), longStreamMs);
+}
+
+/** Whether an outage is expected to end early enough for a returning caller. */
+function mayOutlastOutage({ slotQueue }: GroupQueue, waitMs: number | undefined): boolean {
+  return waitMs !== undefined && slotQueue.returns.expectedSlots(waitMs) > 0;
+}
+
+/** Waits in the admission queue of a group. */
+async function waitForSlot(
+  active: ActiveRequest,
+  group: GroupQueue,
+  terms: QueueTerms,
+  longWaitMs: number | undefined,
+): Promise<ReturnOutcome> {
+  const { ctx, summary } = active;
+  const queuedAtMs = ctx.ageClock.nowMs();
+  const outcome =
+    longWaitMs === undefined
+      ? await waitShortly(active, group, terms)
+      : await waitReturning(active, group, { order: terms.order, waitMs: longWaitMs });
   summary.queuedMs = ctx.ageClock.nowMs() - queuedAtMs;
-  return hasSlot;
+  if (outcome !== 'granted' && !summary.isReturning) group.slotQueue.returns.noteRefusedFirstTry();
+  return outcome;
+}
+
+async function waitShortly(
+  { request }: ActiveRequest,
+  { slotQueue }: GroupQueue,
+  { order, waitMs }: QueueTerms,
+): Promise<ReturnOutcome> {
+  return (await slotQueue.queue.acquire(order, waitMs, request.gone)) ? 'granted' : 'too-late';
+}
+
+async function waitReturning(
+  active: ActiveRequest,
+  { slotQueue }: GroupQueue,
+  terms: QueueTerms,
+): Promise<ReturnOutcome> {
+  const { ctx, service, request } = active;
+  const outcome = await slotQueue.queue.acquireReturning(terms, request.gone);
+  if (outcome !== 'gone') slotQueue.returns.noteReturnEnded(outcome === 'granted');
+  ctx.metrics.count('returning_callers_total', { service: service.id, outcome });
+  return outcome;
 }
 
 function refuseForOutage(active: ActiveRequest, groups: ServiceGroups): RequestOutcome {
   const { ctx } = active;
   groups.returningCallers.recordRefusal(ctx.ageClock.nowMs());
+  countSecondRefusal(active, 'outage');
   return refuseWith(
     'outage',
     'no endpoint of the service is available',
@@ -66,5 +127,14 @@
 function refuseBusy(active: ActiveRequest, groups: ServiceGroups, detail: string): RequestOutcome {
   const { ctx } = active;
   groups.returningCallers.recordRefusal(ctx.ageClock.nowMs());
+  countSecondRefusal(active, 'busy');
   return refuseWith('busy', detail, randomRetryAfterS(ctx, BUSY_RETRY_S));
 }
+
+function countSecondRefusal(
+  { ctx, service, summary }: ActiveRequest,
+  reason: 'busy' | 'outage',
+): void {
+  if (summary.isReturning)
+    ctx.metrics.count('second_refusals_total', { service: service.id, reason });
+}
--- a/test/gateway/groups/groups.test.ts
+++ b/test/gateway/groups/groups.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
 import { asId, type GroupId } from '../../../src/core/ids/index.js';
+import type { Route } from '../../../src/core/published/index.js';
 import {
   responseHead,
   okResponse,
@@ -39,6 +40,7 @@
 async function withGroups(
   answers: readonly RawResponder[],
   run: (harness: Harness) => Promise<void>,
+  change: Partial<Route> = {},
 ): Promise<void> {
   const raw: RawEndpoint[][] = [];
   for (const answer of answers)
@@ -47,7 +49,7 @@
   const service = { id: asId(SERVICE), maxConnections: 100, engine: ENGINE_INFO } as const;
   const services = new Map([[service.id, service]]);
   const under = await startGateway(
-    config([route({ maxAttempts: 2 })], { services } as never),
+    config([route({ maxAttempts: 2, ...change })], { services } as never),
     listed,
     { groupOf: (e) => asId<GroupId>(e.id.slice(0, 2)) },
   );
@@ -110,3 +112,29 @@
     assert.equal(callers?.isReturning(asId('r-1'), 5600, performance.now()), true);
   });
 });
+
+/**
+ * A returning caller was refused for good after 0.6 of its target, 120 ms here, although it had five seconds left and
+ * slots are held for half a second.
+ */
+test('a returning caller with seconds left is not refused for good while slots come free soon', async () => {
+  const answer: RawResponder = (req) =>
+    void setTimeout(() => req.socket.write(okResponse(req, 'fine')), 500);
+  const run = async ({ under }: Harness): Promise<void> => {
+    const request = (id: string, waitsMs: number): Promise<TestResponse> =>
+      under.send(id, { headers: { 'x-deadline-ms': String(waitsMs) } });
+    const first = await Promise.all(
+      Array.from({ length: 12 }, (_, i) => request(`q-first-${i}`, 8000)),
+    );
+    assert.ok(first.some(({ status }) => status === 503));
+    const running = Promise.all(Array.from({ length: 6 }, (_, i) => request(`q-${i}`, 8000)));
+    await wait(50);
+    const returning = await request('q-returning', 5500);
+    assert.equal(returning.status, 200, returning.body);
+    assert.ok(returning.tookMs > 700, `${returning.tookMs}`);
+    await running;
+    const outcome = { service: SERVICE, outcome: 'granted' };
+    assert.equal(under.metrics.value('returning_callers_total', outcome), 1);
+  };
+  await withGroups([answer], run, { kind: 'once', timeoutMs: 8000 });
+});
