Expect a first outage of a group to last 7 s, and let returning callers wait for its end

Cause: an outage was waited through only if one had been seen before.

Weighed: no announcement of the end reaches an entry, so the expectation is 7 s and then follows the outages seen; a caller is held only if a slot for each place ahead of it is expected by its last moment, and refused as soon as the outage has lasted a quarter longer.

Longer outages cost more than before; their callers are refused later.

--- a/src/core/retry-schedule/return-plan.ts
+++ b/src/core/retry-schedule/return-plan.ts
@@ -32,10 +32,14 @@
 const OUTAGE_SLOTS_PER_PLACE = 1;
 /** Hold time assumed for a stream that runs long, as a multiple of the mean. */
 const LONG_STREAM_FACTOR = 1.3;
+/**
+ * Duration expected of a first outage, ms: a data centre cut off for 6 s, and the time in which the group forms again.
+ */
+const USUAL_OUTAGE_MS = 7000;
 /** Weight of the latest outage in the expected duration. */
 const OUTAGE_STEP = 0.5;
 /** Multiple of the expected duration after which an outage counts as one of another kind. */
-const MAX_OUTAGE_FACTOR = 1.15;
+const MAX_OUTAGE_FACTOR = 1.25;
 
 /** State of the group's slots at this entry. */
 export interface SlotState {
@@ -69,7 +73,7 @@
   private firstTryWaitMs = 0;
   private profile: Leftover | undefined;
   private lastDownForMs = 0;
-  private outageMs: number | undefined;
+  private outageMs = USUAL_OUTAGE_MS;
 
   constructor(private readonly deps: ReturnPlanDeps) {}
 
@@ -135,18 +139,16 @@
   }
 
   /**
-   * Expected time until the end of an outage, ms: 0 without one, infinite if it lasts longer than outages before, or
-   * none was seen.
+   * Expected time until the end of an outage, ms: 0 without one, infinite if it lasts longer than expected.
    */
   private outageLeftMs(): number {
     const { downForMs } = this.deps.slotState();
     if (downForMs === 0 && this.lastDownForMs > 0) {
-      const step = this.outageMs === undefined ? 1 : OUTAGE_STEP;
-      this.outageMs = (this.outageMs ?? 0) + step * (this.lastDownForMs - (this.outageMs ?? 0));
+      this.outageMs += OUTAGE_STEP * (this.lastDownForMs - this.outageMs);
     }
     this.lastDownForMs = downForMs;
     if (downForMs === 0) return 0;
-    const leftMs = (this.outageMs ?? 0) * MAX_OUTAGE_FACTOR - downForMs;
+    const leftMs = this.outageMs * MAX_OUTAGE_FACTOR - downForMs;
     return leftMs > 0 ? leftMs : Number.POSITIVE_INFINITY;
   }
 
