Plan the Retry-After of refused callers by the forecast of first tries

Cause: callers refused at the top of a wave return within 1.0 to 2.5 s at random, whatever the load will be then.

Each entry forecasts first tries from the level and trend of its own record, by ridge regression for each half second, and follows the free slots, less callers that wait and returns promised: a refused caller gets the soonest time with room within a third of its time, else the latest. The usual range holds unless the forecast's error is clearly below that of "as now" and of the mean. A line `return.planned` tells why; gauges count promises kept and lapsed.

Weighed: a search for a period (a wave shows in the two coefficients of each horizon without one); promises that only count when scheduled (the usual ones come as well).

Plain services keep the usual range.

--- a/src/core/retry-schedule/return-plan.ts
+++ b/src/core/retry-schedule/return-plan.ts
@@ -1,10 +1,12 @@
 /**
- * Prospects of returning callers at one group, as one entry sees it: how many slots first tries will leave over.
- * All state is this entry's own, bounded, and lost with the process.
+ * Returns of refused callers at one group, as one entry sees it: how many slots first tries will leave over, and when
+ * refused callers should come back. All state is this entry's own, bounded, and lost with the process.
  */
+import type { Random } from '../clock/index.js';
 import { lastChanceShare, SlotTurnover, type ReturnProspects } from '../limits/index.js';
 import { ArrivalForecast, BIN_MS } from './arrival-forecast.js';
 import { expectedLeftoverPerS } from './leftover.js';
+import { ReturnSchedule, type PlannedReturn, type RefusedCaller } from './return-schedule.js';
 
 /** Time for which the slots expected to be left over are not computed again, ms. */
 const PROFILE_AGE_MS = 50;
@@ -47,6 +49,8 @@
   readonly taken: number;
   /** Time since the group went down, ms; 0 while it serves. */
   readonly downForMs: number;
+  /** Returning callers that wait for a slot. */
+  readonly queued: number;
 }
 
 /** Dependencies of `ReturnPlan`. */
@@ -67,6 +71,7 @@
 /** Expected leftover slots of one group at one entry. Times are monotonic ms. */
 export class ReturnPlan implements ReturnProspects {
   readonly forecast = new ArrivalForecast();
+  readonly schedule = new ReturnSchedule();
   private readonly turnover = new SlotTurnover();
   private refusedAtMs = Number.NEGATIVE_INFINITY;
   private servedShare = INITIAL_SERVED_SHARE;
@@ -93,6 +98,11 @@
     this.refusedAtMs = this.deps.nowMs();
   }
 
+  /** Notes that a caller returned. */
+  noteReturn(): void {
+    this.schedule.noteReturn(this.deps.nowMs());
+  }
+
   /** Notes whether a returning caller got a slot. */
   noteReturnEnded(isServed: boolean): void {
     this.servedShare += SERVED_STEP * (Number(isServed) - this.servedShare);
@@ -192,4 +202,25 @@
     });
     return { atMs: nowMs, free: Math.max(0, slots - taken - reserved), perBin };
   }
+
+  /**
+   * Plans the return of a refused caller.
+   * @example plan.planReturn({ leftMs: 8000, usualMs: () => 1500 }, Math.random).retryAfterMs
+   */
+  planReturn(caller: RefusedCaller, random: Random): PlannedReturn {
+    const nowMs = this.deps.nowMs();
+    const { slots, taken, queued } = this.deps.slotState();
+    const reserved = this.reservedSlots();
+    const room = {
+      nowMs,
+      forecast: this.forecast.summary(nowMs),
+      firstTriesPerS: (aheadMs: number) => this.forecast.perS(nowMs, aheadMs),
+      holdMs: this.turnover.holdMs,
+      slots,
+      free: Math.max(0, slots - taken - reserved),
+      reserved,
+      queued,
+    };
+    return this.schedule.plan(caller, room, random);
+  }
 }
--- a/src/gateway/groups/slot-queue.ts
+++ b/src/gateway/groups/slot-queue.ts
@@ -74,6 +74,7 @@
         slots: this.slots,
         taken: this.queue.running,
         downForMs: this.outage.downForMs(deps.clock.nowMs()),
+        queued: this.queue.queuedReturning,
       }),
     });
     this.queue = new WaitQueue(
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -30,6 +30,7 @@
 import { createContext, type GatewayContext } from './context.js';
 import { createGateway, type Gateway } from './gateway.js';
 import { GroupStatus } from './groups/group-status.js';
+import type { SlotQueue } from './groups/slot-queue.js';
 import { createRateLimits } from './backpressure/rate-limits.js';
 import { createRelayBroadcast } from './backpressure/relay-broadcast.js';
 import type { CallerApi, InstanceSettings } from './types.js';
@@ -126,7 +127,7 @@
     groupLoad: (group) => groups.loadOf(group),
     groupOf: (endpoint) => groups.groupOf(endpoint),
   });
-  metrics.gauge('returning_callers_queued', () => countQueuedReturning(ctx));
+  registerReturnGauges(ctx);
   const gateway = createGateway(ctx);
   const crashes = ctx.crashes.evidence;
   const source = new RelayedSource({
@@ -173,13 +174,31 @@
   log.info('process.started', { settings: JSON.stringify(settings) });
 }
 
-/** Returning callers that wait for a slot of any group. */
-function countQueuedReturning(ctx: GatewayContext): number {
-  let queued = 0;
-  for (const service of ctx.state.config?.services.values() ?? [])
-    for (const { slotQueue } of ctx.serviceOf(service.id).groups?.all() ?? [])
-      queued += slotQueue.queue.queuedReturning;
-  return queued;
+/** Registers the gauges of refused callers, over all groups. */
+function registerReturnGauges(ctx: GatewayContext): void {
+  const sum = (read: (slotQueue: SlotQueue) => number) => (): number => {
+    let total = 0;
+    for (const service of ctx.state.config?.services.values() ?? [])
+      for (const { slotQueue } of ctx.serviceOf(service.id).groups?.all() ?? [])
+        total += read(slotQueue);
+    return total;
+  };
+  ctx.metrics.gauge(
+    'returning_callers_queued',
+    sum(({ queue }) => queue.queuedReturning),
+  );
+  ctx.metrics.gauge(
+    'promised_returns',
+    sum(({ returns }) => returns.schedule.outstanding),
+  );
+  ctx.metrics.gauge(
+    'promised_returns_kept',
+    sum(({ returns }) => returns.schedule.kept),
+  );
+  ctx.metrics.gauge(
+    'promised_returns_lapsed',
+    sum(({ returns }) => returns.schedule.lapsed),
+  );
 }
 
 /** Logs the load of each group and the slots of this entry, so that refusals can be explained later. */
--- a/src/gateway/requests/acquire-slot.ts
+++ b/src/gateway/requests/acquire-slot.ts
@@ -16,6 +16,8 @@
   type RequestOutcome,
 } from './active-request.js';
 
+const MS_PER_S = 1000;
+
 /**
  * Acquires one of this entry's slots in a group; returns a refusal if none is free in time.
  * @example const refusal = await acquireSlot(active, service.groups);
@@ -34,7 +36,8 @@
   const deadlineMs = request.head.deadlineMs ?? DEFAULT_DEADLINE_MS;
   summary.isReturning = groups.returningCallers.isReturning(route.id, deadlineMs, nowMs);
   const terms = termsOf(active);
-  if (!summary.isReturning) slotQueue.returns.noteFirstTry(terms.waitMs);
+  if (summary.isReturning) slotQueue.returns.noteReturn();
+  else slotQueue.returns.noteFirstTry(terms.waitMs);
   const isOutage = slotQueue.outage.isDown(nowMs);
   const isProbe = isOutage && !slotQueue.outage.shouldRefuse(nowMs);
   // A probe must not wait for the end of the outage that it is to detect.
@@ -49,7 +52,7 @@
   if (request.gone.aborted) return { kind: 'gone' };
   if (slotQueue.outage.isDown(ctx.ageClock.nowMs())) return refuseForOutage(active, groups);
   const returning = summary.isReturning ? `, returning caller ${outcome}` : '';
-  return refuseBusy(active, groups, slotQueue.describe() + returning);
+  return refuseBusy(active, groups, group, slotQueue.describe() + returning);
 }
 
 function termsOf(active: ActiveRequest): QueueTerms {
@@ -124,11 +127,40 @@
 }
 
 /** Refuses a request for which the group has no room. */
-function refuseBusy(active: ActiveRequest, groups: ServiceGroups, detail: string): RequestOutcome {
-  const { ctx } = active;
-  groups.returningCallers.recordRefusal(ctx.ageClock.nowMs());
+function refuseBusy(
+  active: ActiveRequest,
+  groups: ServiceGroups,
+  group: GroupQueue,
+  detail: string,
+): RequestOutcome {
+  groups.returningCallers.recordRefusal(active.ctx.ageClock.nowMs());
   countSecondRefusal(active, 'busy');
-  return refuseWith('busy', detail, randomRetryAfterS(ctx, BUSY_RETRY_S));
+  return refuseWith('busy', detail, retryAfterS(active, group));
+}
+
+/** Retry-After by the group's return schedule; the usual range for a returning caller, which does not return again. */
+function retryAfterS(active: ActiveRequest, { id, slotQueue }: GroupQueue): number {
+  const { ctx, service, summary, request } = active;
+  const usualS = (): number => randomRetryAfterS(ctx, BUSY_RETRY_S);
+  if (summary.isReturning) return usualS();
+  const caller = { leftMs: remainingMs(active), usualMs: () => usualS() * MS_PER_S };
+  const planned = slotQueue.returns.planReturn(caller, ctx.random);
+  ctx.metrics.count('planned_returns_total', { service: service.id, why: planned.why });
+  ctx.log.info('return.planned', {
+    request: request.id,
+    group: id,
+    why: planned.why,
+    retryAfterMs: Math.round(planned.retryAfterMs),
+    forecastPerS: round(planned.forecastPerS),
+    errorPerS: planned.errorPerS === undefined ? undefined : round(planned.errorPerS),
+    promised: planned.promised,
+    room: round(planned.room),
+  });
+  return planned.retryAfterMs / MS_PER_S;
+}
+
+function round(value: number): number {
+  return Math.round(value * 10) / 10;
 }
 
 function countSecondRefusal(
--- a/test/core/retry-schedule/callers-under-load.test.ts
+++ b/test/core/retry-schedule/callers-under-load.test.ts
@@ -1,6 +1,6 @@
 /**
  * What callers get before a group under changing load, with the policy before (a returning caller waits for 0.6 of its
- * target) and with the queue of returning callers, in the same run.
+ * target), with the queue of returning callers, and with scheduled returns as well, in the same run.
  */
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
@@ -121,3 +121,38 @@
   assert.ok(after.refusedTwice < before.refusedTwice);
   assert.ok(after.value > before.value);
 });
+
+/** Scheduled returns must not cost what the queue gained, whether the forecast holds or not. */
+test('scheduled returns in a lasting wave are no worse than the usual range', (t) => {
+  const load = { ...wave(15), durationMs: 80_000 };
+  const [queue, schedule] = compare(t, load, ['queue', 'schedule']);
+  assert.ok(schedule.room + schedule.latest > 0.2 * schedule.refusedOnce, 'some are scheduled');
+  assert.ok(schedule.refusedTwice < queue.refusedTwice + 0.7);
+  assert.ok(schedule.value > queue.value - 0.7);
+});
+
+test('a burst that the forecast of a wave missed does not strand the promised returns', (t) => {
+  const burstAt = (atMs: number): number => (atMs > 45_000 && atMs < 51_000 ? 1.6 : 1);
+  const load = {
+    ...wave(15),
+    durationMs: 65_000,
+    perS: (atMs: number) => 0.85 * wave(15).perS(atMs) * burstAt(atMs),
+  };
+  const [before, schedule] = compare(t, load, ['before', 'schedule']);
+  assert.ok(schedule.refusedTwice < before.refusedTwice);
+  assert.ok(schedule.value > before.value + 2);
+});
+
+test('callers that ignore their scheduled return are no worse off than before', (t) => {
+  const load = { ...wave(15), durationMs: 60_000, impatientShare: 0.5 };
+  const [before, schedule] = compare(t, load, ['before', 'schedule']);
+  assert.ok(schedule.refusedTwice < before.refusedTwice);
+  assert.ok(schedule.value > before.value);
+});
+
+test('an entry that restarts forgets its promises and serves on with the usual range', (t) => {
+  const load = { ...wave(15), durationMs: 60_000, restartAtMs: 45_000 };
+  const [before, schedule] = compare(t, load, ['before', 'schedule']);
+  assert.ok(schedule.refusedTwice < before.refusedTwice);
+  assert.ok(schedule.value > before.value);
+});
--- a/test/core/retry-schedule/callers-under-load.ts
+++ b/test/core/retry-schedule/callers-under-load.ts
@@ -35,6 +35,10 @@
   heldInVainMs: number;
   /** Served too late for their stream to end by the deadline. */
   tooLong: number;
+  /** First refusals by the reason of their Retry-After. */
+  usual: number;
+  room: number;
+  latest: number;
   /** Sum of values: 1 in time, 0.4 late, -0.3 and less the time held over 6 s if refused twice. */
   value: number;
 }
@@ -44,8 +48,8 @@
   readonly plan: ReturnPlan;
 }
 
-/** Policy of an entry: before, or with the queue of returning callers. */
-export type Policy = 'before' | 'queue';
+/** Policy of an entry: before, with the queue of returning callers, or with the schedule as well. */
+export type Policy = 'before' | 'queue' | 'schedule';
 
 /** Runs one case. */
 export function simulate(load: LoadCase, policy: Policy, seed: number): Tally {
@@ -59,6 +63,9 @@
     heldAndRefused: 0,
     heldInVainMs: 0,
     tooLong: 0,
+    usual: 0,
+    room: 0,
+    latest: 0,
     value: 0,
   };
   let nowMs = 0;
@@ -82,6 +89,7 @@
         slots: load.slotsPerEntry,
         taken: queue.running,
         downForMs: downForMs(),
+        queued: queue.queuedReturning,
       }),
     });
     const queue: WaitQueue = new WaitQueue(
@@ -123,8 +131,13 @@
       tally.refusedOnce += 1;
       const usualMs = (): number => range.min + random() * (range.max - range.min);
       const leftNowMs = DEADLINE_MS - (nowMs - firstAtMs);
-      const retryMs =
-        random() < (load.impatientShare ?? 0) ? 20 : Math.min(leftNowMs / 3, usualMs());
+      const planned =
+        policy === 'schedule' && range === USUAL_RETRY_MS
+          ? plan.planReturn({ leftMs: leftNowMs, usualMs }, random)
+          : { retryAfterMs: usualMs(), why: 'usual' as const };
+      tally[planned.why] += 1;
+      const isImpatient = random() < (load.impatientShare ?? 0);
+      const retryMs = isImpatient ? 20 : Math.min(leftNowMs / 3, planned.retryAfterMs);
       setTimer(() => call(firstAtMs), retryMs + 5);
     };
     const finish = (isGranted: boolean): void => {
@@ -133,7 +146,8 @@
       if (isGranted) serve();
       else refuse();
     };
-    if (!isReturning) {
+    if (isReturning) plan.noteReturn();
+    else {
       tally.callers += 1;
       plan.noteFirstTry(TARGET_MS / 8);
     }
--- a/test/gateway/groups/groups.test.ts
+++ b/test/gateway/groups/groups.test.ts
@@ -127,6 +127,8 @@
       Array.from({ length: 12 }, (_, i) => request(`q-first-${i}`, 8000)),
     );
     assert.ok(first.some(({ status }) => status === 503));
+    const planned = under.logLines.find(({ event }) => event === 'return.planned');
+    assert.equal(planned?.fields['why'], 'usual', 'nothing is known yet');
     const running = Promise.all(Array.from({ length: 6 }, (_, i) => request(`q-${i}`, 8000)));
     await wait(50);
     const returning = await request('q-returning', 5500);
