Hold a returning caller no longer than it waits in silence, and reserve fewer slots

Cause: callers give up a stream after two seconds without an event (four targets or eight allowed gaps if longer), before the first event too.

The wait is bounded by that patience less the target: 1.6 s with 403 ms. An outage is expected to end at its mean duration, not at the bound after which nobody is held: the remaining time was overestimated by 1.75 s.

--- a/src/core/limits/queue-terms.ts
+++ b/src/core/limits/queue-terms.ts
@@ -58,10 +58,30 @@
   };
 }
 
+/** Silence after which callers give up a stream, also before its first event: the longest of these. */
+const STREAM_PATIENCE = { minMs: 2000, targets: 4, gaps: 8 } as const;
+
+/** A returning caller that may wait for long. */
+export interface PatientCaller {
+  readonly leftMs: number;
+  readonly targetMs: number;
+  /** Longest pause between events that its route allows, ms; undefined if its answer is no stream. */
+  readonly gapMs: number | undefined;
+  /** Time that a stream takes if it runs long, ms. */
+  readonly longStreamMs: number;
+}
+
 /**
- * Maximum wait of a returning caller, ms: what is left of its time after a stream that runs long.
- * @example returningWaitMs(5400, 1600) // 3800
+ * Maximum wait of a returning caller, ms: what is left of its time after a stream that runs long, and of its patience
+ * after the time until a first event.
+ * @example returningWaitMs({ leftMs: 5400, targetMs: 400, gapMs: 120, longStreamMs: 1600 }) // 1600
  */
-export function returningWaitMs(leftMs: number, longStreamMs: number): number {
-  return Math.max(0, leftMs - longStreamMs);
+export function returningWaitMs(caller: PatientCaller): number {
+  const { leftMs, targetMs, gapMs, longStreamMs } = caller;
+  const { minMs, targets, gaps } = STREAM_PATIENCE;
+  const patienceMs =
+    gapMs === undefined
+      ? Number.POSITIVE_INFINITY
+      : Math.max(minMs, targets * targetMs, gaps * gapMs) - targetMs;
+  return Math.max(0, Math.min(leftMs - longStreamMs, patienceMs));
 }
--- a/src/core/retry-schedule/return-plan.ts
+++ b/src/core/retry-schedule/return-plan.ts
@@ -18,7 +18,7 @@
  * Reserve, as arrivals of first tries within a time, ms. Without one, returning callers take each slot as it comes
  * free, and a first try finds all slots taken at any load.
  */
-const RESERVED_ARRIVALS_MS = 110;
+const RESERVED_ARRIVALS_MS = 50;
 /** Part of the slots that may be reserved at most. */
 const MAX_RESERVED_SHARE = 0.25;
 /** Weight of the latest outcome in the share of returning callers that were served. */
@@ -40,6 +40,8 @@
 const USUAL_OUTAGE_MS = 7000;
 /** Weight of the latest outage in the expected duration. */
 const OUTAGE_STEP = 0.5;
+/** Time in which an outage that lasts a little longer than expected is expected to end, ms. */
+const OVERDUE_MS = 500;
 /** Multiple of the expected duration after which an outage counts as one of another kind. */
 const MAX_OUTAGE_FACTOR = 1.25;
 
@@ -158,8 +160,8 @@
     }
     this.lastDownForMs = downForMs;
     if (downForMs === 0) return 0;
-    const leftMs = this.outageMs * MAX_OUTAGE_FACTOR - downForMs;
-    return leftMs > 0 ? leftMs : Number.POSITIVE_INFINITY;
+    if (downForMs > this.outageMs * MAX_OUTAGE_FACTOR) return Number.POSITIVE_INFINITY;
+    return Math.max(OVERDUE_MS, this.outageMs - downForMs);
   }
 
   /**
--- a/src/gateway/requests/acquire-slot.ts
+++ b/src/gateway/requests/acquire-slot.ts
@@ -69,7 +69,9 @@
 function longWaitOf(active: ActiveRequest, { slotQueue }: GroupQueue): number | undefined {
   const { longStreamMs } = slotQueue.returns;
   if (!active.summary.isReturning || longStreamMs === undefined) return undefined;
-  return returningWaitMs(remainingMs(active), longStreamMs);
+  const { kind, targetMs, gapMs: allowedGapMs = 0 } = active.request.route;
+  const gapMs = kind === 'stream' ? allowedGapMs : undefined;
+  return returningWaitMs({ leftMs: remainingMs(active), targetMs, gapMs, longStreamMs });
 }
 
 /** Whether an outage is expected to end early enough for a returning caller. */
--- a/test/core/limits/returning-queue.test.ts
+++ b/test/core/limits/returning-queue.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import {
   lastChanceShare,
+  returningWaitMs,
   WaitQueue,
   type ReturnOutcome,
   type ReturnProspects,
@@ -180,3 +181,17 @@
   assert.deepEqual(results, [false], 'three slots within 50 ms are most unlikely');
   for (const abandon of leave) abandon();
 });
+
+/**
+ * Callers give up a stream after two seconds without an event, before its first one too. Those that waited for longer
+ * were served after they had left, or left the queue.
+ */
+test('a returning caller waits no longer than its patience, nor until too late for a long stream', () => {
+  const caller = { leftMs: 5400, targetMs: 400, gapMs: 120, longStreamMs: 1600 };
+  assert.equal(returningWaitMs(caller), 1600);
+  assert.equal(returningWaitMs({ ...caller, targetMs: 1000 }), 3000);
+  assert.equal(returningWaitMs({ ...caller, gapMs: 400 }), 2800);
+  assert.equal(returningWaitMs({ ...caller, leftMs: 2000 }), 400);
+  assert.equal(returningWaitMs({ ...caller, leftMs: 1000 }), 0);
+  assert.equal(returningWaitMs({ ...caller, gapMs: undefined }), 3800, 'the answer is no stream');
+});
