Do not learn the hold time of slots from refused probes of an outage

Cause: probes, five a second, hold a slot for the milliseconds of a refusal. After 8 s of them the mean hold time was 176 ms instead of 1,211 (measured on the class), releases a second looked seven times as many, and returning callers would be held for slots that never come.

While the group is down nothing is learned, and the mean before it stays.

--- a/src/core/limits/slot-turnover.ts
+++ b/src/core/limits/slot-turnover.ts
@@ -16,10 +16,16 @@
   private meanMs: number | undefined;
 
   /**
-   * Notes the number of slots taken, on each change.
-   * @example turnover.note(queue.running, clock.nowMs());
+   * Notes the number of slots taken, on each change. Without `isServing`, during an outage, slots are held for as long
+   * as a refusal takes, and nothing is learned.
+   * @example turnover.note(queue.running, clock.nowMs(), true);
    */
-  note(taken: number, nowMs: number): void {
+  note(taken: number, nowMs: number, isServing: boolean): void {
+    if (!isServing) {
+      this.taken = taken;
+      this.noteAtMs = nowMs;
+      return;
+    }
     const elapsedMs = Math.max(0, nowMs - (this.noteAtMs ?? nowMs));
     const keep = Math.exp(-elapsedMs / AVERAGE_OVER_MS);
     this.heldMs = this.heldMs * keep + this.taken * AVERAGE_OVER_MS * (1 - keep);
--- a/src/core/retry-schedule/return-plan.ts
+++ b/src/core/retry-schedule/return-plan.ts
@@ -112,7 +112,7 @@
 
   /** Notes a change of the number of slots taken. */
   noteTaken(taken: number): void {
-    this.turnover.note(taken, this.deps.nowMs());
+    this.turnover.note(taken, this.deps.nowMs(), this.isServing());
   }
 
   /** Releases a second while all slots are taken; undefined while unknown. */
