Count the expected duration of an outage from its first refusals

Cause: an entry knows of an outage by failed attempts, and ranks stall for 1.5 s before they refuse.

The expectation is 5.5 s.

--- a/src/core/retry-schedule/return-plan.ts
+++ b/src/core/retry-schedule/return-plan.ts
@@ -35,9 +35,10 @@
 /** Hold time assumed for a stream that runs long, as a multiple of the mean. */
 const LONG_STREAM_FACTOR = 1.3;
 /**
- * Duration expected of a first outage, ms: a data centre cut off for 6 s, and the time in which the group forms again.
+ * Duration expected of a first outage, ms, from the first refusals: a data centre is cut off for 6 s, and the group
+ * forms again in one; its ranks stall for 1.5 s before they refuse.
  */
-const USUAL_OUTAGE_MS = 7000;
+const USUAL_OUTAGE_MS = 5500;
 /** Weight of the latest outage in the expected duration. */
 const OUTAGE_STEP = 0.5;
 /** Time in which an outage that lasts a little longer than expected is expected to end, ms. */
--- a/test/core/retry-schedule/callers-under-load.ts
+++ b/test/core/retry-schedule/callers-under-load.ts
@@ -14,6 +14,8 @@
 const GAP_MS = 120;
 const MEAN_STREAM_MS = 1250;
 const FIRST_EVENT_MS = 200;
+/** Time for which a group stalls before its entries know of the outage. */
+const STALL_MS = 1500;
 /** Silence after which a caller gives up. */
 const PATIENCE_MS = 2000;
 const USUAL_RETRY_MS = { min: 1000, max: 2500 } as const;
@@ -90,7 +92,7 @@
   };
   const downForMs = (): number => {
     const outage = load.outages?.find(({ fromMs, toMs }) => nowMs >= fromMs && nowMs < toMs);
-    return outage ? nowMs - outage.fromMs + 1 : 0;
+    return outage ? Math.max(1, nowMs - outage.fromMs - STALL_MS) : 0;
   };
   const createEntry = (): Entry => {
     const plan: ReturnPlan = new ReturnPlan({
