Test the queue of returning callers with random steps

Each caller is answered exactly once, slots are never exceeded, and nobody waits for longer than its wait. Found nothing in the queue; the virtual timers of the test removed another timer when a passed one was cancelled.

--- a/test/core/limits/returning-queue.test.ts
+++ b/test/core/limits/returning-queue.test.ts
@@ -1,6 +1,7 @@
 /** The queue of returning callers, with stated prospects and in virtual time. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import fc from 'fast-check';
 import {
   lastChanceShare,
   returningWaitMs,
@@ -17,7 +18,10 @@
   const setTimer: SetTimer = (run, ms) => {
     const timer = { atMs: state.nowMs + ms, run };
     timers.push(timer);
-    return () => void timers.splice(timers.indexOf(timer), 1);
+    return () => {
+      const index = timers.indexOf(timer);
+      if (index >= 0) timers.splice(index, 1);
+    };
   };
   const prospects: ReturnProspects = {
     nowMs: () => state.nowMs,
@@ -195,3 +199,35 @@
   assert.equal(returningWaitMs({ ...caller, leftMs: 1000 }), 0);
   assert.equal(returningWaitMs({ ...caller, gapMs: undefined }), 3800, 'the answer is no stream');
 });
+
+test('whatever happens, slots are never exceeded and each caller is answered exactly once', () => {
+  const step = fc.oneof(
+    fc.record({ kind: fc.constantFrom('firstTry', 'returning', 'leave', 'release', 'outage') }),
+    fc.record({ kind: fc.constant('pass'), ms: fc.integer({ min: 1, max: 800 }) }),
+    fc.record({ kind: fc.constant('expect'), slots: fc.integer({ min: 0, max: 5 }) }),
+    fc.record({ kind: fc.constant('reserve'), slots: fc.integer({ min: 0, max: 2 }) }),
+  );
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 80 }), (steps) => {
+      const { state, queue, log, passMs, returning, firstTry } = fullQueue(3);
+      state.share = 0.2;
+      const leave: (() => void)[] = [];
+      for (const each of steps) {
+        if (each.kind === 'firstTry') leave.push(firstTry(`#${leave.length}`));
+        if (each.kind === 'returning') leave.push(returning(`#${leave.length}`, 1600));
+        if (each.kind === 'leave') leave[leave.length >> 1]?.();
+        if (each.kind === 'release' && queue.running > 0) queue.release();
+        if (each.kind === 'outage') state.isServing = !state.isServing;
+        if ('ms' in each) passMs(each.ms);
+        if (each.kind === 'expect' && 'slots' in each) state.expected = each.slots;
+        if (each.kind === 'reserve' && 'slots' in each) state.reserved = each.slots;
+        assert.ok(queue.running <= 3);
+      }
+      passMs(5000);
+      assert.equal(queue.queued, 0, 'nobody waits for longer than its wait');
+      const answered = log.map((line) => line.split(' ')[0]);
+      assert.equal(new Set(answered).size, answered.length);
+      assert.equal(answered.length, leave.length);
+    }),
+  );
+});
