--- a/src/core/limits/queue-terms.ts
+++ b/src/core/limits/queue-terms.ts
@@ -39,7 +39,10 @@
  * refused while it still has time to try elsewhere.
  */
 const FIRST_TRY_TARGET_SHARE = 0.125;
-/** The same for a returning caller, which is late already and for which another refusal is final. */
+/**
+ * The same for a returning caller, which is late already and for which another refusal is final, while nothing is known
+ * of how long slots are held.
+ */
 const RETURNING_TARGET_SHARE = 0.6;
 
 /**
@@ -54,3 +57,31 @@
     waitMs: Math.max(0, Math.min(targetMs * share, leftMs)),
   };
 }
+
+/** Silence after which callers give up a stream, also before its first event: the longest of these. */
+const STREAM_PATIENCE = { minMs: 2000, targets: 4, gaps: 8 } as const;
+
+/** A returning caller that may wait for long. */
+export interface PatientCaller {
+  readonly leftMs: number;
+  readonly targetMs: number;
+  /** Longest pause between events that its route allows, ms; undefined if its answer is no stream. */
+  readonly gapMs: number | undefined;
+  /** Time that a stream takes if it runs long, ms. */
+  readonly longStreamMs: number;
+}
+
+/**
+ * Maximum wait of a returning caller, ms: what is left of its time after a stream that runs long, and of its patience
+ * after the time until a first event.
+ * @example returningWaitMs({ leftMs: 5400, targetMs: 400, gapMs: 120, longStreamMs: 1600 }) // 1600
+ */
+export function returningWaitMs(caller: PatientCaller): number {
+  const { leftMs, targetMs, gapMs, longStreamMs } = caller;
+  const { minMs, targets, gaps } = STREAM_PATIENCE;
+  const patienceMs =
+    gapMs === undefined
+      ? Number.POSITIVE_INFINITY
+      : Math.max(minMs, targets * targetMs, gaps * gapMs) - targetMs;
+  return Math.max(0, Math.min(leftMs - longStreamMs, patienceMs));
+}
--- a/src/gateway/groups/slot-queue.ts
+++ b/src/gateway/groups/slot-queue.ts
@@ -11,6 +11,7 @@
   type StepModel,
 } from '../../core/limits/index.js';
 import type { LogFields } from '../../core/logging/index.js';
+import { ReturnPlan } from '../../core/retry-schedule/index.js';
 import type { EngineInfo } from '../../core/published/index.js';
 import {
   fractionFor,
@@ -115,11 +116,15 @@
   /** Urgency at the cut of the admission level, and the fraction of it that is admitted; undefined if none is cut. */
   readonly cut: number | undefined;
   readonly admitted: number | undefined;
+  /** Returning callers among the queued requests. */
+  readonly returning: number;
 }
 
 /** Slots and admission queue of one group at one entry. */
 export class SlotQueue {
   readonly queue: WaitQueue;
+  /** Estimates for callers that return after a refusal. */
+  readonly returns: ReturnPlan;
   readonly outage = new OutageDetector();
   readonly demand: GroupDemand;
   private readonly limit = new StreamLimitEstimator();
@@ -130,12 +135,23 @@
 
   constructor(private readonly deps: SlotQueueDeps) {
     this.demand = new GroupDemand(deps.clock);
+    this.returns = new ReturnPlan({
+      nowMs: () => deps.clock.nowMs(),
+      slotState: () => ({
+        slots: this.slots,
+        taken: this.queue.running,
+        downForMs: this.outage.downForMs(deps.clock.nowMs()),
+        queued: this.queue.queuedReturning,
+      }),
+    });
     this.queue = new WaitQueue(
       () => this.slots,
       (taken) => {
         this.ownCount.note(taken, deps.clock.nowMs());
         this.demand.noteTaken(taken);
+        this.returns.noteTaken(taken);
       },
+      this.returns,
     );
   }
 
@@ -233,6 +249,7 @@
       queued: this.queue.queued,
       cut,
       admitted: cut === undefined ? undefined : Number(fraction.toFixed(2)),
+      returning: this.queue.queuedReturning,
     };
   }
 
