Keep cold endpoints to the rate that they bear

Cause: an endpoint bears few requests for some seconds after its start. The endpoints of a data centre that return together are idle in the eyes of every entry, which sends them all it has.

A cold endpoint has a rate limit in its gate that ends by itself. Each entry keeps to its part of the rate, computed from the largest number of entries that it has seen. Cold is what the record says, what started after the first full read or recently, and what was unreachable, until its start time after the first response. Attempts that wait for a connection to it go elsewhere. Afterwards its weight in the choice rises over 4 s. Services without `cold-per-s` are served as before.

--- a/src/core/backpressure/consts.ts
+++ b/src/core/backpressure/consts.ts
@@ -60,3 +60,15 @@
 export const ASSUMED_PEERS = 48;
 /** Part of a limit that isolated entries use together if there are as many as assumed. */
 export const ISOLATED_SHARE = 0.5;
+
+/**
+ * Maximum requests to a cold endpoint from all entries in a second: `factor` times its rate, plus
+ * `extra`.
+ */
+export const COLD_BOUND = { factor: 1.5, extra: 5 } as const;
+/** Time by which an endpoint may have started later than its record was seen or it answered, ms. */
+export const COLD_START_MARGIN_MS = 300;
+/** Time after a failed connection in which an endpoint may be restarting, ms. */
+export const UNREACHABLE_MS = 10_000;
+/** Weight of a cold endpoint in the choice, and the time in which it rises to 1 afterwards. */
+export const SLOW_START = { minWeight: 0.5, durationMs: 4000 } as const;
--- a/src/core/backpressure/index.ts
+++ b/src/core/backpressure/index.ts
@@ -1,5 +1,7 @@
 export { ASSUMED_PEERS, TOKEN_TIMEOUT_MS } from './consts.js';
 export * from './backoff.js';
+export * from './cold-endpoints.js';
+export * from './cold-share.js';
 export * from './endpoint-gate.js';
 export * from './gossip.js';
 export * from './known-limits.js';
--- a/src/core/published/types.ts
+++ b/src/core/published/types.ts
@@ -48,6 +48,16 @@
   readonly maxConnections: number;
   /** Properties of its model engines; undefined for plain services. */
   readonly engine: EngineInfo | undefined;
+  /** Omitted if its endpoints are never cold. */
+  readonly coldStart?: ColdStart;
+}
+
+/** How endpoints start: for some seconds they bear few requests. */
+export interface ColdStart {
+  /** Time after a start during traffic, ms. */
+  readonly durationMs: number;
+  /** Requests/s that a cold endpoint bears from all entries together. */
+  readonly perS: number;
 }
 
 /** Properties of a service's model engines. */
@@ -114,6 +124,8 @@
    * no state from before.
    */
   readonly startedAtMs: number;
+  /** Time for which it is still cold, ms, from when its record was written; omitted if it is not. */
+  readonly coldRemainingMs?: number;
 }
 
 /** One process of an endpoint; a later one may reuse its id. */
--- a/src/gateway/backpressure/backpressure-signals.ts
+++ b/src/gateway/backpressure/backpressure-signals.ts
@@ -78,6 +78,7 @@
 ): void {
   // 421: the address now belongs to another endpoint, whose headers must be ignored.
   if (head.status === STATUS_MISDIRECTED_REQUEST) return;
+  active.ctx.endpoints.noteReached(target);
   const { backoffMs, isLeaving, limitPerS } = head.asks;
   recordUnreadable(active, target, head.asks);
   if (backoffMs !== undefined) recordBackoff(active, target, backoffMs);
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,5 +1,5 @@
 /** State shared by all requests of one gateway. */
-import type { KnownLimits } from '../core/backpressure/index.js';
+import { ColdEndpoints, type KnownLimits } from '../core/backpressure/index.js';
 import type { Clock } from '../core/clock/index.js';
 import type { EngineInfo, PublishedEndpoint, ServiceId } from '../core/published/index.js';
 import { RetryBudget } from '../core/retry/index.js';
@@ -38,6 +38,7 @@
 /** Dependencies and state shared by all requests of one gateway. */
 export interface GatewayContext extends GatewayDeps {
   readonly crashes: CrashDetector;
+  readonly cold: ColdEndpoints;
   readonly endpoints: Endpoints;
   readonly serviceOf: (id: ServiceId) => ServiceState;
   /** Whether the configuration was confirmed as current recently enough to honour keys. */
@@ -57,6 +58,22 @@
   return Math.max(MIN_RETRY_EXTRA, extra / Math.max(ASSUMED_RETRY_PEERS, knownEntries));
 }
 
+function createColdEndpoints(deps: GatewayDeps): ColdEndpoints {
+  const { state, ageClock, random, knownEntries, log, metrics } = deps;
+  const cold = new ColdEndpoints({
+    clock: ageClock,
+    random,
+    coldStartOf: (service) => state.config?.services.get(service)?.coldStart,
+    countKnown: knownEntries,
+    onCold: ({ id, service }, why, forMs) => {
+      metrics.count('cold_starts_total', { service, why });
+      log.info('endpoint.cold', { endpoint: id, why, forMs: Math.round(forMs) });
+    },
+  });
+  metrics.gauge('cold_endpoints', () => cold.count(state.list.values()));
+  return cold;
+}
+
 /**
  * Creates the endpoint table, crash watch and per-service state of a gateway.
  * @example const ctx = createContext(deps);
@@ -65,7 +82,8 @@
   const { settings, state, ageClock } = deps;
   const services = new Map<ServiceId, ServiceState>();
   // Backoff times and limits of endpoints keep running while this machine is suspended.
-  const endpoints = new Endpoints({ ...deps, clock: ageClock });
+  const cold = createColdEndpoints(deps);
+  const endpoints = new Endpoints({ ...deps, clock: ageClock, cold });
   const makeService = (id: ServiceId): ServiceState => {
     const engine = (): EngineInfo | undefined => state.config?.services.get(id)?.engine;
     const budget = new RetryBudget({
@@ -92,6 +110,7 @@
   };
   return {
     ...deps,
+    cold,
     endpoints,
     crashes: new CrashDetector({ ...deps, clock: ageClock, publish: deps.broadcastCrashes }),
     areKeysConfirmed: () =>
--- a/src/gateway/endpoints/endpoints.ts
+++ b/src/gateway/endpoints/endpoints.ts
@@ -1,5 +1,10 @@
 /** Endpoints as seen by this entry: connections, in-flight requests, health and endpoint selection. */
-import { EndpointGate, type Opening, type RateLimiter } from '../../core/backpressure/index.js';
+import {
+  EndpointGate,
+  type ColdEndpoints,
+  type Opening,
+  type RateLimiter,
+} from '../../core/backpressure/index.js';
 import type { Clock } from '../../core/clock/index.js';
 import type { EndpointId } from '../../core/ids/index.js';
 import type { Log } from '../../core/logging/index.js';
@@ -95,6 +100,8 @@
   readonly dataCentre: DataCentreId;
   /** Returns the rate limiter of an endpoint process. */
   readonly limiterOf: (endpoint: PublishedEndpoint) => RateLimiter;
+  /** Cold endpoints; omitted if none can be. */
+  readonly cold?: ColdEndpoints;
   /** Returns the status of an engine as last polled; undefined for plain endpoints and unknown engines. */
   readonly statusOf: (endpoint: PublishedEndpoint) => EngineStatus | undefined;
 }
@@ -193,7 +200,8 @@
     const extraLoad = status ? this.extraLoadOf(state.endpoint, status) : 0;
     const load = (state.running + 1 + extraLoad) / state.endpoint.slots;
     const slowness = status ? slownessOf(status) : 1 + state.meanResponseMs / 1000;
-    const score = load * slowness * (1 + FAILURE_PENALTY * state.failureShare ** 2);
+    const weight = this.deps.cold?.weightOf(state.endpoint) ?? 1;
+    const score = (load / weight) * slowness * (1 + FAILURE_PENALTY * state.failureShare ** 2);
     // Ties go to the least recently used endpoint.
     const tieBreak = state.lastSentSequence / (this.sequence + 1) / 1000;
     return score + tieBreak + (state.health.isEjected(nowMs) ? 1e6 : 0);
@@ -229,7 +237,7 @@
         bodyTimeout: 0,
       }),
       health: new EndpointHealth(),
-      gate: new EndpointGate(this.deps.limiterOf(endpoint)),
+      gate: new EndpointGate(this.limiterOf(endpoint)),
       cancelUnsent: new Set(),
       running: 0,
       failureShare: 0,
@@ -241,6 +249,11 @@
     return created;
   }
 
+  private limiterOf(endpoint: PublishedEndpoint): RateLimiter {
+    const limiter = this.deps.limiterOf(endpoint);
+    return this.deps.cold?.limiterOf(endpoint, limiter) ?? limiter;
+  }
+
   /** Records the start of an attempt and returns its time. */
   noteSent(state: EndpointState): number {
     const nowMs = this.deps.clock.nowMs();
@@ -264,6 +277,25 @@
     cancelUnsent(state, 'the endpoint requested a backoff before the request was sent');
   }
 
+  /** Applies the published list: cancels attempts that wait for a connection to an unsuitable endpoint. */
+  noteListed(): void {
+    this.cancelEvacuated();
+    for (const { id } of this.deps.cold?.update(this.deps.state.list.values()) ?? []) {
+      const state = this.byId.get(id);
+      if (state) cancelUnsent(state, 'the endpoint turned cold before the request was sent');
+    }
+  }
+
+  /** Records that no connection to an endpoint could be opened. */
+  noteUnreachable({ endpoint }: EndpointState): void {
+    this.deps.cold?.noteUnreachable(endpoint);
+  }
+
+  /** Records that an endpoint responded, whatever it said. */
+  noteReached({ endpoint }: EndpointState): void {
+    this.deps.cold?.noteReached(endpoint);
+  }
+
   /** Cancels attempts that still wait for a connection to an endpoint of an evacuated data centre. */
   cancelEvacuated(): void {
     const { evacuated } = this.deps.state;
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -148,7 +148,7 @@
   });
   const onReceived = (): void => {
     relay.recordChanges();
-    ctx.endpoints.cancelEvacuated();
+    ctx.endpoints.noteListed();
   };
   metrics.gauge('evacuated_data_centres', () => state.evacuated.size);
   const pace = relayRole.isRelay ? RELAY_PACE : entryPace(settings.contactMs);
--- a/src/gateway/requests/active-request.ts
+++ b/src/gateway/requests/active-request.ts
@@ -169,6 +169,8 @@
   if (fault.kind !== 'resting') {
     active.group?.slotQueue.outage.noteFailure(active.ctx.ageClock.nowMs());
     active.ctx.endpoints.noteFailure(target, fault.detail);
+    if (fault.kind === 'not-run' && fault.isUnreachable)
+      active.ctx.endpoints.noteUnreachable(target);
   }
   active.ctx.metrics.count('attempt_faults_total', {
     service: active.service.id,
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -127,7 +127,9 @@
         `no response within ${Math.round(options.responseTimeoutMs)} ms`,
       );
     if (cancelReason !== undefined) return attemptFault('resting', cancelReason);
-    return attemptFault(wasNotSent(err) ? 'not-run' : 'broke', errorText(err));
+    const detail = errorText(err);
+    if (wasNotSent(err)) return Err({ kind: 'not-run', detail, isUnreachable: true });
+    return attemptFault('broke', detail);
   } finally {
     target.cancelUnsent.delete(cancelUnsent);
     clearTimeout(timer);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -165,7 +165,7 @@
 /** Why an attempt produced no response. */
 export type AttemptFault =
   /** The request has not run: the endpoint states so, or the connection failed. */
-  | { readonly kind: 'not-run'; readonly detail: string }
+  | { readonly kind: 'not-run'; readonly detail: string; readonly isUnreachable?: boolean }
   /** It has not run: the endpoint requested a backoff and refused it, or it was not sent there. */
   | { readonly kind: 'resting'; readonly detail: string }
   /** The connection or the response failed; the request may have run. */
--- a/test/core/published/relay.test.ts
+++ b/test/core/published/relay.test.ts
@@ -82,6 +82,16 @@
   assert.deepEqual([next.written, next.removed], [[], []]);
 });
 
+test('the remaining time of a cold endpoint is forwarded', async () => {
+  const fixture = startRelay();
+  fixture.publish([A]);
+  const { life, sequence } = await fixture.relay.answer(requestOf());
+  fixture.publish([{ ...A, coldRemainingMs: 2400 }]);
+  const update = await fixture.relay.answer(requestOf({ life, sequence }));
+  assert.ok(isPublishedUpdate(JSON.parse(JSON.stringify(update))));
+  assert.deepEqual(update.written.map(endpointFrom), [{ ...A, coldRemainingMs: 2400 }]);
+});
+
 test('another incarnation, a sequence no longer kept or a future one leads to a full list', async () => {
   const fixture = startRelay();
   for (let i = 0; i < 700; i += 1) fixture.publish([{ ...A, slots: i + 1 }]);
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -145,6 +145,7 @@
     | 'limits'
     | 'limiterOf'
     | 'statusOf'
+    | 'knownEntries'
   >
 > {
   readonly clock?: Clock;
--- a/test/gateway/requests/evacuation.test.ts
+++ b/test/gateway/requests/evacuation.test.ts
@@ -5,7 +5,6 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { setTimeout as wait } from 'node:timers/promises';
 import {
   chunk,
   event,
@@ -20,6 +19,7 @@
 import { asId, type GroupId } from '../../../src/core/ids/index.js';
 import type { DataCentreId, PublishedEndpoint, Route } from '../../../src/core/published/index.js';
 import { ENGINE_INFO } from '../../fixtures/engine.js';
+import { until } from '../../fixtures/until.js';
 import {
   config,
   endpoint,
@@ -68,7 +68,7 @@
 }
 
 const ok: RawResponder = (req) => req.socket.write(okResponse(req, 'fine'));
-const slow: RawResponder = (req) => void setTimeout(() => ok(req), 400);
+const slow: RawResponder = (req) => void setTimeout(() => ok(req), 800);
 const refuse: RawResponder = (req) =>
   req.socket.write(responseHead(req, '503 Full', ['X-Not-Executed: 1', 'Content-Length: 0']));
 
@@ -110,7 +110,7 @@
   withEndpoints([slow, ok], async ({ gateway, raw, listed, evacuate }) => {
     gateway.state.offerList(listed.slice(0, 1), false);
     const pending = Array.from({ length: MAX_CONNECTIONS + 4 }, (_, i) => gateway.send(`q-${i}`));
-    await wait(150);
+    await until('all connections are used', () => raw[0]?.requests.length === MAX_CONNECTIONS);
     gateway.state.offerList(listed, false);
     evacuate();
     const responses = await Promise.all(pending);
@@ -125,12 +125,16 @@
 
 test('a request that waits for a token of an evacuated endpoint goes elsewhere', () => {
   let waiting = 0;
+  let release = (): void => undefined;
+  const evacuated = new Promise<void>((resolve) => {
+    release = resolve;
+  });
   const limiterOf = ({ id }: PublishedEndpoint): RateLimiter => ({
     nextTokenAtMs: (nowMs) => nowMs,
     acquire: async () => {
       if (id === 'e-0') {
         waiting += 1;
-        await wait(40);
+        await evacuated;
       }
       return true;
     },
@@ -140,10 +144,10 @@
     async ({ gateway, raw, listed, evacuate }) => {
       gateway.state.offerList(listed.slice(0, 1), false);
       const pending = gateway.send('q-1');
-      await wait(15);
-      assert.equal(waiting, 1);
+      await until('the request waits for a token', () => waiting === 1);
       gateway.state.offerList(listed, false);
       evacuate();
+      release();
       assert.equal((await pending).status, 200);
       assert.deepEqual(
         raw.map(({ requests }) => requests.length),
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -248,6 +248,29 @@
   });
 });
 
+test('the cold start of a service and the remaining time of a cold endpoint are decoded', async () => {
+  await withStore(async (store, source) => {
+    const services = [
+      { name: 's-1', 'cold-start-s': 3, 'cold-per-s': 26 },
+      { name: 's-2', 'cold-start-s': 3, 'cold-per-s': 0 },
+      { name: 's-3' },
+    ];
+    store.put('op/config', { ...CONFIG, services });
+    store.put('servers/i-1', { ...ENDPOINT, 'cold-remaining-ms': 2400 });
+    store.put('servers/i-2', { ...ENDPOINT, 'cold-remaining-ms': 0 });
+    const read = await readAll(source);
+    assert.ok(read.config.kind === 'read');
+    assert.deepEqual(
+      [...read.config.config.services.values()].map(({ coldStart }) => coldStart),
+      [{ durationMs: 3000, perS: 26 }, undefined, undefined],
+    );
+    assert.deepEqual(
+      read.endpoints.map(({ coldRemainingMs }) => coldRemainingMs),
+      [2400, undefined],
+    );
+  });
+});
+
 test('an invalid endpoint record is reported by field, value and remedy, and does not affect others', async () => {
   await withStore(async (store, source) => {
     store.put('servers/i-1', { ...ENDPOINT, address: 7 });
