--- a/src/gateway/endpoints/endpoints.ts
+++ b/src/gateway/endpoints/endpoints.ts
@@ -1,5 +1,10 @@
 /** Endpoints as seen by this entry: connections, in-flight requests, health and endpoint selection. */
-import { EndpointGate, type Opening, type RateLimiter } from '../../core/backpressure/index.js';
+import {
+  EndpointGate,
+  type ColdEndpoints,
+  type Opening,
+  type RateLimiter,
+} from '../../core/backpressure/index.js';
 import type { Clock } from '../../core/clock/index.js';
 import type { EndpointId } from '../../core/ids/index.js';
 import type { Log } from '../../core/logging/index.js';
@@ -137,6 +142,8 @@
   readonly dataCentre: DataCentreId;
   /** Returns the rate limiter of an endpoint process. */
   readonly limiterOf: (endpoint: PublishedEndpoint) => RateLimiter;
+  /** Cold endpoints; omitted if none can be. */
+  readonly cold?: ColdEndpoints;
   /** Returns the status of an engine as last polled; undefined for plain endpoints and unknown engines. */
   readonly statusOf: (endpoint: PublishedEndpoint) => EngineStatus | undefined;
 }
@@ -238,7 +245,7 @@
       isFar: endpoint.dataCentre !== this.deps.dataCentre,
       own: running,
       work: expectedWork(load, model),
-      weight: status.pace * failurePenalty(state),
+      weight: (status.pace * failurePenalty(state)) / this.coldWeightOf(state),
       lastUsed: state.lastSentSequence,
     };
   }
@@ -289,7 +296,7 @@
   private score(state: EndpointState, nowMs: number): number {
     const load = (state.running + 1) / state.endpoint.slots;
     const slowness = 1 + state.meanResponseMs / 1000;
-    const score = load * slowness * failurePenalty(state);
+    const score = (load / this.coldWeightOf(state)) * slowness * failurePenalty(state);
     // Ties go to the least recently used endpoint.
     const tieBreak = state.lastSentSequence / (this.sequence + 1) / 1000;
     return score + tieBreak + (state.health.isEjected(nowMs) ? 1e6 : 0);
@@ -318,7 +325,7 @@
         bodyTimeout: 0,
       }),
       health: new EndpointHealth(),
-      gate: new EndpointGate(this.deps.limiterOf(endpoint)),
+      gate: new EndpointGate(this.limiterOf(endpoint)),
       cancelUnsent: new Set(),
       running: 0,
       history: new StreamCountHistory(),
@@ -336,6 +343,16 @@
     return created;
   }
 
+  /** Part of its usual load that a cold endpoint, or one that was cold a moment ago, is given. */
+  private coldWeightOf({ endpoint }: EndpointState): number {
+    return this.deps.cold?.weightOf(endpoint) ?? 1;
+  }
+
+  private limiterOf(endpoint: PublishedEndpoint): RateLimiter {
+    const limiter = this.deps.limiterOf(endpoint);
+    return this.deps.cold?.limiterOf(endpoint, limiter) ?? limiter;
+  }
+
   /** Records the start of an attempt, and its prompt if the size is known; returns its time. */
   noteSent(
     state: EndpointState,
@@ -385,6 +402,25 @@
     cancelUnsent(state, 'the endpoint requested a backoff before the request was sent');
   }
 
+  /** Applies the published list: cancels attempts that wait for a connection to an unsuitable endpoint. */
+  noteListed(): void {
+    this.cancelEvacuated();
+    for (const { id } of this.deps.cold?.update(this.deps.state.list.values()) ?? []) {
+      const state = this.byId.get(id);
+      if (state) cancelUnsent(state, 'the endpoint turned cold before the request was sent');
+    }
+  }
+
+  /** Records that no connection to an endpoint could be opened. */
+  noteUnreachable({ endpoint }: EndpointState): void {
+    this.deps.cold?.noteUnreachable(endpoint);
+  }
+
+  /** Records that an endpoint responded, whatever it said. */
+  noteReached({ endpoint }: EndpointState): void {
+    this.deps.cold?.noteReached(endpoint);
+  }
+
   /** Cancels attempts that still wait for a connection to an endpoint of an evacuated data centre. */
   cancelEvacuated(): void {
     const { evacuated } = this.deps.state;
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -146,6 +146,7 @@
     | 'limits'
     | 'limiterOf'
     | 'statusOf'
+    | 'knownEntries'
   >
 > {
   readonly clock?: Clock;
