--- a/src/core/urgency/consts.ts
+++ b/src/core/urgency/consts.ts
@@ -10,7 +10,7 @@
 /** Time constant of the arrival counts, ms: bursts last a few seconds. */
 export const DEMAND_TIME_CONSTANT_MS = 1000;
 /** Time constant of the mean time for which streams hold a slot, ms. */
-export const HOLDING_TIME_CONSTANT_MS = 2000;
+export const HOLDING_TIME_CONSTANT_MS = 4000;
 /** Time constant of the spread of the demand, ms; a burst widens it for a few seconds after its end. */
 export const SPREAD_TIME_CONSTANT_MS = 3000;
 
@@ -37,6 +37,8 @@
 export const MIN_ORGANISATION_SERVICE = 0.5;
 /** Part of the limit that is split evenly among entries; the rest is split by their admitted demand. */
 export const EVEN_PART = 0.25;
+/** Arrivals a second, evenly from all entries, that are added to the demand: a few callers do not show its parts. */
+export const EVEN_PER_S = 10;
 /** Slots that an entry has whatever its demand. */
 export const MIN_LEVEL_SLOTS = 2;
 
