--- a/test/core/retry-schedule/callers-under-load.ts
+++ b/test/core/retry-schedule/callers-under-load.ts
@@ -1,11 +1,21 @@
 /** Simulates callers at entries before one group, in virtual time. Refused callers return once, to any entry. */
 import { seededRandom } from '../../../src/core/clock/index.js';
-import { queueTerms, WaitQueue, type SetTimer } from '../../../src/core/limits/index.js';
+import {
+  queueTerms,
+  returningWaitMs,
+  WaitQueue,
+  type ReturnOutcome,
+  type SetTimer,
+} from '../../../src/core/limits/index.js';
 import { ReturnPlan } from '../../../src/core/retry-schedule/index.js';
 
 const DEADLINE_MS = 8000;
 const TARGET_MS = 403;
+const GAP_MS = 120;
 const MEAN_STREAM_MS = 1250;
+const FIRST_EVENT_MS = 200;
+/** Silence after which a caller gives up. */
+const PATIENCE_MS = 2000;
 const USUAL_RETRY_MS = { min: 1000, max: 2500 } as const;
 const OUTAGE_RETRY_MS = { min: 2100, max: 2600 } as const;
 
@@ -33,8 +43,12 @@
   /** Refused twice after more than 0.5 s in the queue. */
   heldAndRefused: number;
   heldInVainMs: number;
-  /** Served too late for their stream to end by the deadline. */
+  /** Served too late for their stream to end by the deadline, or after they gave up. */
   tooLong: number;
+  /** First refusals by the reason of their Retry-After. */
+  usual: number;
+  room: number;
+  latest: number;
   /** Sum of values: 1 in time, 0.4 late, -0.3 and less the time held over 6 s if refused twice. */
   value: number;
 }
@@ -44,8 +58,8 @@
   readonly plan: ReturnPlan;
 }
 
-/** Policy of an entry: before, or with the queue of returning callers. */
-export type Policy = 'before' | 'queue';
+/** Policy of an entry: before, with the queue of returning callers, or with the schedule as well. */
+export type Policy = 'before' | 'queue' | 'schedule';
 
 /** Runs one case. */
 export function simulate(load: LoadCase, policy: Policy, seed: number): Tally {
@@ -59,6 +73,9 @@
     heldAndRefused: 0,
     heldInVainMs: 0,
     tooLong: 0,
+    usual: 0,
+    room: 0,
+    latest: 0,
     value: 0,
   };
   let nowMs = 0;
@@ -82,6 +99,7 @@
         slots: load.slotsPerEntry,
         taken: queue.running,
         downForMs: downForMs(),
+        queued: queue.queuedReturning,
       }),
     });
     const queue: WaitQueue = new WaitQueue(
@@ -103,7 +121,8 @@
     const serve = (): void => {
       const streamMs =
         Math.min(3000, -Math.log(1 - random()) * 0.5 * MEAN_STREAM_MS) + 0.5 * MEAN_STREAM_MS;
-      const isLost = nowMs + streamMs > firstAtMs + DEADLINE_MS;
+      const isLost =
+        nowMs + streamMs > firstAtMs + DEADLINE_MS || nowMs + FIRST_EVENT_MS > atMs + PATIENCE_MS;
       if (isLost) tally.tooLong += 1;
       else if (nowMs - firstAtMs < TARGET_MS / 2) tally.inTime += 1;
       else tally.late += 1;
@@ -123,8 +142,13 @@
       tally.refusedOnce += 1;
       const usualMs = (): number => range.min + random() * (range.max - range.min);
       const leftNowMs = DEADLINE_MS - (nowMs - firstAtMs);
-      const retryMs =
-        random() < (load.impatientShare ?? 0) ? 20 : Math.min(leftNowMs / 3, usualMs());
+      const planned =
+        policy === 'schedule' && range === USUAL_RETRY_MS
+          ? plan.planReturn({ leftMs: leftNowMs, usualMs }, random)
+          : { retryAfterMs: usualMs(), why: 'usual' as const };
+      tally[planned.why] += 1;
+      const isImpatient = random() < (load.impatientShare ?? 0);
+      const retryMs = isImpatient ? 20 : Math.min(leftNowMs / 3, planned.retryAfterMs);
       setTimer(() => call(firstAtMs), retryMs + 5);
     };
     const finish = (isGranted: boolean): void => {
@@ -133,18 +157,22 @@
       if (isGranted) serve();
       else refuse();
     };
-    if (!isReturning) {
+    if (isReturning) plan.noteReturn();
+    else {
       tally.callers += 1;
       plan.noteFirstTry(TARGET_MS / 8);
     }
-    const longMs = plan.longStreamMs;
-    const holds = policy !== 'before' && isReturning && longMs !== undefined;
-    if (downForMs() > 0 && !(holds && plan.expectedSlots(leftMs - longMs) > 0))
+    const { longStreamMs } = plan;
+    const holds = policy !== 'before' && isReturning && longStreamMs !== undefined;
+    const waitMs = holds
+      ? returningWaitMs({ leftMs, targetMs: TARGET_MS, gapMs: GAP_MS, longStreamMs })
+      : 0;
+    if (downForMs() > 0 && !(holds && plan.expectedSlots(waitMs) > 0))
       return refuse(OUTAGE_RETRY_MS);
-    if (holds)
-      return void queue.enterReturning({ order: 1, waitMs: leftMs - longMs }, (outcome) =>
-        finish(outcome === 'granted'),
-      );
+    if (holds) {
+      const settle = (outcome: ReturnOutcome): void => finish(outcome === 'granted');
+      return void queue.enterReturning({ order: 1, waitMs }, settle);
+    }
     const terms = queueTerms({ isReturning, priority: 1, targetMs: TARGET_MS, leftMs });
     queue.enter(terms.order, terms.waitMs, finish);
   };
