Do not learn the duration of outages from failures of a moment

Cause: four failures in a row within 0.2 s count as an outage until the next success. Some of them would halve the expected duration each time, and nobody would be held when a rank is lost.

Outages of less than 1.5 s teach nothing.

--- a/src/core/retry-schedule/return-plan.ts
+++ b/src/core/retry-schedule/return-plan.ts
@@ -41,6 +41,8 @@
 const USUAL_OUTAGE_MS = 5500;
 /** Weight of the latest outage in the expected duration. */
 const OUTAGE_STEP = 0.5;
+/** Duration of an outage from which the expectation learns, ms; single failing ranks make shorter ones. */
+const MIN_LEARNED_OUTAGE_MS = 1500;
 /** Time in which an outage that lasts a little longer than expected is expected to end, ms. */
 const OVERDUE_MS = 500;
 /** Multiple of the expected duration after which an outage counts as one of another kind. */
@@ -156,9 +158,8 @@
    */
   private outageLeftMs(): number {
     const { downForMs } = this.deps.slotState();
-    if (downForMs === 0 && this.lastDownForMs > 0) {
+    if (downForMs === 0 && this.lastDownForMs > MIN_LEARNED_OUTAGE_MS)
       this.outageMs += OUTAGE_STEP * (this.lastDownForMs - this.outageMs);
-    }
     this.lastDownForMs = downForMs;
     if (downForMs === 0) return 0;
     if (downForMs > this.outageMs * MAX_OUTAGE_FACTOR) return Number.POSITIVE_INFINITY;
