Expect the slots of before an outage after it

Cause: an entry's slots follow its share of the group's streams, so that it has about two of them while its streams are gone. Of the callers that returned in the last 1.5 s of a played outage of 5.8 s (as entries saw it) most were refused at once, although the group had room for them when it was back; one that was held was refused 0.3 s before the end, since an overdue outage was expected to last 0.5 s more.

During an outage the mean number of slots before it counts; an overdue one is expected to end within 0.3 s.

--- a/src/core/retry-schedule/return-plan.ts
+++ b/src/core/retry-schedule/return-plan.ts
@@ -32,6 +32,8 @@
 const SLOTS_PER_PLACE = 0.3;
 /** The same during an outage, whose end is the larger uncertainty. */
 const OUTAGE_SLOTS_PER_PLACE = 1;
+/** Weight of the latest number of slots in their mean while the group serves. */
+const SLOTS_STEP = 0.02;
 /** Hold time assumed for a stream that runs long, as a multiple of the mean. */
 const LONG_STREAM_FACTOR = 1.3;
 /**
@@ -44,7 +46,7 @@
 /** Duration of an outage from which the expectation learns, ms; single failing ranks make shorter ones. */
 const MIN_LEARNED_OUTAGE_MS = 1500;
 /** Time in which an outage that lasts a little longer than expected is expected to end, ms. */
-const OVERDUE_MS = 500;
+const OVERDUE_MS = 300;
 /** Multiple of the expected duration after which an outage counts as one of another kind. */
 const MAX_OUTAGE_FACTOR = 1.25;
 
@@ -82,6 +84,7 @@
   private servedShare = INITIAL_SERVED_SHARE;
   private firstTryWaitMs = 0;
   private profile: Leftover | undefined;
+  private servingSlots: number | undefined;
   private lastDownForMs = 0;
   private outageMs = USUAL_OUTAGE_MS;
 
@@ -115,7 +118,12 @@
 
   /** Notes a change of the number of slots taken. */
   noteTaken(taken: number): void {
-    this.turnover.note(taken, this.deps.nowMs(), this.isServing());
+    const isServing = this.isServing();
+    this.turnover.note(taken, this.deps.nowMs(), isServing);
+    if (!isServing) return;
+    const { slots } = this.deps.slotState();
+    this.servingSlots ??= slots;
+    this.servingSlots += SLOTS_STEP * (slots - this.servingSlots);
   }
 
   /** Releases a second while all slots are taken; undefined while unknown. */
@@ -192,8 +200,15 @@
     return this.profile;
   }
 
+  /** Slots now, or those from before an outage, in which an entry without streams is given few. */
+  private expectedSlotCount(): number {
+    const { slots } = this.deps.slotState();
+    return this.isServing() ? slots : Math.max(slots, Math.round(this.servingSlots ?? slots));
+  }
+
   private computeLeftover(nowMs: number): Leftover {
-    const { slots, taken } = this.deps.slotState();
+    const { taken } = this.deps.slotState();
+    const slots = this.expectedSlotCount();
     const releasesPerS = this.turnover.perS(slots);
     if (releasesPerS === undefined) return { atMs: nowMs, free: 0, perBin: [] };
     const reserved = this.reservedSlots();
--- a/test/core/retry-schedule/return-plan.test.ts
+++ b/test/core/retry-schedule/return-plan.test.ts
@@ -44,6 +44,18 @@
   assert.ok(plan.expectedSlots(1600) > 0);
 });
 
+/**
+ * An entry's slots follow its share of the group's streams, so that it had two of them while its streams were gone; it
+ * held two callers, and had room for many when the group was back.
+ */
+test('the slots of an outage are not taken for those after it', () => {
+  const { state, plan } = usedPlan();
+  state.downForMs = 5000;
+  state.slots = 2;
+  state.taken = 0;
+  assert.ok(plan.expectedSlots(1600) > 8, String(plan.expectedSlots(1600)));
+});
+
 /** A few failures in a row end with the next success; they are no sign that the next loss of a rank is short. */
 test('failures of a moment do not shorten the expected duration of an outage', () => {
   const { state, plan, outage } = usedPlan();
