Count placements by reason, and log the loads of ranks

placements_total tells why a rank was chosen (near, far, spilled, corrected, last-resort), ranks.seen each second how many ranks have which load in the latest count.

--- a/src/gateway/groups/group-status.ts
+++ b/src/gateway/groups/group-status.ts
@@ -121,6 +121,11 @@
     return this.freshResult(group)?.size;
   }
 
+  /** Returns the status of each engine of a group; empty if it is unknown or too old. */
+  enginesOf(group: GroupId): EngineStatus[] {
+    return [...(this.freshResult(group)?.engines.values() ?? [])];
+  }
+
   /** Largest number of entries in the latest result of any group, however old; 0 before the first. */
   get knownEntries(): number {
     return Math.max(0, ...[...this.results.values()].map((result) => result.size.entries));
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -29,6 +29,7 @@
 import { applyLeaving } from './backpressure/backpressure-signals.js';
 import { createContext, type GatewayContext } from './context.js';
 import { createGateway, type Gateway } from './gateway.js';
+import { summarizeRanks } from '../core/routing/index.js';
 import { GroupStatus } from './groups/group-status.js';
 import { createRateLimits } from './backpressure/rate-limits.js';
 import { createRelayBroadcast } from './backpressure/relay-broadcast.js';
@@ -151,7 +152,7 @@
   void followPublished({ ...agingDeps, source, pace, onRefresh: onReceived }, shutdown.signal);
   void groups.run(shutdown.signal);
   setInterval(() => ctx.endpoints.prune(), PRUNE_INTERVAL_MS).unref();
-  setInterval(() => logSlotQueues(ctx), SLOT_LOG_INTERVAL_MS).unref();
+  setInterval(() => logSlotQueues(ctx, groups), SLOT_LOG_INTERVAL_MS).unref();
   setInterval(() => rateLimits.flush(), LIMIT_UPDATE_INTERVAL_MS).unref();
   watchSettings(deps.reread, settings, log);
   process.on('SIGTERM', () => {
@@ -173,11 +174,13 @@
 }
 
 /** Logs the load of each group and the slots of this entry, so that refusals can be explained later. */
-function logSlotQueues(ctx: GatewayContext): void {
+function logSlotQueues(ctx: GatewayContext, groups: GroupStatus): void {
   for (const service of ctx.state.config?.services.values() ?? []) {
     for (const { id, slotQueue } of ctx.serviceOf(service.id).groups?.all() ?? []) {
       const fields = slotQueue.logFields();
       if (fields) ctx.log.info('group.seen', { service: service.id, group: id, ...fields });
+      const engines = groups.enginesOf(id);
+      if (engines.length > 0) ctx.log.info('ranks.seen', { group: id, ...summarizeRanks(engines) });
     }
   }
 }
--- a/test/gateway/endpoints/endpoints.test.ts
+++ b/test/gateway/endpoints/endpoints.test.ts
@@ -43,13 +43,14 @@
   state: PublishedState,
   statusOf: StatusOf = () => undefined,
   clock: Clock = systemClock,
+  metrics = new Metrics(),
 ): Endpoints {
   return new Endpoints({
     state,
     clock,
     random: () => 0.5,
     log: silentLog,
-    metrics: new Metrics(),
+    metrics,
     dataCentre: asId('a'),
     limiterOf: () =>
       new ShareLimiter(
@@ -154,6 +155,37 @@
   assert.equal(endpoints.choose(asId(SERVICE), new Set([far.id]))?.endpoint.id, 'near');
 });
 
+test('placements are counted by reason', () => {
+  const metrics = new Metrics();
+  const loads = new Map<string, number>();
+  const state = new PublishedState();
+  state.offerList([near, far], false);
+  const statusOf: StatusOf = (e) => status({ load: loads.get(e.id) ?? 0 });
+  const endpoints = endpointsIn(state, statusOf, new SetClock(), metrics);
+  const sendOne = (): void => {
+    const chosen = endpoints.choose(asId(SERVICE), new Set());
+    assert.ok(chosen);
+    endpoints.noteEnded(chosen, endpoints.noteSent(chosen));
+  };
+  sendOne();
+  loads.set('near', near.slots - 1);
+  sendOne();
+  loads.set('near', near.slots);
+  sendOne();
+  loads.set('far', far.slots);
+  sendOne();
+  loads.clear();
+  const first = endpoints.choose(asId(SERVICE), new Set([near.id]));
+  assert.ok(first);
+  endpoints.noteRejected(first);
+  sendOne();
+  const counts = ['near', 'far', 'spilled', 'last-resort', 'corrected'].map((reason) =>
+    metrics.value('placements_total', { service: SERVICE, reason }),
+  );
+  assert.deepEqual(counts, [1, 1, 1, 1, 1]);
+  endpoints.close();
+});
+
 test('plain endpoints are used in rotation regardless of their data centre', () => {
   const sent = sendAll(endpointsOf([far, near]), 6);
   assert.equal(sent.filter((id) => id === 'near').length, 3, sent.join(' '));
--- a/test/gateway/groups/group-status.test.ts
+++ b/test/gateway/groups/group-status.test.ts
@@ -120,6 +120,14 @@
     countedAtMs: loads[1]?.countedAtMs,
   });
   assert.deepEqual(loads[2], loads[1]);
+  const large = status.enginesOf(status.groupOf(ENGINES[1] as PublishedEndpoint) as GroupId);
+  assert.deepEqual(
+    large.map((one) => [one.load, one.meanLoad]),
+    [
+      [5, 5.5],
+      [6, 5.5],
+    ],
+  );
   assert.deepEqual(
     ENGINES.map((e) => status.statusOf(e)?.pace),
     [1, 1, 2],
