--- a/src/core/retry-schedule/return-plan.ts
+++ b/src/core/retry-schedule/return-plan.ts
@@ -27,7 +27,7 @@
 const INITIAL_SERVED_SHARE = 0.5;
 /**
  * Expected slots that a returning caller needs for each place in the queue. Less than one: a second refusal loses more
- * than a wait, and callers ahead leave the queue too. Simulated callers gain most at 0.3.
+ * than a wait, and callers ahead leave the queue too.
  */
 const SLOTS_PER_PLACE = 0.3;
 /** The same during an outage, whose end is the larger uncertainty. */
