Close the gateways of a test that fails

A check that failed on a busy machine (504 for 200, load 17) left a server open, and the run of the tests waited for it for ten minutes. The same checks, with the gateways closed in any case.

--- a/test/gateway/requests/buffered-response.test.ts
+++ b/test/gateway/requests/buffered-response.test.ts
@@ -391,16 +391,19 @@
   await withEndpoints([respondOk], {}, async (setup) => {
     const address = setup.endpoints[0]?.address ?? '';
     const closed = await startWithStaleConfig(5000, address);
-    assert.equal((await closed.send('q-1')).status, 503);
-    assert.equal(closed.gateway.isReady(), false);
-    closed.close();
     const open = await startWithStaleConfig(Number.POSITIVE_INFINITY, address);
-    assert.equal((await open.send('q-2')).status, 200);
-    assert.equal(open.gateway.isReady(), true);
-    // A key or a route may have been added since.
-    const unknownKey = await open.send('q-3', { headers: { authorization: 'Bearer key-9' } });
-    assert.deepEqual([unknownKey.status, unknownKey.headers.connection], [503, 'close']);
-    assert.equal((await open.send('q-4', { path: '/y/1' })).status, 503);
-    open.close();
+    try {
+      assert.equal((await closed.send('q-1')).status, 503);
+      assert.equal(closed.gateway.isReady(), false);
+      assert.equal((await open.send('q-2')).status, 200);
+      assert.equal(open.gateway.isReady(), true);
+      // A key or a route may have been added since.
+      const unknownKey = await open.send('q-3', { headers: { authorization: 'Bearer key-9' } });
+      assert.deepEqual([unknownKey.status, unknownKey.headers.connection], [503, 'close']);
+      assert.equal((await open.send('q-4', { path: '/y/1' })).status, 503);
+    } finally {
+      closed.close();
+      open.close();
+    }
   });
 });
