Pass on that an endpoint is cold, but not each heartbeat of it

Cause: the remaining time in the record of a cold endpoint falls with each heartbeat, so relays sent a change of the list to every waiting daemon for each, and entries pause for 0.6 s after a change.

Relays pass on that an endpoint is cold, for longer, or no longer. Full lists contain the newest remaining time.

--- a/src/core/published/relay.ts
+++ b/src/core/published/relay.ts
@@ -60,9 +60,14 @@
 
 /**
  * Unchanged endpoints are usually the same object; after a full read they are only equal by value.
+ * The remaining time of a cold endpoint falls with each heartbeat, which clients know by themselves.
  */
-function isSameEndpoint(a: PublishedEndpoint, b: PublishedEndpoint | undefined): boolean {
-  return a === b || JSON.stringify(a) === JSON.stringify(b);
+function isSameEndpoint(next: PublishedEndpoint, before: PublishedEndpoint | undefined): boolean {
+  if (next === before || !before) return next === before;
+  const { coldRemainingMs: nextMs = 0, ...nextFields } = next;
+  const { coldRemainingMs: beforeMs = 0, ...beforeFields } = before;
+  if (nextMs > beforeMs || (nextMs === 0 && beforeMs > 0)) return false;
+  return JSON.stringify(nextFields) === JSON.stringify(beforeFields);
 }
 
 /** Serves the published state of this daemon to others. */
--- a/test/core/published/relay.test.ts
+++ b/test/core/published/relay.test.ts
@@ -92,6 +92,31 @@
   assert.deepEqual(update.written.map(endpointFrom), [{ ...A, coldRemainingMs: 2400 }]);
 });
 
+/**
+ * Each heartbeat of 24 cold endpoints woke every waiting daemon, and entries pause for 0.6 s after a
+ * change.
+ */
+test('the passing of the time for which an endpoint is cold is no change, its end and a longer time are', async () => {
+  const fixture = startRelay();
+  fixture.publish([{ ...A, coldRemainingMs: 2400 }]);
+  const start = await fixture.relay.answer(requestOf());
+  const changesAt = async (coldRemainingMs?: number): Promise<number> => {
+    const before = await fixture.relay.answer(requestOf());
+    fixture.publish([{ ...A, ...(coldRemainingMs && { coldRemainingMs }) }]);
+    return (await fixture.relay.answer(requestOf())).sequence - before.sequence;
+  };
+  const changes: number[] = [];
+  for (const coldMs of [1200, 100, undefined, 2400, 1200, 3000])
+    changes.push(await changesAt(coldMs));
+  assert.deepEqual(changes, [0, 0, 1, 1, 0, 1]);
+  const { life, sequence } = start;
+  const update = await fixture.relay.answer(requestOf({ life, sequence }));
+  assert.deepEqual(update.written.map(endpointFrom), [{ ...A, coldRemainingMs: 3000 }]);
+  fixture.publish([{ ...A, coldRemainingMs: 500 }]);
+  const whole = await fixture.relay.answer(requestOf());
+  assert.deepEqual(whole.written.map(endpointFrom), [{ ...A, coldRemainingMs: 500 }]);
+});
+
 test('another incarnation, a sequence no longer kept or a future one leads to a full list', async () => {
   const fixture = startRelay();
   for (let i = 0; i < 700; i += 1) fixture.publish([{ ...A, slots: i + 1 }]);
