Play callers that read slowly in the soak

Callers that read a stream of 25 MB late or never, one every three seconds among the faults, and a scenario of their own, slow-readers, without other faults. The checker reports a stream that is not the caller's own as before, and an answer that an entry leaves unread for 1.2 s while nothing is disturbed; slow callers may be cut off during planned work.

The check then excused only suspended entries; since then any disturbance within 3 s excuses an unread answer.

--- a/bench/soak/check.ts
+++ b/bench/soak/check.ts
@@ -4,6 +4,7 @@
  */
 import { checkBackpressure } from './backpressure-check.js';
 import { eventData, completeAnswer, STREAM_EVENTS } from '../../fakes/platform-engine/index.js';
+import { checkAnswersAreRead, isSlowReader } from './slow-readers.js';
 import type { CallerRequest, Disturbance, SoakRecord } from './record.js';
 
 /** Statuses that guarantee that a request has not run and never will. */
@@ -172,7 +173,9 @@
   const planned = record.disturbances.filter((d) => d.kind === 'stop' || d.kind === 'hup');
   const isUnplanned = (d: Disturbance): boolean => !planned.includes(d);
   const everything = [...new Set(record.disturbances.map((d) => d.target))];
-  return record.requests
+  // A caller that does not read is cut off at its deadline, or once the budget is spent.
+  const readers = record.requests.filter((request) => !isSlowReader(request));
+  return readers
     .filter(
       (request) => request.outcome && !request.outcome.isComplete && request.outcome.status !== 0,
     )
@@ -274,6 +277,7 @@
   stepsUseOneMap,
   groupsDoNotStall,
   processesKeepRunning,
+  checkAnswersAreRead,
   serviceRecovers,
 ];
 
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -24,8 +24,12 @@
   EndpointCrash,
   RateLimitPeriod,
   Removal,
+  UnreadAnswer,
 } from './record.js';
 
+/** Memory of an instance in its boot file, MB; a few callers that do not read spend the budget. */
+const MEMORY_MB = 512;
+
 /** Ports; each instance has its own address. */
 export const PORT = {
   callers: 8227,
@@ -98,6 +102,9 @@
   /** Paths of requests that crash endpoints; callers mix them with other requests. */
   readonly crashingPaths: string[];
   areCallersPaused: boolean;
+  /** Slow readers to start, with the time after which each begins to read; undefined for never. */
+  readonly slowReaders: { readonly readAfterMs: number | undefined }[];
+  readonly unreadAnswers: UnreadAnswer[];
   /** Time since the start of the run, ms. */
   readonly nowMs: () => number;
   publish(): void;
@@ -154,6 +161,8 @@
     ...(app
       ? []
       : ENTRY_ADDRESSES.map((kind) => `${BOOT_FILE_KEY[kind]} = "${host}:${PORT[kind]}"`)),
+    '[limits]',
+    `memory-mb = ${MEMORY_MB}`,
     '[bounds]',
     'revoke-ms = 5000',
     'config-apply-ms = 2000',
@@ -241,6 +250,7 @@
   const crashes: EndpointCrash[] = [];
   const crashingPaths: string[] = [];
   const disturbances: Disturbance[] = [];
+  const unreadAnswers: UnreadAnswer[] = [];
 
   async function startEndpoint(id: string, service: string, at: string): Promise<SoakEndpoint> {
     const rank = service === 'model' ? group.calls(Number(id.split('-')[1])) : undefined;
@@ -276,6 +286,10 @@
       { host: at, port: PORT.app },
       { host: at, port: PORT.engine },
     );
+    proxy.onUnread = (unreadMs) => {
+      const atMs = nowMs();
+      unreadAnswers.push({ endpoint: id, fromMs: atMs - unreadMs, atMs });
+    };
     store.put(`servers/${id}`, {
       service,
       address: `${at}:${PORT.app}`,
@@ -349,6 +363,8 @@
     rateLimitPeriods: [],
     crashingPaths,
     areCallersPaused: false,
+    slowReaders: [],
+    unreadAnswers,
     nowMs,
     config,
     publish: () => {
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -11,6 +11,7 @@
   type SoakInstance,
 } from './deployment.js';
 import type { Program } from './program.js';
+import { startSlowReaders } from './slow-readers.js';
 import { HEALTHY_LINK, type LinkState, type LoopbackProxy } from './proxy.js';
 
 /** Arguments of a fault. */
@@ -262,6 +263,8 @@
 
 /** Number of concurrent series, so that faults overlap. */
 const PARALLEL_SERIES = 2;
+/** Interval between two callers that read slowly, ms. */
+const SLOW_READER_INTERVAL_MS = 3000;
 
 /**
  * Injects random faults in several concurrent series until `untilMs`; resolves when all are over.
@@ -278,7 +281,10 @@
       await sleep(400 * random());
     }
   };
-  await Promise.all(Array.from({ length: PARALLEL_SERIES }, series));
+  await Promise.all([
+    ...Array.from({ length: PARALLEL_SERIES }, series),
+    startSlowReaders(deployment, untilMs, SLOW_READER_INTERVAL_MS),
+  ]);
 }
 
 const ENTRY_FAULTS: readonly Fault[] = [kill, stop, suspend, changeSettings, degradeStoreLink];
--- a/bench/soak/record.ts
+++ b/bench/soak/record.ts
@@ -71,6 +71,13 @@
   readonly atMs: number;
 }
 
+/** An answer that an endpoint gave up because the entry did not read it. */
+export interface UnreadAnswer {
+  readonly endpoint: string;
+  readonly fromMs: number;
+  readonly atMs: number;
+}
+
 /** Everything recorded in one run. */
 export interface SoakRecord {
   readonly seed: number;
@@ -85,6 +92,7 @@
   readonly removals: readonly Removal[];
   readonly addedRoutes: readonly AddedRoute[];
   readonly crashes: readonly EndpointCrash[];
+  readonly unreadAnswers: readonly UnreadAnswer[];
   /** Organisation by key; keys that were never issued are missing. */
   readonly organisations: Readonly<Record<string, string>>;
   /** Steps that the ranks of a group began with different maps. */
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -19,6 +19,7 @@
 import { disturb } from './faults.js';
 import { silenceDuringChanges, silenceWithoutRelays } from './silence.js';
 import { signalLongRateLimits } from './limits.js';
+import { readSlowly } from './slow-readers.js';
 import type { SoakRecord } from './record.js';
 
 const NS_PER_MS = 1e6;
@@ -60,6 +61,7 @@
     removals: deployment.removals,
     addedRoutes: deployment.addedRoutes,
     crashes: deployment.crashes,
+    unreadAnswers: deployment.unreadAnswers,
     organisations: Object.fromEntries(KEYS.map((key) => [key, ORGANISATION])),
     mixedSteps: deployment.group.mixedSteps,
     longestHoldMs: deployment.group.longestHoldMs,
@@ -84,6 +86,7 @@
   crashing: crashEndpoints,
   asking: signalBackpressure,
   limits: signalLongRateLimits,
+  'slow-readers': readSlowly,
 } as const;
 
 /** Size for scenarios in which endpoints leave one after another. */
--- a/fakes/platform-engine/engine.ts
+++ b/fakes/platform-engine/engine.ts
@@ -92,6 +92,22 @@
 /** Interval at which a stream checks whether its group has started another step, ms. */
 const STEP_POLL_MS = 10;
 
+/** Ending of the IDs of requests whose streams exceed what the system buffers for connections. */
+export const LARGE_SUFFIX = '-large';
+/** Follows the data of each event of such a stream. */
+const LARGE_PADDING = ` ${'x'.repeat(2 << 20)}`;
+const PADDING_PATTERN = / x+(?=\n\n)/g;
+
+/**
+ * Removes the padding from the whole events of a stream; padding of another length stays.
+ * @example withoutPadding('id: 1\ndata: q-1-large 1 xxx…\n\n') // 'id: 1\ndata: q-1-large 1\n\n'
+ */
+export function withoutPadding(stream: string): string {
+  return stream.replace(PADDING_PATTERN, (found) =>
+    found.length === LARGE_PADDING.length ? '' : found,
+  );
+}
+
 /** The complete answer to a plain request. */
 export const completeAnswer = (requestId: string): string => `answer to ${requestId}`;
 /** The data field of one event in the stream of a request. */
@@ -167,13 +183,14 @@
     const requestId = singleHeader(req, 'x-request-id');
     const after = Number(singleHeader(req, 'last-event-id') || 0);
     res.writeHead(200, responseHeaders(requestId, { 'content-type': 'text/event-stream' }));
+    const padding = requestId.endsWith(LARGE_SUFFIX) ? LARGE_PADDING : '';
     let lastStep = options.step();
     for (let id = after + 1; id <= STREAM_EVENTS; id += 1) {
       while (options.step() === lastStep && !res.destroyed) await sleep(STEP_POLL_MS);
       if (res.destroyed) return;
       lastStep = options.step();
       if (isCut && id > STREAM_EVENTS / 2) return void req.socket.resetAndDestroy();
-      res.write(`id: ${id}\ndata: ${eventData(requestId, id)}\n\n`);
+      res.write(`id: ${id}\ndata: ${eventData(requestId, id)}${padding}\n\n`);
     }
     res.end();
   }
--- a/test/soak/backpressure-check.test.ts
+++ b/test/soak/backpressure-check.test.ts
@@ -59,6 +59,7 @@
     removals: [],
     addedRoutes: [],
     crashes: [],
+    unreadAnswers: [],
     organisations: {},
     mixedSteps: [],
     longestHoldMs: 0,
--- a/test/soak/check.test.ts
+++ b/test/soak/check.test.ts
@@ -5,6 +5,7 @@
 import {
   eventData,
   completeAnswer,
+  LARGE_SUFFIX,
   STREAM_EVENTS,
   type EndpointExecution,
 } from '../../fakes/platform-engine/index.js';
@@ -53,6 +54,7 @@
     removals: [],
     addedRoutes: [],
     crashes: [],
+    unreadAnswers: [],
     organisations: { 'k-0': 'org-1', 'k-1': 'org-1' },
     mixedSteps: [],
     longestHoldMs: 40,
@@ -183,6 +185,11 @@
     /cut at entry-0 by planned work/,
   ],
   ['different maps in one step', { mixedSteps: [7] }, /step 7 began with two maps/],
+  [
+    'an answer that an entry left unread',
+    { unreadAnswers: [{ endpoint: 'model-0', fromMs: 4000, atMs: 6000 }] },
+    /model-0: unread from 4000 to 6000 ms/,
+  ],
   ['a stalled group', { longestHoldMs: 9000 }, /stood still for 9000 ms/],
   [
     'a process that exits by itself',
@@ -242,3 +249,20 @@
   const crashes = [{ path: '/once/b', atMs: 500 }];
   assert.deepEqual(violationsOf(record({ requests, crashes })), []);
 });
+
+test('the checker excuses an answer left unread by a suspended entry, and a slow caller that was cut off', () => {
+  const cut = end({ body: '', isComplete: false });
+  const id = `x${LARGE_SUFFIX}`;
+  const violations = violationsOf(
+    record({
+      unreadAnswers: [{ endpoint: 'model-0', fromMs: 4000, atMs: 6000 }],
+      requests: [request(id, { kind: 'stream', outcome: cut })],
+      runs: [run(id)],
+      disturbances: [
+        { kind: 'pause', target: 'entry-0', fromMs: 3900, untilMs: 6100 },
+        { kind: 'stop', target: 'entry-0', fromMs: 1050, untilMs: 3000 },
+      ],
+    }),
+  );
+  assert.deepEqual(violations, []);
+});
--- a/test/soak/proxy.test.ts
+++ b/test/soak/proxy.test.ts
@@ -105,3 +105,17 @@
     server.close();
   }
 });
+
+test('connections whose client does not read are reset, and only those', async () => {
+  await withLink(async ({ proxy, near, far }) => {
+    const unread: number[] = [];
+    proxy.onUnread = (unreadMs) => void unread.push(unreadMs);
+    far.write(Buffer.alloc(24e6));
+    await wait(2300);
+    assert.deepEqual(unread, []);
+    near.pause();
+    far.write(Buffer.alloc(24e6));
+    await new Promise((resolve) => far.on('close', resolve));
+    assert.equal(unread.length, 1);
+  });
+});
