--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -11,7 +11,6 @@
   type SoakInstance,
 } from './deployment.js';
 import type { Program } from './program.js';
-import { startSlowReaders } from './slow-readers.js';
 import { HEALTHY_LINK, type LinkState, type LoopbackProxy } from './proxy.js';
 
 /** Arguments of a fault. */
@@ -263,8 +262,6 @@
 
 /** Number of concurrent series, so that faults overlap. */
 const PARALLEL_SERIES = 2;
-/** Interval between two callers that read slowly, ms. */
-const SLOW_READER_INTERVAL_MS = 3000;
 
 /**
  * Injects random faults in several concurrent series until `untilMs`; resolves when all are over.
@@ -281,10 +278,7 @@
       await sleep(400 * random());
     }
   };
-  await Promise.all([
-    ...Array.from({ length: PARALLEL_SERIES }, series),
-    startSlowReaders(deployment, untilMs, SLOW_READER_INTERVAL_MS),
-  ]);
+  await Promise.all(Array.from({ length: PARALLEL_SERIES }, series));
 }
 
 const ENTRY_FAULTS: readonly Fault[] = [kill, stop, suspend, changeSettings, degradeStoreLink];
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -19,7 +19,7 @@
 import { disturb } from './faults.js';
 import { silenceDuringChanges, silenceWithoutRelays } from './silence.js';
 import { signalLongRateLimits } from './limits.js';
-import { readSlowly } from './slow-readers.js';
+import { readSlowly, readSlowlyAmongFaults } from './slow-readers.js';
 import type { SoakRecord } from './record.js';
 
 const NS_PER_MS = 1e6;
@@ -87,6 +87,7 @@
   asking: signalBackpressure,
   limits: signalLongRateLimits,
   'slow-readers': readSlowly,
+  'slow-readers-and-faults': readSlowlyAmongFaults,
 } as const;
 
 /** Size for scenarios in which endpoints leave one after another. */
--- a/bench/soak/slow-readers.ts
+++ b/bench/soak/slow-readers.ts
@@ -5,12 +5,15 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { LARGE_SUFFIX } from '../../fakes/platform-engine/index.js';
 import type { Deployment } from './deployment.js';
+import { disturb } from './faults.js';
 import type { CallerRequest, SoakRecord } from './record.js';
 
 /** Times after which slow readers begin to read, ms, in turn; undefined for never. */
 const READ_AFTER_MS: readonly (number | undefined)[] = [400, undefined, 1500, undefined, 2500];
 /** Interval between slow readers in the scenario `slow-readers`, ms. */
 const SCENARIO_INTERVAL_MS = 300;
+/** The same among faults, ms. */
+const INTERVAL_AMONG_FAULTS_MS = 3000;
 
 /** Whether a request's caller reads slowly. */
 export function isSlowReader(request: Pick<CallerRequest, 'id'>): boolean {
@@ -41,16 +44,23 @@
   return startSlowReaders(deployment, untilMs, SCENARIO_INTERVAL_MS);
 }
 
-/** Longest time for which a disturbance that has ended may still hold up an answer, ms. */
-const AFTER_EFFECT_MS = 3000;
+/** Scenario `slow-readers-and-faults`: slow readers while instances fail as in the scenario `faults`. */
+export async function readSlowlyAmongFaults(
+  deployment: Deployment,
+  random: () => number,
+  untilMs: number,
+): Promise<void> {
+  await Promise.all([
+    disturb(deployment, random, untilMs),
+    startSlowReaders(deployment, untilMs, INTERVAL_AMONG_FAULTS_MS),
+  ]);
+}
 
-/** Undisturbed entries read the answers of endpoints, however slowly callers read. */
+/** Entries that are not suspended read the answers of endpoints, however slowly callers read. */
 export function checkAnswersAreRead({ unreadAnswers, disturbances }: SoakRecord): string[] {
+  const pauses = disturbances.filter(({ kind }) => kind === 'pause');
   return unreadAnswers
-    .filter(
-      ({ fromMs, atMs }) =>
-        !disturbances.some((d) => d.fromMs < atMs && d.untilMs + AFTER_EFFECT_MS > fromMs),
-    )
+    .filter(({ fromMs, atMs }) => !pauses.some((d) => d.fromMs < atMs && d.untilMs > fromMs))
     .map(
       ({ endpoint, fromMs, atMs }) =>
         `${endpoint}: unread from ${Math.round(fromMs)} to ${Math.round(atMs)} ms`,
