--- a/src/gateway/backpressure/backpressure-signals.ts
+++ b/src/gateway/backpressure/backpressure-signals.ts
@@ -4,7 +4,7 @@
 import type { LogFields } from '../../core/logging/index.js';
 import type { BackpressureUpdate } from '../../generated/messages.types.js';
 import type { GatewayContext } from '../context.js';
-import type { EndpointState } from '../endpoints/endpoints.js';
+import type { EndpointState } from '../endpoints/endpoint-state.js';
 import type { ResponseHead } from '../types.js';
 import type { ActiveRequest } from '../requests/active-request.js';
 
--- a/src/gateway/endpoints/choose-endpoint.ts
+++ b/src/gateway/endpoints/choose-endpoint.ts
@@ -2,7 +2,7 @@
 import type { EndpointId } from '../../core/ids/index.js';
 import type { PublishedEndpoint } from '../../core/published/index.js';
 import { MAX_TOKEN_WAIT_MS } from '../consts.js';
-import type { EndpointState } from './endpoints.js';
+import type { EndpointState } from './endpoint-state.js';
 import type { GroupQueue } from '../groups/service-groups.js';
 import type { ActiveRequest } from '../requests/active-request.js';
 
--- a/src/gateway/endpoints/endpoints.ts
+++ b/src/gateway/endpoints/endpoints.ts
@@ -16,21 +16,17 @@
   ServiceId,
 } from '../../core/published/index.js';
 import { StreamCountHistory } from '../../core/limits/index.js';
-import {
-  EndpointHealth,
-  RANK_TIER,
-  SLOW_PACE,
-  chooseRank,
-  expectedWork,
-  isKnownFull,
-  type PassModel,
-  type RankCandidate,
-  type RankCount,
-  type RankLoad,
-  type RankTier,
-} from '../../core/routing/index.js';
+import { EndpointHealth, chooseRank } from '../../core/routing/index.js';
 import { ReplaceablePool } from '../../runtime/replaceable-pool.js';
 import { createEndpointConnector } from './connect.js';
+import { failurePenalty, type EndpointState } from './endpoint-state.js';
+import {
+  UNKNOWN_PASS,
+  isSlowEngine,
+  placementReason,
+  rankOption,
+  type RankOption,
+} from './rank-option.js';
 import type { EngineStatus } from '../groups/group-status.js';
 import {
   ASSUMED_CONNECTION_PEERS,
@@ -42,95 +38,20 @@
 const FAILURE_EWMA_WEIGHT = 0.15;
 /** Weight of the newest response in an endpoint's moving average of response times. */
 const RESPONSE_TIME_EWMA_WEIGHT = 0.15;
-/**
- * Weight of the squared failure share in an endpoint's score: one that fails half of its requests is
- * chosen only if the others have three times its load.
- */
-const FAILURE_PENALTY = 8;
-
 /**
  * Time for which an engine that rejected a request counts as full, ms: about the time until the next count of the
  * group arrives.
  */
 const REJECTED_MS = 400;
 
-/** Cost of a pass of engines that publish none: prompts being read are not counted. */
-const UNKNOWN_PASS: PassModel = { perRequestMs: 0, stepsPerPass: 1, promptTokensPerMs: 0 };
-
-function isSlowEngine(status: EngineStatus | undefined): boolean {
-  return status !== undefined && status.pace > SLOW_PACE;
-}
-
 function isSameProcess(a: PublishedEndpoint, b: PublishedEndpoint): boolean {
   return a.startedAtMs === b.startedAtMs && a.address === b.address;
 }
 
-/** Why a request was sent to an endpoint; label `reason` of `placements_total`. */
-export type PlacementReason =
-  /** The best rank of this data centre, or of another one that was better by a margin. */
-  | 'near'
-  | 'far'
-  /** No rank of this data centre had room. */
-  | 'spilled'
-  /** A rank that just rejected a request was avoided. */
-  | 'corrected'
-  /** No rank was in a usable state. */
-  | 'last-resort';
-
-/** A rank that may be chosen, and the state behind it. */
-interface RankOption extends RankCandidate {
-  readonly state: EndpointState;
-}
-
-function failurePenalty({ failureShare }: EndpointState): number {
-  return 1 + FAILURE_PENALTY * failureShare ** 2;
-}
-
-/** Returns the count of a rank; undefined if it was made before the process started. */
-function countOf(
-  { history, firstSeenAtMs }: EndpointState,
-  { load, meanLoad, countedAtMs }: EngineStatus,
-  nowMs: number,
-): RankCount | undefined {
-  if (firstSeenAtMs > countedAtMs) return undefined;
-  return { load, meanLoad, ageMs: nowMs - countedAtMs, ownThen: history.countAt(countedAtMs) };
-}
-
 function cancelUnsent(state: EndpointState, reason: string): void {
   for (const cancel of [...state.cancelUnsent]) cancel(reason);
 }
 
-/** State of one endpoint process at this entry. */
-export interface EndpointState {
-  readonly endpoint: PublishedEndpoint;
-  readonly connections: ReplaceablePool;
-  readonly health: EndpointHealth;
-  /** Admits requests according to the endpoint's backpressure signals. */
-  readonly gate: EndpointGate;
-  /** Cancels each attempt that waits for a connection and is not sent yet, with the reason. */
-  readonly cancelUnsent: Set<(reason: string) => void>;
-  /** Requests in flight. */
-  running: number;
-  /** Requests in flight over the last seconds. */
-  readonly history: StreamCountHistory;
-  /** Tokens of the prompts of requests without a first event, by request. */
-  readonly unreadPrompts: Map<string, number>;
-  /** Sum of `unreadPrompts`. */
-  unreadTokens: number;
-  /** Until when it counts as full after a rejection, ms. */
-  fullUntilMs: number;
-  /** When this entry first saw the process; older counts are of its predecessor. */
-  readonly firstSeenAtMs: number;
-  /** Why it was last chosen. */
-  reason: PlacementReason | undefined;
-  /** Exponential moving average of failed attempts, 0 to 1. */
-  failureShare: number;
-  /** Exponential moving average of the time to the first byte of a response, ms; 0 before the first. */
-  meanResponseMs: number;
-  /** Sequence number of the last request sent here; breaks ties in favour of the least recently used. */
-  lastSentSequence: number;
-}
-
 /** Dependencies of `Endpoints`. */
 export interface EndpointsDeps {
   readonly state: PublishedState;
@@ -201,7 +122,9 @@
       if (state.gate.opening(nowMs).atMs > nowMs) continue;
       const status = this.deps.statusOf(endpoint);
       if (status) {
-        ranks.push(this.rankOf(state, status, model, nowMs));
+        const coldWeight = this.coldWeightOf(state);
+        const isFar = endpoint.dataCentre !== this.deps.dataCentre;
+        ranks.push(rankOption({ state, status, model, coldWeight, isFar, nowMs }));
         continue;
       }
       const score = this.score(state, nowMs);
@@ -215,53 +138,10 @@
 
   private chooseAmong(ranks: readonly RankOption[], nowMs: number): EndpointState | undefined {
     const chosen = chooseRank(ranks, this.deps.random);
-    if (chosen) chosen.state.reason = this.reasonOf(chosen, ranks, nowMs);
+    if (chosen) chosen.state.reason = placementReason(chosen, ranks, nowMs);
     return chosen?.state;
   }
 
-  private reasonOf(
-    chosen: RankOption,
-    ranks: readonly RankOption[],
-    nowMs: number,
-  ): PlacementReason {
-    if (chosen.tier !== RANK_TIER.usable) return 'last-resort';
-    if (ranks.some((rank) => rank.state.fullUntilMs > nowMs)) return 'corrected';
-    if (!chosen.isFar) return 'near';
-    const hasNear = ranks.some((rank) => !rank.isFar && rank.tier === RANK_TIER.usable);
-    return hasNear ? 'far' : 'spilled';
-  }
-
-  private rankOf(
-    state: EndpointState,
-    status: EngineStatus,
-    model: PassModel,
-    nowMs: number,
-  ): RankOption {
-    const { endpoint, running, unreadTokens } = state;
-    const load: RankLoad = { own: running, unreadTokens, count: countOf(state, status, nowMs) };
-    return {
-      state,
-      tier: this.tierOf(state, status, load, nowMs),
-      isFar: endpoint.dataCentre !== this.deps.dataCentre,
-      own: running,
-      work: expectedWork(load, model),
-      weight: (status.pace * failurePenalty(state)) / this.coldWeightOf(state),
-      lastUsed: state.lastSentSequence,
-    };
-  }
-
-  private tierOf(
-    state: EndpointState,
-    status: EngineStatus,
-    load: RankLoad,
-    nowMs: number,
-  ): RankTier {
-    if (state.health.isEjected(nowMs)) return RANK_TIER.ejected;
-    if (isSlowEngine(status)) return RANK_TIER.slow;
-    const isFull = state.fullUntilMs > nowMs || isKnownFull(load, state.endpoint.slots);
-    return isFull ? RANK_TIER.full : RANK_TIER.usable;
-  }
-
   /** Whether an endpoint is in the backoff that it requested. */
   isBackingOff(state: EndpointState): boolean {
     return state.gate.backoff.isBackingOff(this.deps.clock.nowMs());
--- a/src/gateway/requests/active-request.ts
+++ b/src/gateway/requests/active-request.ts
@@ -9,7 +9,7 @@
   BACKOFF_RETRY_JITTER_S,
 } from '../consts.js';
 import type { GatewayContext } from '../context.js';
-import type { EndpointState } from '../endpoints/endpoints.js';
+import type { EndpointState } from '../endpoints/endpoint-state.js';
 import type { Refusal } from './refuse.js';
 import type { StreamProgress } from './relay-stream.js';
 import type { ResponseWriter } from './response-writer.js';
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -4,7 +4,7 @@
 import { Err, Ok, type Result } from '../../core/result/index.js';
 import { wasNotSent, withStartCallback } from '../endpoints/connect.js';
 import { STALLED_CONNECTION_MS } from '../consts.js';
-import type { EndpointState } from '../endpoints/endpoints.js';
+import type { EndpointState } from '../endpoints/endpoint-state.js';
 import type { ResponseHead, AttemptFault, GatewayRequest, CallerApi } from '../types.js';
 
 /** A response whose headers have been checked; its body has yet to be read. */
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -4,7 +4,7 @@
 import { acquireEndpoint, chooseOtherGroup } from '../endpoints/choose-endpoint.js';
 import { OTHER_ENTRY_RETRY_S, RETRY_TIMEOUT_FACTOR, STREAM_IDLE_TIMEOUT_MS } from '../consts.js';
 import { deliverResponse, MIN_SERVER_ERROR_STATUS } from './deliver.js';
-import type { EndpointState } from '../endpoints/endpoints.js';
+import type { EndpointState } from '../endpoints/endpoint-state.js';
 import {
   failureOutcome,
   hasRetryBudget,
--- a/src/gateway/requests/deliver.ts
+++ b/src/gateway/requests/deliver.ts
@@ -2,7 +2,7 @@
 import type { AttemptResponse } from './attempt.js';
 import { hasAlternative } from '../endpoints/choose-endpoint.js';
 import { STREAM_IDLE_TIMEOUT_MS } from '../consts.js';
-import type { EndpointState } from '../endpoints/endpoints.js';
+import type { EndpointState } from '../endpoints/endpoint-state.js';
 import { relayStream, type StreamOutcome } from './relay-stream.js';
 import { readFullResponse } from './read-response.js';
 import {
