--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -117,7 +117,7 @@
           endpoints: () => state.availableEndpoints(id),
           groupOf: deps.groupOf,
           loadOf: deps.groupLoad,
-          urgencies: () => urgencies.of(id),
+          ...(settings.hasAdmissionLevel && { urgencies: () => urgencies.of(id) }),
           isAvailable: (endpoint) => endpoints.isAvailable(endpoint),
         }),
     };
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -35,6 +35,11 @@
   readonly parserHeaderBytes: number;
   /** Memory of the instance, bytes; a share of it may be used for buffered bodies and responses. */
   readonly memoryBytes: number;
+  /**
+   * Whether groups admit by an admission level if their requests differ in urgency; off by default. With 33 entries
+   * before 72 ranks the level admits more streams than the group bears after it stood still.
+   */
+  readonly hasAdmissionLevel?: boolean;
   /** Retries of all entries together that are allowed in addition to the retry share. */
   readonly retryExtra: number;
   /** Sliding window of the retry budget, for both the extra retries and the retry share. */
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -90,6 +90,7 @@
   configApplyMs: 2000,
   parserHeaderBytes: 64 * 1024,
   memoryBytes: 256e6,
+  hasAdmissionLevel: true,
   retryExtra: 480,
   retryWindowMs: 10_000,
 };
