Estimate holding times in one place

HoldingTime of the admission level and SlotTurnover of the returning queue kept the same decayed sums of slot time and releases, written twice. SlotTurnover now reads them from HoldingTime, which takes its time constant; what an outage skips is a call of its own.

--- a/src/core/urgency/holding-time.ts
+++ b/src/core/limits/holding-time.ts
@@ -1,16 +1,18 @@
-/** Mean time for which streams hold a slot, from the number of slots taken over time. */
-import { HOLDING_TIME_CONSTANT_MS } from './consts.js';
+/** Mean time for which streams hold a slot, from the number of slots taken over time; no per-request state. */
 
 /** Releases, after decay, from which the mean is known. */
 const MIN_RELEASES = 3;
 
-/** Mean holding time of one entry's streams. Times are monotonic ms. */
+/** Mean holding time of one entry's streams, with exponential decay. Times are monotonic ms. */
 export class HoldingTime {
   private taken = 0;
   private slotMs = 0;
   private releases = 0;
   private updatedAtMs: number | undefined;
 
+  /** @param timeConstantMs time constant of the decay, ms */
+  constructor(private readonly timeConstantMs: number) {}
+
   /** Notes the number of slots taken from now on. */
   note(taken: number, nowMs: number): void {
     this.advance(nowMs);
@@ -18,6 +20,12 @@
     this.taken = taken;
   }
 
+  /** Notes the number of slots taken from now on, and learns nothing from the time until now. */
+  skip(taken: number, nowMs: number): void {
+    this.taken = taken;
+    this.updatedAtMs = nowMs;
+  }
+
   /**
    * Mean holding time, ms; undefined before a few streams have ended.
    * @example holdingTime.meanMs(clock.nowMs()) // 1250
@@ -29,8 +37,8 @@
 
   private advance(nowMs: number): void {
     const elapsedMs = Math.max(0, nowMs - (this.updatedAtMs ?? nowMs));
-    const decay = Math.exp(-elapsedMs / HOLDING_TIME_CONSTANT_MS);
-    this.slotMs = this.slotMs * decay + this.taken * HOLDING_TIME_CONSTANT_MS * (1 - decay);
+    const decay = Math.exp(-elapsedMs / this.timeConstantMs);
+    this.slotMs = this.slotMs * decay + this.taken * this.timeConstantMs * (1 - decay);
     this.releases *= decay;
     this.updatedAtMs = nowMs;
   }
--- a/src/core/limits/slot-turnover.ts
+++ b/src/core/limits/slot-turnover.ts
@@ -1,17 +1,12 @@
-/** How long slots are held, from the number taken over time and the releases; no per-request state. */
+/** How fast the slots of one entry come free, from how long they are held. */
+import { HoldingTime } from './holding-time.js';
 
-/** Time constant of the averages, ms: some streams of 1 to 1.5 s each. */
-const AVERAGE_OVER_MS = 5000;
-/** Weight of releases, in slots, below which the hold time counts as unknown. */
-const MIN_RELEASES = 3;
+/** Time constant of the holding time, ms: some streams of 1 to 1.5 s each. */
+const TIME_CONSTANT_MS = 5000;
 
-/** Mean hold time of the slots of one entry. Times are monotonic ms. */
+/** Turnover of the slots of one entry. Times are monotonic ms. */
 export class SlotTurnover {
-  private taken = 0;
-  private noteAtMs: number | undefined;
-  /** Exponentially weighted sums: slot time, ms, and releases. */
-  private heldMs = 0;
-  private releases = 0;
+  private readonly holdingTime = new HoldingTime(TIME_CONSTANT_MS);
   /** Last mean while enough releases were known, which outlasts an outage. */
   private meanMs: number | undefined;
 
@@ -21,19 +16,9 @@
    * @example turnover.note(queue.running, clock.nowMs(), true);
    */
   note(taken: number, nowMs: number, isServing: boolean): void {
-    if (!isServing) {
-      this.taken = taken;
-      this.noteAtMs = nowMs;
-      return;
-    }
-    const elapsedMs = Math.max(0, nowMs - (this.noteAtMs ?? nowMs));
-    const keep = Math.exp(-elapsedMs / AVERAGE_OVER_MS);
-    this.heldMs = this.heldMs * keep + this.taken * AVERAGE_OVER_MS * (1 - keep);
-    this.releases *= keep;
-    if (taken < this.taken) this.releases += this.taken - taken;
-    this.taken = taken;
-    this.noteAtMs = nowMs;
-    if (this.releases >= MIN_RELEASES) this.meanMs = this.heldMs / this.releases;
+    if (!isServing) return this.holdingTime.skip(taken, nowMs);
+    this.holdingTime.note(taken, nowMs);
+    this.meanMs = this.holdingTime.meanMs(nowMs) ?? this.meanMs;
   }
 
   /** Mean time for which a slot is held, ms; undefined until some were released; kept while none is. */
--- a/src/core/urgency/index.ts
+++ b/src/core/urgency/index.ts
@@ -5,5 +5,5 @@
 export * from './demand-counter.js';
 export * from './demand-sum.js';
 export * from './hold-correction.js';
-export * from './holding-time.js';
+export { HOLDING_TIME_CONSTANT_MS } from './consts.js';
 export * from './organisation-shares.js';
--- a/src/gateway/groups/group-demand.ts
+++ b/src/gateway/groups/group-demand.ts
@@ -1,12 +1,12 @@
 /** Demand for one group at this entry, and the admission level that follows from it and from the group's digest. */
 import type { Clock } from '../../core/clock/index.js';
 import type { GroupStreamCount } from '../../core/limits/index.js';
-import { estimateInFlight } from '../../core/limits/index.js';
+import { estimateInFlight, HoldingTime } from '../../core/limits/index.js';
 import {
   admissionLevel,
   HoldCorrection,
   DemandCounter,
-  HoldingTime,
+  HOLDING_TIME_CONSTANT_MS,
   type AdmissionLevel,
   type ServiceUrgencies,
 } from '../../core/urgency/index.js';
@@ -30,7 +30,7 @@
 /** Demand and admission level of one group. */
 export class GroupDemand {
   private readonly counter: DemandCounter;
-  private readonly holdingTime = new HoldingTime();
+  private readonly holdingTime = new HoldingTime(HOLDING_TIME_CONSTANT_MS);
   private readonly correction = new HoldCorrection();
   /** Own demand of the last seconds, oldest first. */
   private readonly history: { readonly atMs: number; readonly demand: Demand }[] = [];
--- a/test/core/urgency/demand.test.ts
+++ b/test/core/urgency/demand.test.ts
@@ -1,11 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { seededRandom } from '../../../src/core/clock/index.js';
+import { HoldingTime } from '../../../src/core/limits/index.js';
 import {
   checkDemand,
   DemandCounter,
   DemandSum,
-  HoldingTime,
+  HOLDING_TIME_CONSTANT_MS,
 } from '../../../src/core/urgency/index.js';
 import type { Demand } from '../../../src/generated/messages.types.js';
 
@@ -132,7 +133,7 @@
 });
 
 test('the mean holding time is that of the streams, however many run at once', () => {
-  const holdingTime = new HoldingTime();
+  const holdingTime = new HoldingTime(HOLDING_TIME_CONSTANT_MS);
   assert.equal(holdingTime.meanMs(0), undefined);
   let taken = 0;
   for (let nowMs = 0; nowMs < 20_000; nowMs += 100) {
