Give the reason of a refusal as of the choice that failed

A request without a token was refused as no-endpoint instead of limited if a token came between the choice and the refusal: the reason was looked up with a later clock reading, at which the endpoint was open. Ruled out: cold endpoints themselves, the race is in what all gates share. Both look-ups now use one time. A group whose ranks are all gated still looks up its reason later; not seen.

--- a/src/gateway/endpoints/choose-endpoint.ts
+++ b/src/gateway/endpoints/choose-endpoint.ts
@@ -15,6 +15,7 @@
 export function chooseEndpoint(
   active: ActiveRequest,
   denied = NO_ENDPOINTS,
+  nowMs = active.ctx.ageClock.nowMs(),
 ): EndpointState | undefined {
   const { ctx, group, service, tried } = active;
   const isInGroup = (endpoint: PublishedEndpoint): boolean =>
@@ -23,6 +24,7 @@
     service.id,
     tried,
     (endpoint) => !denied.has(endpoint.id) && isInGroup(endpoint),
+    nowMs,
   );
 }
 
@@ -35,8 +37,13 @@
   const denied = new Set<EndpointId>();
   const untilMs = ctx.ageClock.nowMs() + MAX_TOKEN_WAIT_MS;
   do {
-    const target = chooseEndpoint(active, denied);
-    if (!target) return undefined;
+    const nowMs = ctx.ageClock.nowMs();
+    const target = chooseEndpoint(active, denied, nowMs);
+    if (!target) {
+      // As of the choice: an endpoint may open before the refusal looks for its reason.
+      active.opening = ctx.endpoints.firstOpening(active.service.id, nowMs);
+      return undefined;
+    }
     const hasToken = await target.gate.acquire();
     if (request.gone.aborted) return undefined;
     // A backoff, the probe by another request or an evacuation may have begun meanwhile.
--- a/src/gateway/endpoints/endpoints.ts
+++ b/src/gateway/endpoints/endpoints.ts
@@ -104,14 +104,14 @@
   /**
    * Selects the endpoint with the lowest score for one more request; undefined if none is available.
    * Ejected endpoints are used only if no other is left; endpoints in backoff or over their rate limit never.
-   * `mayTake` filters the candidates.
+   * `mayTake` filters the candidates; `nowMs` is the time of the choice.
    */
   choose(
     service: ServiceId,
     tried: ReadonlySet<EndpointId>,
     mayTake: (endpoint: PublishedEndpoint) => boolean = () => true,
+    nowMs = this.deps.clock.nowMs(),
   ): EndpointState | undefined {
-    const nowMs = this.deps.clock.nowMs();
     const model = this.deps.state.config?.services.get(service)?.engine ?? UNKNOWN_PASS;
     const ranks: RankOption[] = [];
     let best: EndpointState | undefined;
@@ -154,11 +154,11 @@
   }
 
   /**
-   * Returns the earliest time at which any endpoint of a service accepts a request; undefined if it has none.
+   * Returns the earliest time at which any endpoint of a service accepts a request, as of `nowMs`; undefined if it has
+   * none.
    * @example const opening = endpoints.firstOpening(service);
    */
-  firstOpening(service: ServiceId): Opening | undefined {
-    const nowMs = this.deps.clock.nowMs();
+  firstOpening(service: ServiceId, nowMs = this.deps.clock.nowMs()): Opening | undefined {
     let first: Opening | undefined;
     for (const endpoint of this.deps.state.availableEndpoints(service)) {
       const opening = this.stateOf(endpoint).gate.opening(nowMs);
--- a/src/gateway/requests/active-request.ts
+++ b/src/gateway/requests/active-request.ts
@@ -58,6 +58,8 @@
   lastFault: AttemptFault | undefined;
   /** Whether a rate-limit token was denied for this request. */
   isRateLimited: boolean;
+  /** First opening of the endpoints when none could be chosen. */
+  opening: Opening | undefined;
   /** The group in which this request holds a slot. */
   group: GroupQueue | undefined;
 }
@@ -143,7 +145,7 @@
   }
   // A retry that is not expected would be mistaken for a new caller with a short deadline.
   active.service.groups?.returningCallers.recordRefusal(active.ctx.ageClock.nowMs());
-  const opening = active.ctx.endpoints.firstOpening(active.service.id);
+  const opening = active.opening ?? active.ctx.endpoints.firstOpening(active.service.id);
   if (!opening && active.ctx.state.isEvacuated(active.service.id)) return refuseEvacuated(active);
   if (opening?.why) return refuseForBackpressure(active, opening);
   if (opening && active.isRateLimited)
--- a/src/gateway/requests/serve-request.ts
+++ b/src/gateway/requests/serve-request.ts
@@ -44,6 +44,7 @@
     mayHaveRun: false,
     lastFault: undefined,
     isRateLimited: false,
+    opening: undefined,
     group: undefined,
     writer: new ResponseWriter({
       res: request.res,
--- a/test/gateway/backpressure/backpressure-signals.test.ts
+++ b/test/gateway/backpressure/backpressure-signals.test.ts
@@ -276,3 +276,28 @@
     only.close();
   }
 });
+
+/**
+ * A token came while a request that had found none was being refused: the refusal looked for its reason a moment after
+ * the choice, found the endpoint open, and blamed a lack of endpoints.
+ */
+test('a request without a token is refused for the limit although a token comes meanwhile', async () => {
+  let tokenAtMs: number | undefined;
+  const limiter: RateLimiter = {
+    nextTokenAtMs: (nowMs) => {
+      if (tokenAtMs !== undefined) return tokenAtMs;
+      tokenAtMs = nowMs + 1;
+      // The process is held up between the choice and the refusal.
+      const untilMs = performance.now() + 5;
+      while (performance.now() < untilMs);
+      return tokenAtMs;
+    },
+    acquire: () => Promise.resolve(true),
+  };
+  const listed = [endpoint('e-0', '127.0.0.1:1')];
+  const testGateway = await startGateway(config([route()]), listed, { limiterOf: () => limiter });
+  const { status, body } = await testGateway.send(requestId('entry0', 1));
+  testGateway.close();
+  assert.equal(status, 503);
+  assert.match(body, /"reason":"limited"/);
+});
