Log what a broken attempt shows of a crash, and the parts of its prompt

The logs of the incident could not tell which parts a suspected request has, nor whether a broken attempt was not noted because its endpoint accepted a connection or because its stream had progressed. crash.checked says both; the parts are read only then. No decision changed.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -127,7 +127,12 @@
     cold,
     endpoints,
     memory: createMemoryBudget(deps),
-    crashes: new CrashDetector({ ...deps, clock: ageClock, publish: deps.broadcastCrashes }),
+    crashes: new CrashDetector({
+      ...deps,
+      clock: ageClock,
+      readPromptParts: deps.callers.readPromptParts,
+      publish: deps.broadcastCrashes,
+    }),
     areKeysConfirmed: () =>
       state.confirmedAgoMs(ageClock.nowMs()) <= settings.keyFreshnessMs - KEY_FRESHNESS_MARGIN_MS,
     serviceOf: (id) => {
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -60,6 +60,8 @@
     const hasProgressed = progress.events > eventsBefore || request.route.kind !== 'stream';
     if (!outcome && active.lastFault && !hasProgressed)
       await ctx.crashes.recordFault(request, target.endpoint, active.lastFault);
+    else if (!outcome && active.lastFault)
+      ctx.crashes.logCheck(request, target.endpoint, active.lastFault, undefined);
     return outcome;
   } finally {
     ctx.endpoints.noteEnded(target, sentAtMs, request.id);
--- a/src/gateway/requests/crash-detector.ts
+++ b/src/gateway/requests/crash-detector.ts
@@ -9,7 +9,7 @@
 import type { Metrics } from '../../core/metrics/index.js';
 import { hostOf, portOf, type PublishedEndpoint } from '../../core/published/index.js';
 import type { CrashUpdate } from '../../generated/messages.types.js';
-import type { AttemptFault, GatewayRequest } from '../types.js';
+import type { AttemptFault, GatewayRequest, HeaderCodec } from '../types.js';
 
 /**
  * Timeout of the connection that probes for a crash, ms: a crashed endpoint refuses it within the
@@ -18,11 +18,15 @@
  */
 const CRASH_PROBE_TIMEOUT_MS = 100;
 
+/** Parts of a prompt in a log line. */
+const MAX_PARTS_LOGGED = 16;
+
 /** Dependencies of the crash detector. */
 export interface CrashDetectorDeps {
   readonly clock: Pick<Clock, 'nowMs'>;
   readonly log: Log;
   readonly metrics: Metrics;
+  readonly readPromptParts: HeaderCodec['readPromptParts'];
   /** Publishes crash updates to other entries. */
   readonly publish: (update: CrashUpdate) => void;
 }
@@ -76,13 +80,34 @@
     fault: AttemptFault,
   ): Promise<void> {
     if (fault.kind !== 'broke' && fault.kind !== 'silent') return;
-    if (request.gone.aborted || !(await isConnectionRefused(endpoint.address))) return;
+    if (request.gone.aborted) return;
+    const hasCrashed = await isConnectionRefused(endpoint.address);
+    this.logCheck(request, endpoint, fault, hasCrashed);
+    if (!hasCrashed) return;
     const fingerprint = this.fingerprintFor(request);
     if (!this.evidence.noteCrash(fingerprint, endpoint.id)) return;
     this.deps.metrics.count('crash_suspects_total', { service: endpoint.service });
     this.logAndPublish('crash.suspect', request, fingerprint, endpoint);
   }
 
+  /** Logs whether the endpoint of a broken attempt crashed, and what such requests may have in common. */
+  logCheck(
+    request: GatewayRequest,
+    endpoint: PublishedEndpoint,
+    fault: AttemptFault,
+    hasCrashed: boolean | undefined,
+  ): void {
+    this.deps.log.info('crash.checked', {
+      request: request.id,
+      endpoint: endpoint.id,
+      kind: fault.kind,
+      crashed: hasCrashed,
+      parts: (this.deps.readPromptParts?.(request.req.headers) ?? [])
+        .slice(0, MAX_PARTS_LOGGED)
+        .join(),
+    });
+  }
+
   private fingerprintFor(request: GatewayRequest): Fingerprint {
     const known = this.fingerprints.get(request);
     if (known) return known;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -145,6 +145,8 @@
 /** Parses and writes the headers of one API; makes no decisions. */
 export interface HeaderCodec {
   readonly readRequest: (headers: IncomingHttpHeaders) => RequestHead;
+  /** Ids of the parts of the prompt, in order; read only after endpoints crashed. */
+  readonly readPromptParts?: (headers: IncomingHttpHeaders) => readonly string[];
   readonly writeAttempt: (
     headers: IncomingHttpHeaders,
     meta: AttemptMeta,
--- a/test/platform/headers.test.ts
+++ b/test/platform/headers.test.ts
@@ -19,3 +19,15 @@
       undefined,
     ]);
 });
+
+test('the parts of a prompt are read in order, without their sizes; unreadable ones are left out', () => {
+  const partsOf = (value?: string): readonly string[] | undefined =>
+    platformHeaders.readPromptParts?.(value === undefined ? {} : { 'x-prompt-prefix': value });
+  assert.deepEqual(partsOf('5c1e07a2:800, 91bd3f06:410,e4402b7d:250'), [
+    '5c1e07a2',
+    '91bd3f06',
+    'e4402b7d',
+  ]);
+  assert.deepEqual(partsOf(',:80,5c1e07a2'), ['5c1e07a2']);
+  assert.deepEqual(partsOf(), []);
+});
