--- a/src/core/crashes/evidence.ts
+++ b/src/core/crashes/evidence.ts
@@ -1,125 +1,285 @@
 /**
- * Tracks which requests had just started on endpoints that crashed, to stop retrying those that
- * cause the crashes. Entries merge their observations; evidence only grows and expires, so updates
- * may be merged in any order and more than once, without a coordinator.
+ * Tracks which traits requests had that had just started on endpoints when these crashed, to refuse
+ * further requests with a trait that causes the crashes. A trait is suspected from the crashes since
+ * a request with it last succeeded. Entries merge their observations; updates may be merged in any
+ * order and more than once, without a coordinator.
  */
+import { randomBytes } from 'node:crypto';
 import type { Clock } from '../clock/index.js';
-import type { EndpointId } from '../ids/index.js';
-import { asId } from '../ids/index.js';
-import type { CrashUpdate, CrashSuspect } from '../../generated/messages.types.js';
-import type { Fingerprint } from './fingerprint.js';
+import { asId, type EndpointId } from '../ids/index.js';
+import type { CrashedRunReport, CrashUpdate } from '../../generated/messages.types.js';
+import {
+  BROAD_CRASHES_TO_REFUSE,
+  BROAD_REFUSAL_GROWTH,
+  BROAD_REFUSAL_MS,
+  BROAD_SHARE,
+  CRASHES_TO_REFUSE,
+  EVIDENCE_TTL_MS,
+  MAX_CLEARED,
+  MAX_RUNS,
+  REFUSAL_JITTER,
+  REFUSAL_MS,
+  SAME_SUCCESS_MS,
+} from './consts.js';
+import { distinctCrashes, isSameCrash } from './distinct-crashes.js';
+import { Sightings } from './sightings.js';
+import { isSharedKind, type TraitId } from './traits.js';
+import type { CrashedRun, RunId } from './types.js';
 
-/**
- * Crashes after which a request is refused. One crash may be due to any of the up to seven requests
- * that ran there; if the same request is starting again when another process crashes, chance is
- * unlikely.
- */
-const CRASHES_TO_REFUSE = 2;
-/**
- * Time for which evidence is valid, ms. A request that is repeated forever costs two crashes per
- * period; one that is refused wrongly is not refused for longer than that.
- */
-const EVIDENCE_TTL_MS = 300_000;
-/**
- * Crashes of one endpoint within this time are one crash seen by several entries, ms: a restart
- * takes some seconds.
- */
-const SAME_CRASH_WINDOW_MS = 1000;
-/**
- * Maximum number of suspects; 18 engines of 7 slots that crash at once have about as many requests
- * in flight.
- */
-const MAX_SUSPECTS = 128;
-const MAX_CRASHES_PER_SUSPECT = 4;
+/** Where a record comes from, and the version at which it was added or last changed. */
+interface Origin {
+  readonly version: number;
+  /** Whether this entry observed it itself. */
+  readonly isOwn: boolean;
+}
+
+interface RunRecord extends CrashedRun, Origin {}
 
-interface Crash {
-  readonly endpoint: EndpointId;
-  readonly atMs: number;
+/** The latest success of a request with a trait. */
+interface Success extends Origin {
+  /** When the successful run was sent: it shows nothing of crashes after that. */
+  readonly sentAtMs: number;
 }
 
-interface Suspect {
-  readonly crashes: Crash[];
-  /** When it last completed successfully. */
-  clearedAtMs: number;
-  /** Version at which this last changed. */
-  version: number;
+/** A run that has just ended with the crash of its endpoint. */
+export type NewCrashedRun = Omit<CrashedRun, 'crashedAtMs'>;
+
+/** Dependencies of `CrashEvidence`. */
+export interface CrashEvidenceDeps {
+  readonly clock: Pick<Clock, 'nowMs'>;
+  /** Random numbers in [0, 1). */
+  readonly random?: () => number;
 }
 
-/** Crash evidence of one entry, merged with that of others. Times are those of its clock, ms. */
+/** Crash evidence of one entry, merged with that of others. */
 export class CrashEvidence {
-  private readonly suspects = new Map<Fingerprint, Suspect>();
+  private readonly runs = new Map<RunId, RunRecord>();
+  private readonly successes = new Map<TraitId, Success>();
+  /** Runs by trait. */
+  private readonly suspects = new Map<TraitId, Set<RunId>>();
+  private readonly sightings = new Sightings();
+  private readonly clock: Pick<Clock, 'nowMs'>;
+  private readonly jitter: number;
+  private readonly runPrefix = randomBytes(6).toString('hex');
   private changes = 0;
+  private ownRuns = 0;
 
-  constructor(private readonly clock: Pick<Clock, 'nowMs'>) {}
+  constructor({ clock, random = () => 0 }: CrashEvidenceDeps) {
+    this.clock = clock;
+    this.jitter = 1 + REFUSAL_JITTER * random();
+  }
 
   /** Rises with each change. */
   get version(): number {
     return this.changes;
   }
 
-  /** Whether there are no suspects, in which case requests need not be fingerprinted. */
+  /** Whether there are no suspects, in which case the traits of requests need not be known. */
   get isEmpty(): boolean {
-    return this.suspects.size === 0;
+    return this.runs.size === 0;
+  }
+
+  /** Counts a request for a service that arrived. */
+  noteArrival(service: string, traits: readonly TraitId[]): void {
+    this.sightings.count(service, traits);
   }
 
   /**
-   * Whether a request is refused because endpoints crashed when it started.
-   * @example if (evidence.isRefused(fingerprintOf(contents))) return refuse();
+   * Returns the trait for which a request is refused, if any: of several, the likeliest cause.
+   * @example if (evidence.refusedTrait(traitsOf(contents))) return refuse();
    */
-  isRefused(fingerprint: Fingerprint): boolean {
-    const suspect = this.suspects.get(fingerprint);
-    if (!suspect || this.isCurrent(suspect.clearedAtMs)) return false;
-    const current = suspect.crashes.filter(({ atMs }) => this.isCurrent(atMs));
-    return current.length >= CRASHES_TO_REFUSE;
+  refusedTrait(traits: readonly TraitId[]): TraitId | undefined {
+    if (this.isEmpty) return undefined;
+    const refused = traits.filter((id) => this.suspects.has(id) && this.isRefused(id, traits));
+    const [first, ...others] = refused;
+    return others.reduce(
+      (likeliest, id) =>
+        likeliest && this.isLikelierCause(id, likeliest, this.crashCount(likeliest))
+          ? id
+          : likeliest,
+      first,
+    );
   }
 
-  private isCurrent(atMs: number): boolean {
-    return this.clock.nowMs() - atMs < EVIDENCE_TTL_MS;
+  /** Crashes with a trait since its last success. */
+  crashCount(id: TraitId): number {
+    return this.crashesOf(id).length;
+  }
+
+  private isRefused(id: TraitId, traits: readonly TraitId[]): boolean {
+    const crashes = this.crashesOf(id);
+    const last = crashes.at(-1);
+    if (!last || crashes.length < this.crashesToRefuse(id)) return false;
+    if (this.clock.nowMs() - last.crashedAtMs >= this.refusalMs(id, crashes.length)) return false;
+    const unexplained = crashes.filter(
+      (crash) => !this.isExplained(crash, id, crashes.length, traits),
+    );
+    return unexplained.length >= this.crashesToRefuse(id);
   }
 
   /**
-   * Notes that an endpoint crashed `agoMs` ago as a request started there; false if that crash was
-   * already known.
+   * Whether a trait that the request does not have is the likelier cause of a crash. Sound requests
+   * share parts with those that crash endpoints, and their parts are then in the same crashes.
    */
-  noteCrash(fingerprint: Fingerprint, endpoint: EndpointId, agoMs = 0): boolean {
-    const atMs = this.clock.nowMs() - agoMs;
-    const { crashes } = this.suspects.get(fingerprint) ?? { crashes: [] };
-    const isKnown = crashes.some(
-      (crash) => crash.endpoint === endpoint && Math.abs(crash.atMs - atMs) < SAME_CRASH_WINDOW_MS,
-    );
-    if (isKnown || crashes.length >= MAX_CRASHES_PER_SUSPECT) return false;
-    this.touch(fingerprint).crashes.push({ endpoint, atMs });
+  private isExplained(
+    crash: CrashedRun,
+    id: TraitId,
+    crashCount: number,
+    traits: readonly TraitId[],
+  ): boolean {
+    for (const run of this.runs.values()) {
+      if (!isSameCrash(crash, run)) continue;
+      for (const other of run.traits) {
+        if (traits.includes(other) || !this.isLive(other, run)) continue;
+        if (this.isLikelierCause(other, id, crashCount)) return true;
+      }
+    }
+    return false;
+  }
+
+  private isLikelierCause(other: TraitId, id: TraitId, crashCount: number): boolean {
+    const otherCount = this.crashCount(other);
+    if (this.isBroad(other) || otherCount < CRASHES_TO_REFUSE) return false;
+    if (this.isBroad(id) || otherCount > crashCount) return true;
+    return otherCount === crashCount && this.sightings.seenOf(other) < this.sightings.seenOf(id);
+  }
+
+  /** Whether many sound requests have a trait, so that it is present at crashes it does not cause. */
+  private isBroad(id: TraitId): boolean {
+    return isSharedKind(id) || (this.sightings.shareOf(id) ?? 0) > BROAD_SHARE;
+  }
+
+  private crashesToRefuse(id: TraitId): number {
+    return this.isBroad(id) ? BROAD_CRASHES_TO_REFUSE : CRASHES_TO_REFUSE;
+  }
+
+  private refusalMs(id: TraitId, crashCount: number): number {
+    if (!this.isBroad(id)) return REFUSAL_MS * this.jitter;
+    const growth = BROAD_REFUSAL_GROWTH ** (crashCount - BROAD_CRASHES_TO_REFUSE);
+    return Math.min(REFUSAL_MS, BROAD_REFUSAL_MS * growth) * this.jitter;
+  }
+
+  /** Whether no success rules out that a trait caused the crash of a run. */
+  private isLive(id: TraitId, run: CrashedRun): boolean {
+    const success = this.successes.get(id);
+    return !success || run.crashedAtMs >= success.sentAtMs;
+  }
+
+  private crashesOf(id: TraitId): CrashedRun[] {
+    const runs = [...(this.suspects.get(id) ?? [])].map((run) => this.runs.get(run) as RunRecord);
+    return distinctCrashes(runs.filter((run) => this.isLive(id, run)));
+  }
+
+  /** Notes that an endpoint crashed as a run had just started there. */
+  noteCrash(run: NewCrashedRun): void {
+    this.ownRuns += 1;
+    const id = asId<RunId>(`${this.runPrefix}-${this.ownRuns}`);
+    this.add(id, { ...run, crashedAtMs: this.clock.nowMs() }, true);
+  }
+
+  /**
+   * Notes that a run sent at `sentAtMs` succeeded; returns the traits that this clears of crashes
+   * before it.
+   */
+  noteSuccess(traits: readonly TraitId[], sentAtMs: number): TraitId[] {
+    const cleared = traits.filter((id) => this.clears(id, sentAtMs));
+    for (const id of cleared) this.setSuccess(id, sentAtMs, true);
+    return cleared;
+  }
+
+  private clears(id: TraitId, sentAtMs: number): boolean {
+    for (const runId of this.suspects.get(id) ?? []) {
+      const run = this.runs.get(runId) as RunRecord;
+      if (run.crashedAtMs < sentAtMs && this.isLive(id, run)) return true;
+    }
+    return false;
+  }
+
+  private setSuccess(id: TraitId, sentAtMs: number, isOwn: boolean): void {
+    this.changes += 1;
+    // Re-inserted, so that the map stays ordered by age.
+    this.successes.delete(id);
+    this.successes.set(id, { sentAtMs, isOwn, version: this.changes });
+    const [oldest] = this.successes.keys();
+    if (this.successes.size > MAX_CLEARED && oldest !== undefined) this.successes.delete(oldest);
+  }
+
+  private add(id: RunId, run: CrashedRun, isOwn: boolean): void {
+    this.changes += 1;
+    this.runs.set(id, { ...run, isOwn, version: this.changes });
+    for (const trait of run.traits) {
+      const runs = this.suspects.get(trait) ?? new Set<RunId>();
+      this.suspects.set(trait, runs.add(id));
+      this.sightings.add(trait);
+    }
     this.evict();
-    return true;
+  }
+
+  private remove(id: RunId): void {
+    for (const trait of this.runs.get(id)?.traits ?? []) {
+      const runs = this.suspects.get(trait);
+      runs?.delete(id);
+      if (runs?.size) continue;
+      this.suspects.delete(trait);
+      this.sightings.remove(trait);
+    }
+    this.runs.delete(id);
   }
 
   /**
-   * Notes that a request completed successfully `agoMs` ago, so other causes are behind the crashes
-   * it was suspected of. False if it was not suspected, or was cleared recently.
+   * Drops expired runs, and one more if there are too many: the oldest without a trait that crashed
+   * often enough to be refused, if any.
    */
-  noteSuccess(fingerprint: Fingerprint, agoMs = 0): boolean {
-    const atMs = this.clock.nowMs() - agoMs;
-    const suspect = this.suspects.get(fingerprint);
-    if (!suspect || atMs < suspect.clearedAtMs + EVIDENCE_TTL_MS / 2) return false;
-    this.touch(fingerprint).clearedAtMs = atMs;
-    return true;
+  private evict(): void {
+    const oldestMs = this.clock.nowMs() - EVIDENCE_TTL_MS;
+    for (const [id, { crashedAtMs }] of this.runs) if (crashedAtMs <= oldestMs) this.remove(id);
+    for (const [id, { sentAtMs }] of this.successes)
+      if (sentAtMs <= oldestMs) this.successes.delete(id);
+    if (this.runs.size <= MAX_RUNS) return;
+    const ids = [...this.runs.keys()];
+    const isWeak = (id: RunId): boolean =>
+      (this.runs.get(id)?.traits ?? []).every(
+        (trait) => this.crashCount(trait) < CRASHES_TO_REFUSE,
+      );
+    const evicted = ids.find(isWeak) ?? ids[0];
+    if (evicted !== undefined) this.remove(evicted);
   }
 
   /** Changes after a version, as a message to other entries. */
   deltaSince(version: number): CrashUpdate {
-    const changed = [...this.suspects].filter(([, suspect]) => suspect.version > version);
+    return this.toMessage((record) => record.version > version);
+  }
+
+  /** What this entry observed itself after a version, as a message to other entries. */
+  ownSince(version: number): CrashUpdate {
+    return this.toMessage((record) => record.isOwn && record.version > version);
+  }
+
+  /** What is missing in the update of an entry that sent everything it has. */
+  missingIn(update: CrashUpdate): CrashUpdate {
+    const runs = new Set(update.runs.map(({ id }) => id));
+    const cleared = new Set(update.cleared.map(({ trait }) => trait));
+    const all = this.deltaSince(0);
     return {
-      suspects: changed.map(([fingerprint, suspect]) => this.toMessage(fingerprint, suspect)),
+      runs: all.runs.filter(({ id }) => !runs.has(id)),
+      cleared: all.cleared.filter(({ trait }) => !cleared.has(trait)),
     };
   }
 
-  private toMessage(fingerprint: Fingerprint, { crashes, clearedAtMs }: Suspect): CrashSuspect {
+  private toMessage(isIncluded: (record: Origin) => boolean): CrashUpdate {
     const nowMs = this.clock.nowMs();
     const agoMs = (atMs: number): number => Math.max(0, Math.round(nowMs - atMs));
+    const runs = [...this.runs].filter(([, run]) => isIncluded(run));
+    const cleared = [...this.successes].filter(([, success]) => isIncluded(success));
     return {
-      fingerprint,
-      crashes: crashes.map(({ endpoint, atMs }) => ({ endpoint, agoMs: agoMs(atMs) })),
-      ...(clearedAtMs > Number.NEGATIVE_INFINITY && { clearedAgoMs: agoMs(clearedAtMs) }),
+      runs: runs.map(([id, { endpoint, sentAtMs, crashedAtMs, traits }]) => ({
+        id,
+        endpoint,
+        sentAgoMs: agoMs(sentAtMs),
+        crashedAgoMs: agoMs(crashedAtMs),
+        traits: [...traits],
+      })),
+      cleared: cleared.map(([trait, { sentAtMs }]) => ({ trait, sentAgoMs: agoMs(sentAtMs) })),
     };
   }
 
@@ -127,41 +287,33 @@
    * Merges the update of another entry; true if anything changed.
    * @example if (evidence.merge(update)) relay.wake();
    */
-  merge({ suspects }: CrashUpdate): boolean {
+  merge({ runs, cleared }: CrashUpdate): boolean {
     const before = this.changes;
-    for (const { fingerprint: text, crashes, clearedAgoMs } of suspects) {
-      const fingerprint = asId<Fingerprint>(text);
-      for (const { endpoint, agoMs } of crashes)
-        if (agoMs < EVIDENCE_TTL_MS) this.noteCrash(fingerprint, asId<EndpointId>(endpoint), agoMs);
-      if (clearedAgoMs !== undefined) this.noteSuccess(fingerprint, clearedAgoMs);
-    }
+    for (const run of runs) this.mergeRun(run);
+    for (const { trait, sentAgoMs } of cleared)
+      this.mergeSuccess(asId<TraitId>(trait), this.clock.nowMs() - sentAgoMs);
     return this.changes > before;
   }
 
-  /** Returns the record of a request, added if missing, and marks it as changed. */
-  private touch(fingerprint: Fingerprint): Suspect {
-    const suspect = this.suspects.get(fingerprint) ?? {
-      crashes: [],
-      clearedAtMs: Number.NEGATIVE_INFINITY,
-      version: 0,
+  private mergeRun({ id, endpoint, sentAgoMs, crashedAgoMs, traits }: CrashedRunReport): void {
+    const nowMs = this.clock.nowMs();
+    if (crashedAgoMs >= EVIDENCE_TTL_MS) return;
+    const runId = asId<RunId>(id);
+    const crashedAtMs = nowMs - crashedAgoMs;
+    const run = {
+      endpoint: asId<EndpointId>(endpoint),
+      sentAtMs: nowMs - sentAgoMs,
+      crashedAtMs,
+      traits: traits.map((trait) => asId<TraitId>(trait)),
     };
-    this.changes += 1;
-    suspect.version = this.changes;
-    this.suspects.set(fingerprint, suspect);
-    return suspect;
+    const known = this.runs.get(runId);
+    if (!known) return this.add(runId, run, false);
+    // The ages in a message grow while it is under way, so the earliest time is the most accurate.
+    if (crashedAtMs < known.crashedAtMs) this.runs.set(runId, { ...known, ...run });
   }
 
-  /**
-   * Drops expired suspects, and one more if there are too many: the oldest with too few crashes to
-   * be refused, if any.
-   */
-  private evict(): void {
-    for (const [fingerprint, { crashes }] of this.suspects)
-      if (!crashes.some(({ atMs }) => this.isCurrent(atMs))) this.suspects.delete(fingerprint);
-    if (this.suspects.size <= MAX_SUSPECTS) return;
-    const all = [...this.suspects];
-    const [evicted] =
-      all.find(([, { crashes }]) => crashes.length < CRASHES_TO_REFUSE) ?? all[0] ?? [];
-    if (evicted !== undefined) this.suspects.delete(evicted);
+  private mergeSuccess(id: TraitId, sentAtMs: number): void {
+    const known = this.successes.get(id)?.sentAtMs ?? Number.NEGATIVE_INFINITY;
+    if (sentAtMs > known + SAME_SUCCESS_MS) this.setSuccess(id, sentAtMs, false);
   }
 }
--- a/src/core/crashes/index.ts
+++ b/src/core/crashes/index.ts
@@ -1,2 +1,3 @@
 export * from './evidence.js';
-export * from './fingerprint.js';
+export * from './evidence-updates.js';
+export * from './traits.js';
--- /dev/null
+++ b/src/core/crashes/types.ts
@@ -0,0 +1,15 @@
+/** Types of crash evidence. */
+import type { EndpointId, Id } from '../ids/index.js';
+import type { TraitId } from './traits.js';
+
+/** Identifies a run of a request on an endpoint that crashed, across entries. */
+export type RunId = Id<'run'>;
+
+/** A run that had just started on an endpoint when it crashed. Times are those of the clock, ms. */
+export interface CrashedRun {
+  readonly endpoint: EndpointId;
+  readonly sentAtMs: number;
+  readonly crashedAtMs: number;
+  /** Traits of the request. */
+  readonly traits: readonly TraitId[];
+}
--- a/src/core/published/relay-client.ts
+++ b/src/core/published/relay-client.ts
@@ -7,7 +7,11 @@
 import { errorText, isAbortOrTimeout } from '../errors/index.js';
 import { asId, type EndpointId } from '../ids/index.js';
 import { Err, Ok, type Result } from '../result/index.js';
-import type { PublishedRequest, PublishedUpdate } from '../../generated/messages.types.js';
+import type {
+  CrashUpdate,
+  PublishedRequest,
+  PublishedUpdate,
+} from '../../generated/messages.types.js';
 import type { PublishedState } from './published-state.js';
 import { endpointFrom, RELAY_STALE_MS } from './relay.js';
 import type { DataCentreId } from './types.js';
@@ -70,6 +74,8 @@
   readonly wantsConfig: () => boolean;
   /** Merges the relays' evidence of requests that crash endpoints; omitted if not needed. */
   readonly crashes?: CrashEvidence;
+  /** Sends evidence to a relay that has restarted without it. */
+  readonly restoreCrashes?: (relay: string, update: CrashUpdate) => void;
   /** Merges the limits that relays saw endpoints declare; omitted if not needed. */
   readonly asks?: RateLimitGossip;
 }
@@ -187,7 +193,7 @@
     try {
       const answerMs = query.wantsDocument ? DOCUMENT_TIMEOUT_MS : ANSWER_TIMEOUT_MS;
       const update = await ask(this.name, request, waitMs + answerMs);
-      this.mergeCrashes(update);
+      this.mergeCrashes(update, query.life !== update.life);
       this.mergeRateLimits(update);
       return Ok(update);
     } catch (err) {
@@ -195,9 +201,17 @@
     }
   }
 
-  /** Evidence of crashes is merged even if the rest of the update is unusable. */
-  private mergeCrashes({ crashes, crashVersion = 0 }: PublishedUpdate): void {
-    if (crashes) this.parts.crashes?.merge(crashes);
+  /**
+   * Evidence of crashes is merged even if the rest of the update is unusable. `isWhole`: the update
+   * has all the evidence of the relay, as after its restart.
+   */
+  private mergeCrashes({ crashes, crashVersion = 0 }: PublishedUpdate, isWhole: boolean): void {
+    const { crashes: own, restoreCrashes } = this.parts;
+    if (isWhole && own && !own.isEmpty) {
+      const missing = own.missingIn(crashes ?? { runs: [], cleared: [] });
+      if (missing.runs.length > 0) restoreCrashes?.(this.name, missing);
+    }
+    if (crashes) own?.merge(crashes);
     this.seenCrashVersion = crashVersion;
   }
 
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -22,7 +22,7 @@
   readonly limits: KnownLimits;
   /** Clock for ages and deadlines; also advances while the machine is suspended. */
   readonly ageClock: Clock;
-  /** Sends other entries the requests that crashed endpoints here. */
+  /** Sends other entries what this one observed of requests that crash endpoints. */
   readonly broadcastCrashes: (update: CrashUpdate) => void;
   /** Sends other entries an endpoint's announcement that it is leaving. */
   readonly broadcastLeaving: (endpoint: EndpointProcess) => void;
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -1,7 +1,8 @@
 /** One gateway process: starts its components, follows the published state and stops on SIGTERM. */
 import { createServer } from 'node:http';
+import { EvidenceUpdates } from '../core/crashes/index.js';
 import { sleep, SuspensionClock, systemClock } from '../core/clock/index.js';
-import type { HarriergladeError } from '../core/errors/index.js';
+import { errorText, type HarriergladeError } from '../core/errors/index.js';
 import { newIncarnation } from '../core/ids/index.js';
 import { createLog, type Log } from '../core/logging/index.js';
 import { Metrics } from '../core/metrics/index.js';
@@ -16,7 +17,7 @@
   type PublishedStore,
 } from '../core/published/index.js';
 import type { Result } from '../core/result/index.js';
-import type { BackpressureUpdate } from '../generated/messages.types.js';
+import type { BackpressureUpdate, CrashUpdate } from '../generated/messages.types.js';
 import { requestFromRelay, createPeers } from '../rpc/peers.js';
 import type { RpcHandlers } from '../rpc/router.js';
 import { createRpcServer } from '../rpc/serve.js';
@@ -43,8 +44,8 @@
 const PEER_CONNECT_TIMEOUT_MS = 500;
 /** Timeout of sending an update to another entry, ms. */
 const SEND_TIMEOUT_MS = 500;
-/** Interval of rate limit updates to the relays, ms. */
-const LIMIT_UPDATE_INTERVAL_MS = 400;
+/** Interval of updates to the relays, and of trying again those that were not acknowledged, ms. */
+const UPDATE_INTERVAL_MS = 400;
 /** Interval at which the slots of this entry are logged, ms. */
 const SLOT_LOG_INTERVAL_MS = 1000;
 /** Interval at which unlisted endpoints are removed, ms. */
@@ -112,12 +113,10 @@
   const ctx: GatewayContext = createContext({
     ...sharedDeps,
     ageClock,
-    broadcastCrashes: createRelayBroadcast({
-      ...broadcastDeps,
-      sendTo: (address, update) =>
-        peers.at(address).crashes.mutate(update, { signal: AbortSignal.timeout(SEND_TIMEOUT_MS) }),
-      event: 'crash.untold',
-    }),
+    broadcastCrashes: () => {
+      relay.wake();
+      crashUpdates.flush();
+    },
     broadcastLeaving: (endpoint) => {
       relay.recordChanges();
       broadcastLeaving({ from: settings.instance, leaving: [endpoint], limits: [] });
@@ -135,6 +134,17 @@
   registerGroupGauges(ctx);
   const gateway = createGateway(ctx);
   const crashes = ctx.crashes.evidence;
+  const sendCrashes = (address: string, update: CrashUpdate): Promise<void> =>
+    peers.at(address).crashes.mutate(update, { signal: AbortSignal.timeout(SEND_TIMEOUT_MS) });
+  const logUnsentCrashes = (relay: string, err: unknown, againMs?: number): void =>
+    log.info('crash.untold', { relay, detail: errorText(err), againMs });
+  const crashUpdates = new EvidenceUpdates({
+    clock: ageClock,
+    evidence: crashes,
+    relays: relayRole.relays,
+    send: sendCrashes,
+    onFailed: logUnsentCrashes,
+  });
   const source = new RelayedSource({
     ...agingDeps,
     store: deps.store,
@@ -144,6 +154,10 @@
     pace: ENTRY_RELAYED_PACE,
     wantsConfig: () => true,
     crashes,
+    restoreCrashes: (address, update) => {
+      log.info('crash.restored', { relay: address, runs: update.runs.length });
+      sendCrashes(address, update).catch((err: unknown) => logUnsentCrashes(address, err));
+    },
     asks: rateLimits.gossip,
   });
   const relay = new PublishedRelay({
@@ -163,7 +177,8 @@
   void groups.run(shutdown.signal);
   setInterval(() => ctx.endpoints.prune(), PRUNE_INTERVAL_MS).unref();
   setInterval(() => logSlotQueues(ctx, groups), SLOT_LOG_INTERVAL_MS).unref();
-  setInterval(() => rateLimits.flush(), LIMIT_UPDATE_INTERVAL_MS).unref();
+  setInterval(() => rateLimits.flush(), UPDATE_INTERVAL_MS).unref();
+  setInterval(() => crashUpdates.flush(), UPDATE_INTERVAL_MS).unref();
   watchSettings(deps.reread, settings, log);
   process.on('SIGTERM', () => {
     void stop(gateway, settings, log).then(() => process.exit(0));
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -3,7 +3,8 @@
 import { sendAttempt } from './attempt.js';
 import { acquireEndpoint, chooseOtherGroup } from '../endpoints/choose-endpoint.js';
 import { OTHER_ENTRY_RETRY_S, RETRY_TIMEOUT_FACTOR, STREAM_IDLE_TIMEOUT_MS } from '../consts.js';
-import { deliverResponse, MIN_SERVER_ERROR_STATUS } from './deliver.js';
+import { describeTrait } from '../../core/crashes/index.js';
+import { BEGUN_EVENTS, deliverResponse, MIN_SERVER_ERROR_STATUS } from './deliver.js';
 import type { EndpointState } from '../endpoints/endpoint-state.js';
 import {
   failureOutcome,
@@ -48,20 +49,18 @@
       responseTimeoutMs: responseTimeoutMs(active),
       onHead: (head) => recordSignals(active, target, head, sentAtMs),
     });
+    const run = { request, endpoint: target.endpoint, sentAtMs };
     if (response.err) {
       recordFault(active, target, response.val);
-      await ctx.crashes.recordFault(request, target.endpoint, response.val);
+      await ctx.crashes.recordFault({ ...run, fault: response.val });
       return undefined;
     }
     const outcome = await deliverResponse(active, target, response.val, sentAtMs);
     if (outcome?.kind === 'answered' && outcome.status < MIN_SERVER_ERROR_STATUS)
-      ctx.crashes.recordSuccess(request);
-    // A stream that produced events ran well: a request that had just started caused the crash.
-    const hasProgressed = progress.events > eventsBefore || request.route.kind !== 'stream';
-    if (!outcome && active.lastFault && !hasProgressed)
-      await ctx.crashes.recordFault(request, target.endpoint, active.lastFault);
-    else if (!outcome && active.lastFault)
-      ctx.crashes.logCheck(request, target.endpoint, active.lastFault, undefined);
+      ctx.crashes.recordSuccess(request, target.endpoint, sentAtMs);
+    const hasBegunWell = progress.events - eventsBefore >= BEGUN_EVENTS;
+    if (!outcome && active.lastFault && !hasBegunWell)
+      await ctx.crashes.recordFault({ ...run, fault: active.lastFault });
     return outcome;
   } finally {
     ctx.endpoints.noteEnded(target, sentAtMs, request.id);
@@ -82,12 +81,19 @@
   active.group = next;
 }
 
-/** Refuses a request that crashes endpoints, without claiming "not run" if it may have run. */
-export function refuseCrashingRequest(active: ActiveRequest): RequestOutcome {
+/**
+ * Refuses a request that crashes endpoints, without claiming "not run" if it may have run; undefined
+ * if there is no reason to refuse it.
+ */
+export function refuseIfCrashing(active: ActiveRequest): RequestOutcome | undefined {
+  const { ctx, request, service } = active;
+  const trait = ctx.crashes.refusedTrait(request, service.id);
+  if (trait === undefined) return undefined;
+  ctx.crashes.recordRefusal(trait);
   if (active.mayHaveRun) return failureOutcome(active);
   return refuseWith(
     'crashes-endpoints',
-    'endpoints crashed after they began to run the same request',
+    `endpoints crashed as they began to run requests with the same ${describeTrait(trait)}`,
   );
 }
 
@@ -99,10 +105,14 @@
   const { ctx, request, service } = active;
   service.budget.deposit();
   for (;;) {
-    if (ctx.crashes.isRefused(request)) return refuseCrashingRequest(active);
+    const refusal = refuseIfCrashing(active);
+    if (refusal) return refusal;
     const target = await acquireEndpoint(active);
     if (request.gone.aborted) return { kind: 'gone' };
     if (!target) return failureOutcome(active);
+    // Endpoints may have crashed while the request waited for a token.
+    const lateRefusal = refuseIfCrashing(active);
+    if (lateRefusal) return lateRefusal;
     if (!request.route.isPublic && !ctx.areKeysConfirmed()) {
       // The freshness check may have expired while the request was queued or attempted.
       if (active.mayHaveRun) return failureOutcome(active);
--- a/src/gateway/requests/crash-detector.ts
+++ b/src/gateway/requests/crash-detector.ts
@@ -1,13 +1,14 @@
 /**
- * Detects requests that crash the endpoints that run them. In a lock-step group, one such request
- * takes all ranks out of service for seconds, and each retry by its caller the next group.
+ * Detects requests that crash the endpoints that run them, by what they have in common. In a
+ * lock-step group, one such request takes all ranks out of service for seconds.
  */
 import { connect } from 'node:net';
 import type { Clock } from '../../core/clock/index.js';
-import { CrashEvidence, fingerprintOf, type Fingerprint } from '../../core/crashes/index.js';
+import { CrashEvidence, kindOf, traitsOf, type TraitId } from '../../core/crashes/index.js';
 import type { Log } from '../../core/logging/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
 import { hostOf, portOf, type PublishedEndpoint } from '../../core/published/index.js';
+import type { ServiceId } from '../../core/published/index.js';
 import type { CrashUpdate } from '../../generated/messages.types.js';
 import type { AttemptFault, GatewayRequest, HeaderCodec } from '../types.js';
 
@@ -18,19 +19,25 @@
  */
 const CRASH_PROBE_TIMEOUT_MS = 100;
 
-/** Parts of a prompt in a log line. */
-const MAX_PARTS_LOGGED = 16;
-
 /** Dependencies of the crash detector. */
 export interface CrashDetectorDeps {
   readonly clock: Pick<Clock, 'nowMs'>;
+  readonly random: () => number;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly readPromptParts: HeaderCodec['readPromptParts'];
-  /** Publishes crash updates to other entries. */
+  /** Publishes what this entry observed to other entries. */
   readonly publish: (update: CrashUpdate) => void;
 }
 
+/** A run of a request that ended without a whole response. */
+export interface FailedRun {
+  readonly request: GatewayRequest;
+  readonly endpoint: PublishedEndpoint;
+  readonly fault: AttemptFault;
+  readonly sentAtMs: number;
+}
+
 /** Whether connections to an address are refused. */
 function isConnectionRefused(address: string): Promise<boolean> {
   const target = { host: hostOf(address), port: portOf(address) };
@@ -49,88 +56,78 @@
 /** Collects evidence of requests that crash endpoints, and decides which ones to refuse. */
 export class CrashDetector {
   readonly evidence: CrashEvidence;
-  /** Cached, as requests are checked before each attempt and at their end; bodies do not change. */
-  private readonly fingerprints = new WeakMap<GatewayRequest, Fingerprint>();
+  /** Cached, as requests are checked before each attempt and at their end. */
+  private readonly traits = new WeakMap<GatewayRequest, readonly TraitId[]>();
 
   constructor(private readonly deps: CrashDetectorDeps) {
-    this.evidence = new CrashEvidence(deps.clock);
+    this.evidence = new CrashEvidence(deps);
   }
 
   /**
-   * Whether a request has crashed endpoints more than once and has never completed successfully.
-   * @example if (detector.isRefused(request)) return refuseWith('crashes-endpoints', detail);
+   * Returns the trait for which a request is refused: endpoints crashed more than once as they began
+   * to run requests with it, and none has succeeded since.
+   * @example if (detector.refusedTrait(request, service)) return refuseCrashingRequest(active);
    */
-  isRefused(request: GatewayRequest): boolean {
-    if (this.evidence.isEmpty) return false;
-    return this.evidence.isRefused(this.fingerprintFor(request));
+  refusedTrait(request: GatewayRequest, service: ServiceId): TraitId | undefined {
+    if (this.evidence.isEmpty) return undefined;
+    return this.evidence.refusedTrait(this.traitsFor(request, service));
+  }
+
+  /** Counts a refusal for a trait. */
+  recordRefusal(trait: TraitId): void {
+    this.deps.metrics.count('crash_refusals_total', { kind: kindOf(trait) });
   }
 
-  /** Records a request that completed successfully. */
-  recordSuccess(request: GatewayRequest): void {
+  /** Records a run, sent at `sentAtMs`, that got beyond the point where such requests crash. */
+  recordSuccess(request: GatewayRequest, endpoint: PublishedEndpoint, sentAtMs: number): void {
     if (this.evidence.isEmpty) return;
-    const fingerprint = this.fingerprintFor(request);
-    if (this.evidence.noteSuccess(fingerprint))
-      this.logAndPublish('crash.cleared', request, fingerprint);
+    const { version } = this.evidence;
+    const cleared = this.evidence.noteSuccess(this.traitsFor(request, endpoint.service), sentAtMs);
+    if (cleared.length === 0) return;
+    this.deps.log.info('crash.cleared', { request: request.id, traits: cleared.join() });
+    this.deps.publish(this.evidence.ownSince(version));
   }
 
-  /** Records an attempt without a response; suspects the request if the endpoint crashed. */
-  async recordFault(
-    request: GatewayRequest,
-    endpoint: PublishedEndpoint,
-    fault: AttemptFault,
-  ): Promise<void> {
+  /** Suspects the traits of a request whose run ended because the endpoint crashed. */
+  async recordFault({ request, endpoint, fault, sentAtMs }: FailedRun): Promise<void> {
     if (fault.kind !== 'broke' && fault.kind !== 'silent') return;
     if (request.gone.aborted) return;
     const hasCrashed = await isConnectionRefused(endpoint.address);
-    this.logCheck(request, endpoint, fault, hasCrashed);
-    if (!hasCrashed) return;
-    const fingerprint = this.fingerprintFor(request);
-    if (!this.evidence.noteCrash(fingerprint, endpoint.id)) return;
-    this.deps.metrics.count('crash_suspects_total', { service: endpoint.service });
-    this.logAndPublish('crash.suspect', request, fingerprint, endpoint);
-  }
-
-  /** Logs whether the endpoint of a broken attempt crashed, and what such requests may have in common. */
-  logCheck(
-    request: GatewayRequest,
-    endpoint: PublishedEndpoint,
-    fault: AttemptFault,
-    hasCrashed: boolean | undefined,
-  ): void {
     this.deps.log.info('crash.checked', {
       request: request.id,
       endpoint: endpoint.id,
       kind: fault.kind,
       crashed: hasCrashed,
-      parts: (this.deps.readPromptParts?.(request.req.headers) ?? [])
-        .slice(0, MAX_PARTS_LOGGED)
-        .join(),
     });
+    if (!hasCrashed) return;
+    const traits = this.traitsFor(request, endpoint.service);
+    const { version } = this.evidence;
+    this.evidence.noteCrash({ endpoint: endpoint.id, sentAtMs, traits });
+    this.deps.metrics.count('crash_suspects_total', { service: endpoint.service });
+    this.deps.log.warn('crash.suspect', {
+      request: request.id,
+      endpoint: endpoint.id,
+      traits: traits.map((id) => `${id}=${this.evidence.crashCount(id)}`).join(),
+      refused: this.evidence.refusedTrait(traits),
+    });
+    this.deps.publish(this.evidence.ownSince(version));
   }
 
-  private fingerprintFor(request: GatewayRequest): Fingerprint {
-    const known = this.fingerprints.get(request);
+  private traitsFor(request: GatewayRequest, service: ServiceId): readonly TraitId[] {
+    const known = this.traits.get(request);
     if (known) return known;
-    const { req, head, body } = request;
-    const created = fingerprintOf({ path: req.url ?? '', caller: head.key ?? '', body });
-    this.fingerprints.set(request, created);
-    return created;
-  }
-
-  private logAndPublish(
-    event: 'crash.suspect' | 'crash.cleared',
-    request: GatewayRequest,
-    fingerprint: Fingerprint,
-    endpoint?: PublishedEndpoint,
-  ): void {
-    const { log, publish } = this.deps;
-    const isRefusedNow = this.evidence.isRefused(fingerprint);
-    log.warn(event, {
-      request: request.id,
-      fingerprint,
-      endpoint: endpoint?.id,
-      refused: isRefusedNow,
+    const { req, head, body, route, organisation } = request;
+    const created = traitsOf({
+      service,
+      route: route.id,
+      organisation: organisation?.id,
+      path: req.url ?? '',
+      caller: head.key ?? '',
+      body,
+      promptParts: this.deps.readPromptParts?.(req.headers) ?? [],
     });
-    publish(this.evidence.deltaSince(this.evidence.version - 1));
+    this.traits.set(request, created);
+    this.evidence.noteArrival(service, created);
+    return created;
   }
 }
--- a/src/gateway/requests/deliver.ts
+++ b/src/gateway/requests/deliver.ts
@@ -19,6 +19,8 @@
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 /** Lowest status that means a failure of the endpoint. */
 export const MIN_SERVER_ERROR_STATUS = 500;
+/** Events of an attempt after which its request is not what crashes the endpoint. */
+export const BEGUN_EVENTS = 3;
 
 async function deliverBuffered(
   active: ActiveRequest,
@@ -64,6 +66,7 @@
   const { ctx, request, progress, service, writer } = active;
   const { status } = response.head;
   if (status < 200 || status >= 300) return deliverBuffered(active, target, response);
+  const eventsBefore = progress.events;
   const outcome: StreamOutcome = await relayStream(
     {
       writer,
@@ -83,7 +86,12 @@
         ctx.endpoints.notePromptRead(target, request.id);
         active.group?.slotQueue.outage.noteSuccess();
       },
-      onPause: (pauseMs) => active.group?.slotQueue.notePause(pauseMs),
+      onPause: (pauseMs) => {
+        active.group?.slotQueue.notePause(pauseMs);
+        // Called before the event is counted.
+        if (progress.events - eventsBefore === BEGUN_EVENTS - 1)
+          ctx.crashes.recordSuccess(request, target.endpoint, sentAtMs);
+      },
     },
     response,
   );
--- a/src/gateway/requests/serve-request.ts
+++ b/src/gateway/requests/serve-request.ts
@@ -5,7 +5,7 @@
 import { pickService } from '../../core/published/index.js';
 import { FINAL_RESPONSE_MARGIN_MS } from '../consts.js';
 import { acquireSlot } from './acquire-slot.js';
-import { refuseCrashingRequest, runAttempts } from './attempts.js';
+import { refuseIfCrashing, runAttempts } from './attempts.js';
 import type { GatewayContext } from '../context.js';
 import type { GatewayRequest } from '../types.js';
 import { ResponseWriter } from './response-writer.js';
@@ -62,9 +62,10 @@
 
 /** Runs the request; its slot is free when the endpoint has finished, whatever the caller has read. */
 async function runRequest(active: ActiveRequest): Promise<RequestOutcome> {
-  const { ctx, request, service, summary } = active;
+  const { service, summary } = active;
   // A crashing request must not hold a slot that another request could use.
-  if (ctx.crashes.isRefused(request)) return refuseCrashingRequest(active);
+  const crashRefusal = refuseIfCrashing(active);
+  if (crashRefusal) return crashRefusal;
   if (!service.groups) return runAttempts(active);
   const refusal = await acquireSlot(active, service.groups);
   if (refusal) return refusal;
--- a/test/core/crashes/evidence.test.ts
+++ b/test/core/crashes/evidence.test.ts
@@ -1,73 +1,272 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { CrashEvidence, fingerprintOf, type Fingerprint } from '../../../src/core/crashes/index.js';
+import { CrashEvidence, type TraitId } from '../../../src/core/crashes/index.js';
 import { asId, type EndpointId } from '../../../src/core/ids/index.js';
 
-const [P, Q] = ['p', 'q'].map((text) => asId<Fingerprint>(text)) as [Fingerprint, Fingerprint];
+const trait = (name: string): TraitId => asId<TraitId>(name);
+const [P, Q] = ['request:p', 'request:q'].map(trait) as [TraitId, TraitId];
 const at = (name: string): EndpointId => asId<EndpointId>(name);
 
-function evidenceAt(clock: { nowMs: number }): CrashEvidence {
-  return new CrashEvidence({ nowMs: () => clock.nowMs });
+interface TestClock {
+  nowMs: number;
+}
+
+function evidenceAt(clock: TestClock): CrashEvidence {
+  return new CrashEvidence({ clock: { nowMs: () => clock.nowMs } });
+}
+
+/** A run sent now crashes its endpoint after `ranMs`. */
+function crash(
+  evidence: CrashEvidence,
+  clock: TestClock,
+  endpoint: string,
+  traits: readonly TraitId[],
+  ranMs = 50,
+): void {
+  const sentAtMs = clock.nowMs;
+  clock.nowMs += ranMs;
+  evidence.noteCrash({ endpoint: at(endpoint), sentAtMs, traits });
+}
+
+/** Prompts of a service; the first part is shared by all. */
+const FIRST = trait('first-part:s:common');
+const SENDER = trait('sender:org-1:r-1');
+const part = (name: string): TraitId => trait(`part:s:${name}`);
+function prompt(...names: string[]): TraitId[] {
+  return [trait(`request:${names.join('')}`), SENDER, FIRST, ...names.map(part)];
 }
 
 test('a request is refused after its second crash, and one crash seen twice counts once', () => {
   const clock = { nowMs: 0 };
   const evidence = evidenceAt(clock);
-  assert.equal(evidence.noteCrash(P, at('e-1')), true);
+  evidence.noteCrash({ endpoint: at('e-1'), sentAtMs: 0, traits: [P] });
   clock.nowMs = 400;
-  assert.equal(evidence.noteCrash(P, at('e-1')), false);
-  assert.equal(evidence.isRefused(P), false);
+  evidence.noteCrash({ endpoint: at('e-1'), sentAtMs: 0, traits: [P] });
+  assert.equal(evidence.refusedTrait([P]), undefined);
   clock.nowMs = 5000;
-  assert.equal(evidence.noteCrash(P, at('e-1')), true, 'the endpoint had restarted');
-  assert.equal(evidence.isRefused(P), true);
-  assert.equal(evidence.isRefused(Q), false);
+  evidence.noteCrash({ endpoint: at('e-1'), sentAtMs: 4990, traits: [P] });
+  assert.equal(evidence.refusedTrait([P]), P, 'the endpoint had restarted');
+  assert.equal(evidence.refusedTrait([Q]), undefined);
 });
 
-test('a successful run clears a request, before its second crash or after', () => {
-  const evidence = evidenceAt({ nowMs: 0 });
-  assert.equal(evidence.noteSuccess(P), false, 'it is not suspected');
-  for (const endpoint of ['e-1', 'e-2']) evidence.noteCrash(P, at(endpoint));
-  assert.equal(evidence.noteSuccess(P), true);
-  evidence.noteCrash(P, at('e-3'));
-  assert.equal(evidence.isRefused(P), false);
+test('a successful run clears a trait of the crashes before it was sent', () => {
+  const clock = { nowMs: 0 };
+  const evidence = evidenceAt(clock);
+  assert.deepEqual(evidence.noteSuccess([P], 0), [], 'it is not suspected');
+  for (const endpoint of ['e-1', 'e-2']) crash(evidence, clock, endpoint, [P]);
+  assert.equal(evidence.refusedTrait([P]), P);
+  assert.deepEqual(evidence.noteSuccess([P], clock.nowMs + 1), [P]);
+  crash(evidence, clock, 'e-3', [P]);
+  assert.equal(evidence.refusedTrait([P]), undefined);
 });
 
-test('evidence expires', () => {
+/**
+ * A part served well before a release crashes engines after it; runs sent before the first crash
+ * still succeed after it.
+ */
+test('a success of a run sent before a crash does not clear the crash', () => {
   const clock = { nowMs: 0 };
   const evidence = evidenceAt(clock);
-  for (const endpoint of ['e-1', 'e-2']) evidence.noteCrash(P, at(endpoint));
-  clock.nowMs = 299_999;
-  assert.equal(evidence.isRefused(P), true);
-  clock.nowMs = 300_000;
-  assert.equal(evidence.isRefused(P), false);
+  const sentAtMs = clock.nowMs;
+  for (const endpoint of ['e-1', 'e-2']) crash(evidence, clock, endpoint, [P]);
+  assert.deepEqual(evidence.noteSuccess([P], sentAtMs), []);
+  assert.equal(evidence.refusedTrait([P]), P);
 });
 
-test('the number of suspects is bounded, and those with the most crashes are kept', () => {
-  const evidence = evidenceAt({ nowMs: 0 });
-  for (const endpoint of ['e-1', 'e-2']) evidence.noteCrash(P, at(endpoint));
-  for (let i = 0; i < 500; i += 1) evidence.noteCrash(asId<Fingerprint>(`f-${i}`), at('e-1'));
-  assert.equal(evidence.deltaSince(0).suspects.length, 128);
-  assert.equal(evidence.isRefused(P), true);
+test('refusals end, and a single crash afterwards is enough to refuse again', () => {
+  const clock = { nowMs: 0 };
+  const evidence = evidenceAt(clock);
+  for (const endpoint of ['e-1', 'e-2']) crash(evidence, clock, endpoint, [P]);
+  clock.nowMs = 300_099;
+  assert.equal(evidence.refusedTrait([P]), P);
+  clock.nowMs = 300_100;
+  assert.equal(evidence.refusedTrait([P]), undefined);
+  crash(evidence, clock, 'e-3', [P]);
+  assert.equal(evidence.refusedTrait([P]), P);
+});
+
+/** Without it, all entries of a fleet let such a request through at the same moment. */
+test('refusals do not end at all entries at the same time', () => {
+  const clock = { nowMs: 0 };
+  const entries = [0, 0.5, 0.99].map(
+    (random) => new CrashEvidence({ clock: { nowMs: () => clock.nowMs }, random: () => random }),
+  );
+  const [first] = entries as [CrashEvidence];
+  for (const endpoint of ['e-1', 'e-2']) crash(first, clock, endpoint, [P]);
+  for (const other of entries.slice(1)) other.merge(first.deltaSince(0));
+  clock.nowMs = 301_000;
+  assert.deepEqual(
+    entries.map((entry) => entry.refusedTrait([P])),
+    [undefined, P, P],
+  );
+});
+
+test('the number of runs is bounded, and those of traits with the most crashes are kept', () => {
+  const clock = { nowMs: 0 };
+  const evidence = evidenceAt(clock);
+  for (const endpoint of ['e-1', 'e-2']) crash(evidence, clock, endpoint, [P]);
+  const sentAtMs = clock.nowMs;
+  for (let i = 0; i < 1500; i += 1)
+    evidence.noteCrash({ endpoint: at('e-1'), sentAtMs, traits: [trait(`request:${i}`)] });
+  assert.equal(evidence.deltaSince(0).runs.length, 512);
+  assert.equal(evidence.refusedTrait([P]), P);
 });
 
 test('an update holds only what changed since a version', () => {
-  const evidence = evidenceAt({ nowMs: 0 });
-  evidence.noteCrash(P, at('e-1'));
+  const clock = { nowMs: 0 };
+  const evidence = evidenceAt(clock);
+  crash(evidence, clock, 'e-1', [P]);
   const { version } = evidence;
-  evidence.noteCrash(Q, at('e-1'));
+  crash(evidence, clock, 'e-1', [Q]);
   assert.deepEqual(
-    evidence.deltaSince(version).suspects.map(({ fingerprint }) => fingerprint),
-    ['q'],
+    evidence.deltaSince(version).runs.map(({ traits }) => traits),
+    [[Q]],
   );
-  assert.deepEqual(evidence.deltaSince(evidence.version).suspects, []);
+  assert.deepEqual(evidence.deltaSince(evidence.version), { runs: [], cleared: [] });
+});
+
+test('an entry sends only what it observed itself', () => {
+  const clock = { nowMs: 0 };
+  const [own, other] = [evidenceAt(clock), evidenceAt(clock)];
+  crash(own, clock, 'e-1', [P]);
+  crash(other, clock, 'e-2', [Q]);
+  own.merge(other.deltaSince(0));
+  assert.equal(own.deltaSince(0).runs.length, 2);
+  assert.deepEqual(
+    own.ownSince(0).runs.map(({ traits }) => traits),
+    [[P]],
+  );
+});
+
+/** Relays restart without evidence; what they lack is sent again by those that read from them. */
+test('what a restarted relay lacks is found in its first update', () => {
+  const clock = { nowMs: 0 };
+  const [entry, relay] = [evidenceAt(clock), evidenceAt(clock)];
+  for (const endpoint of ['e-1', 'e-2']) crash(entry, clock, endpoint, [P]);
+  crash(relay, clock, 'e-3', [Q]);
+  relay.merge(entry.missingIn(relay.deltaSince(0)));
+  assert.equal(relay.refusedTrait([P]), P);
+  assert.deepEqual(entry.missingIn(relay.deltaSince(0)), { runs: [], cleared: [] });
+});
+
+/** The ages in a message that waited in a frozen process are too low. */
+test('an update that is handled seconds late does not make one crash look like two', () => {
+  const clock = { nowMs: 0 };
+  const [entry, other] = [evidenceAt(clock), evidenceAt(clock)];
+  crash(entry, clock, 'e-1', [P]);
+  const late = entry.deltaSince(0);
+  other.merge(late);
+  clock.nowMs += 4000;
+  other.merge(late);
+  assert.equal(other.crashCount(P), 1);
+  assert.equal(other.refusedTrait([P]), undefined);
+});
+
+test('the part that is in all crashes is refused, and no sound part beside it', () => {
+  const clock = { nowMs: 0 };
+  const evidence = evidenceAt(clock);
+  crash(evidence, clock, 'e-1', prompt('bad', 'a', 'own-1'));
+  clock.nowMs += 5000;
+  crash(evidence, clock, 'e-2', prompt('bad', 'b', 'own-2'));
+  assert.equal(evidence.refusedTrait(prompt('bad', 'c', 'own-3')), part('bad'));
+  for (const sound of ['a', 'b', 'c'])
+    assert.equal(evidence.refusedTrait(prompt(sound, 'own-4')), undefined, sound);
+});
+
+/** Two prompts that crash endpoints share a sound part; the group is down in between, so nothing succeeds. */
+test('a sound part that is always beside the crashing one is not refused without it', () => {
+  const clock = { nowMs: 0 };
+  const evidence = evidenceAt(clock);
+  for (const [i, endpoint] of ['e-1', 'e-2'].entries()) {
+    crash(evidence, clock, endpoint, prompt('template', 'bad', `own-${i}`));
+    clock.nowMs += 5000;
+    evidence.noteArrival('s', prompt('template', 'bad', `own-${i}`));
+  }
+  const sound = prompt('template', 'a', 'own-3');
+  evidence.noteArrival('s', sound);
+  assert.equal(evidence.refusedTrait(sound), undefined);
+  assert.equal(evidence.refusedTrait(prompt('template', 'bad', 'own-4')), part('bad'));
+});
+
+/** The first requests of a group that is open again crash it, so nothing succeeds in between. */
+test('with several crashing parts at once, each is refused, and what most requests share is not', () => {
+  const clock = { nowMs: 0 };
+  const evidence = evidenceAt(clock);
+  const arrive = (...names: string[]): TraitId[] => {
+    const traits = prompt('template', ...names);
+    evidence.noteArrival('s', traits);
+    return traits;
+  };
+  const crashes = ['bad-1', 'bad-2', 'bad-3', 'bad-1', 'bad-2', 'bad-3'];
+  for (const [i, bad] of crashes.entries()) {
+    for (let n = 0; n < 10; n += 1) {
+      const sound = arrive(`sound-${n}`, `own-${i}-${n}`);
+      assert.equal(evidence.refusedTrait(sound), undefined, `after ${i} crashes`);
+    }
+    crash(evidence, clock, `e-${i}`, arrive(bad, `own-${i}`));
+    clock.nowMs += 5000;
+  }
+  for (const bad of ['bad-1', 'bad-2', 'bad-3'])
+    assert.equal(evidence.refusedTrait(arrive(bad, 'own')), part(bad));
+});
+
+test('a sender whose requests have nothing else in common is refused after four crashes, for seconds at first', () => {
+  const clock = { nowMs: 0 };
+  const evidence = evidenceAt(clock);
+  for (let i = 0; i < 4; i += 1) {
+    assert.equal(evidence.refusedTrait([trait(`request:${i}`), SENDER]), undefined);
+    crash(evidence, clock, `e-${i}`, [trait(`request:${i}`), SENDER]);
+    clock.nowMs += 1000;
+  }
+  assert.equal(evidence.refusedTrait([trait('request:x'), SENDER]), SENDER);
+  clock.nowMs += 5000;
+  assert.equal(evidence.refusedTrait([trait('request:x'), SENDER]), undefined);
+});
+
+/** A data centre loses its power: every part in flight is in the crash of several endpoints. */
+test('endpoints that are lost together count as one crash', () => {
+  const clock = { nowMs: 1000 };
+  const evidence = evidenceAt(clock);
+  const sentAtMs = 900;
+  for (let i = 0; i < 8; i += 1) {
+    clock.nowMs += 10;
+    evidence.noteCrash({ endpoint: at(`e-${i}`), sentAtMs, traits: prompt('a', 'b') });
+  }
+  assert.equal(evidence.crashCount(part('a')), 1);
+  assert.equal(evidence.refusedTrait(prompt('a', 'b')), undefined);
+});
+
+/** Requests with a rare sound part are in two crashes by chance; the crashing part is in all. */
+test('a rare sound part is not refused once the crashing part is in more crashes', () => {
+  const clock = { nowMs: 0 };
+  const evidence = evidenceAt(clock);
+  for (const endpoint of ['e-1', 'e-2', 'e-3']) {
+    const sentAtMs = clock.nowMs;
+    clock.nowMs += 50;
+    evidence.noteCrash({
+      endpoint: at(endpoint),
+      sentAtMs,
+      traits: prompt('bad', `own-${endpoint}`),
+    });
+    if (endpoint !== 'e-3')
+      evidence.noteCrash({
+        endpoint: at(endpoint),
+        sentAtMs,
+        traits: prompt('rare', `o-${endpoint}`),
+      });
+    clock.nowMs += 5000;
+  }
+  assert.equal(evidence.refusedTrait(prompt('rare', 'own')), undefined);
+  assert.equal(evidence.refusedTrait(prompt('bad', 'own')), part('bad'));
 });
 
 const OBSERVATION = fc.record({
-  print: fc.constantFrom('p', 'q', 'r'),
+  trait: fc.constantFrom(P, Q, part('a')),
   endpoint: fc.constantFrom('e-1', 'e-2', 'e-3'),
   by: fc.nat({ max: 3 }),
   isGood: fc.boolean(),
+  afterMs: fc.nat({ max: 3000 }),
 });
 
 test('entries that exchanged all updates, in any order and more than once, refuse the same requests', () => {
@@ -82,32 +281,21 @@
           const update = entries[from]?.deltaSince(0);
           if (update) entries[to]?.merge(update);
         };
-        for (const { print, endpoint, by, isGood } of observations) {
-          const fingerprint = asId<Fingerprint>(print);
-          if (isGood) entries[by]?.noteSuccess(fingerprint);
-          else entries[by]?.noteCrash(fingerprint, at(endpoint));
+        for (const { trait: id, endpoint, by, isGood, afterMs } of observations) {
+          clock.nowMs += afterMs;
+          if (isGood) entries[by]?.noteSuccess([id], clock.nowMs);
+          else
+            entries[by]?.noteCrash({ endpoint: at(endpoint), sentAtMs: clock.nowMs, traits: [id] });
         }
         for (const [from, to] of order) sendUpdate(from, to);
         for (let round = 0; round < 3; round += 1)
           for (let from = 0; from < 4; from += 1)
             for (let to = 0; to < 4; to += 1) sendUpdate(from, to);
-        for (const print of ['p', 'q', 'r']) {
-          const verdicts = entries.map((each) => each.isRefused(asId<Fingerprint>(print)));
+        for (const id of [P, Q, part('a')]) {
+          const verdicts = entries.map((each) => each.refusedTrait([id]));
           assert.equal(new Set(verdicts).size, 1);
         }
       },
     ),
   );
 });
-
-test('a fingerprint depends on each of path, caller and body', () => {
-  const contents = { path: '/x', caller: 'k', body: Buffer.from('b') };
-  const fingerprints = [
-    contents,
-    { ...contents, path: '/y' },
-    { ...contents, caller: 'l' },
-    { ...contents, body: Buffer.from('c') },
-  ].map(fingerprintOf);
-  assert.equal(new Set(fingerprints).size, 4);
-  assert.equal(fingerprintOf({ ...contents }), fingerprints[0]);
-});
--- a/test/core/published/relay-fleet.ts
+++ b/test/core/published/relay-fleet.ts
@@ -144,6 +144,7 @@
 }
 
 export function startFleet(): Fleet {
+  let starts = 0;
   const fleet: Fleet = {
     store: new FakeStore(),
     ownStores: new Map(),
@@ -154,12 +155,12 @@
     onPause: () => undefined,
     start: (name, relays, pace = ENTRY_RELAYED_PACE, clock = fleetClock) => {
       const state = new PublishedState();
-      const crashes = new CrashEvidence(clock);
+      const crashes = new CrashEvidence({ clock });
       const relay = new PublishedRelay({
         crashes,
         state,
         clock,
-        life: asId(`life-${name}`),
+        life: asId(`life-${name}-${(starts += 1)}`),
         isDirect: () => source.isDirect,
       });
       const store = fleet.ownStores.get(name) ?? fleet.store;
@@ -168,6 +169,7 @@
         relays: relays.filter((other) => other !== name),
         isRelay: relays.includes(name),
         crashes,
+        restoreCrashes: (address, update) => fleet.daemons.get(address)?.crashes.merge(update),
         state,
         clock,
         pace,
--- a/test/core/published/relayed-source.test.ts
+++ b/test/core/published/relayed-source.test.ts
@@ -14,7 +14,7 @@
   ENTRY_RELAYED_PACE,
   type ReadFault,
 } from '../../../src/core/published/index.js';
-import { fingerprintOf } from '../../../src/core/crashes/index.js';
+import type { TraitId } from '../../../src/core/crashes/index.js';
 import { asId, type EndpointId } from '../../../src/core/ids/index.js';
 import { until } from '../../fixtures/until.js';
 import { config, route } from '../../gateway/harness.js';
@@ -369,18 +369,40 @@
   }
 });
 
+const TRAIT = asId<TraitId>('part:s:bad');
+
+/** Two endpoints crash one after the other as they begin to run a request with the trait. */
+function noteTwoCrashes({ crashes }: Daemon, { nowMs }: Fleet): void {
+  for (const [i, id] of ['a', 'b'].entries())
+    crashes.noteCrash({ endpoint: asId<EndpointId>(id), sentAtMs: nowMs + i, traits: [TRAIT] });
+}
+
 test('evidence of requests that crash endpoints is forwarded once, without delay', async () => {
   const fleet = startFleet();
   const relay = fleet.start('relay', ['relay']);
   await readAll(relay, fleet);
   const daemon = fleet.start('entry', ['relay']);
   await readAll(daemon, fleet);
-  const print = fingerprintOf({ path: '/x', caller: 'k', body: Buffer.from('') });
-  for (const id of ['a', 'b']) relay.crashes.noteCrash(print, asId<EndpointId>(id));
+  noteTwoCrashes(relay, fleet);
   const watched = await daemon.source.watch(0, 60_000);
   assert.ok(watched.ok, 'the request is not held while there is an update');
-  assert.equal(daemon.crashes.isRefused(print), true);
+  assert.equal(daemon.crashes.refusedTrait([TRAIT]), TRAIT);
   const { version } = daemon.crashes;
   await daemon.source.watch(0, 0);
   assert.equal(daemon.crashes.version, version);
 });
+
+test('relays that restart all at once get the evidence of crashes from the entries that read from them', async () => {
+  const fleet = startFleet();
+  await readAll(fleet.start('relay', ['relay']), fleet);
+  const daemon = fleet.start('entry', ['relay']);
+  await readAll(daemon, fleet);
+  noteTwoCrashes(daemon, fleet);
+  const relay = fleet.start('relay', ['relay']);
+  await readAll(relay, fleet);
+  await readAll(daemon, fleet);
+  assert.equal(relay.crashes.refusedTrait([TRAIT]), TRAIT);
+  const added = fleet.start('new-entry', ['relay']);
+  await readAll(added, fleet);
+  assert.equal(added.crashes.refusedTrait([TRAIT]), TRAIT, 'an entry without history learns of it');
+});
