Serve the callers that crowd at one entry

While nearly all new connections come to one entry, it refused most of its callers although their group had room: it took the rise of its own streams for that of every entry, and so the group for full. An entry with more than three times the mean streams now assumes that the others change in proportion to what they have.

The simulation of shared-slots.test is a module of its own now; its assertions, seeds and bounds are the same.

--- a/src/core/limits/stream-limit-estimator.ts
+++ b/src/core/limits/stream-limit-estimator.ts
@@ -146,6 +146,9 @@
  */
 const HALF_WEIGHT_STREAM_SECONDS = 10;
 
+/** Multiple of the mean streams of an entry above which most callers come to this one. */
+const CROWDED_FACTOR = 3;
+
 /**
  * Estimates the streams that a group runs now from an older count: the other entries are assumed to
  * have changed like this one since, except for what may be chance.
@@ -172,7 +175,10 @@
   const larger = Math.max(own, meanPerEntry);
   const streamSeconds = (larger * ageMs) / 1000;
   const share = streamSeconds / (streamSeconds + HALF_WEIGHT_STREAM_SECONDS);
-  return Math.max(own, running + share * entries * (rise - fall));
+  // While most callers come here, the others change in proportion to the little that they have.
+  const isCrowded = ownAtCount > CROWDED_FACTOR * meanPerEntry;
+  const others = isCrowded ? running / ownAtCount : entries;
+  return Math.max(own, running + share * (others * rise - entries * fall));
 }
 
 /** A count of the streams of a group and the limit on them. */
--- a/test/gateway/groups/shared-slots.test.ts
+++ b/test/gateway/groups/shared-slots.test.ts
@@ -7,9 +7,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { seededRandom } from '../../../src/core/clock/index.js';
-import { SlotQueue } from '../../../src/gateway/groups/slot-queue.js';
-import { ENGINE_INFO } from '../../fixtures/engine.js';
+import { simulateSlots } from './slot-simulation.js';
 
 const RANKS = 63;
 /** Gives each entry eight slots, as 40 entries have with a limit of 331. */
@@ -17,75 +15,43 @@
 /** Stream limit of a group of 63 ranks before any pause was recorded. */
 const LIMIT = 189;
 const STREAM_MS = 1700;
-const TICK_MS = 10;
 const DURATION_MS = 40_000;
 /** Warm-up that is not evaluated, ms: entries know no load yet. */
 const WARM_UP_MS = 6000;
 
 interface Outcome {
   /** Maximum and minimum number of streams in flight at once. */
-  maxStreams: number;
-  minStreams: number;
+  readonly maxStreams: number;
+  readonly minStreams: number;
   /** Share of callers refused while at least a quarter of the group's slots were free. */
-  refusedWithRoom: number;
-  refused: number;
+  readonly refusedWithRoom: number;
+  readonly refused: number;
 }
 
-/**
- * Simulates callers at random entries. Entries receive every `everyMs` the group's load of `ageMs` before; refused
- * callers retry once.
- */
+/** Plays callers at random entries, and sums up what happened after the warm-up. */
 function simulate(seed: number, perSecond: number, everyMs: number, ageMs: number): Outcome {
-  const random = seededRandom(seed);
-  let nowMs = 0;
-  const clock = { nowMs: () => nowMs, wallMs: () => nowMs };
-  const history: number[] = [];
-  let latest = { ranks: RANKS, running: 0, entries: ENTRIES, countedAtMs: 0 };
-  const queues = Array.from(
-    { length: ENTRIES },
-    () => new SlotQueue({ clock, engine: () => ENGINE_INFO, size: () => latest }),
-  );
-  const due = new Map<number, (() => void)[]>();
-  const after = (ms: number, run: () => void): void => {
-    const at = Math.floor((nowMs + ms) / TICK_MS) * TICK_MS;
-    due.set(at, [...(due.get(at) ?? []), run]);
+  const { calls, streams } = simulateSlots({
+    seed,
+    ranks: RANKS,
+    entries: ENTRIES,
+    perSecond,
+    streamMs: STREAM_MS,
+    durationMs: DURATION_MS,
+    everyMs,
+    ageMs,
+  });
+  const counted = calls.filter(({ atMs }) => atMs >= WARM_UP_MS);
+  const refused = counted.filter(({ isAdmitted }) => !isAdmitted);
+  const withRoom = refused.filter(({ running }) => running < 0.75 * LIMIT);
+  const runningCounts = streams
+    .filter(({ atMs }) => atMs >= WARM_UP_MS)
+    .map((each) => each.running);
+  return {
+    maxStreams: Math.max(...runningCounts),
+    minStreams: Math.min(...runningCounts),
+    refusedWithRoom: withRoom.length / counted.length,
+    refused: refused.length / counted.length,
   };
-  let running = 0;
-  const outcome: Outcome = { maxStreams: 0, minStreams: Infinity, refusedWithRoom: 0, refused: 0 };
-  let callers = 0;
-  const call = (isRetry: boolean): void => {
-    const { queue } = queues[Math.floor(random() * ENTRIES)] as SlotQueue;
-    if (nowMs >= WARM_UP_MS) callers += 1;
-    if (queue.tryAcquire(false)) {
-      running += 1;
-      return after(STREAM_MS, () => {
-        running -= 1;
-        queue.release();
-      });
-    }
-    if (nowMs >= WARM_UP_MS) {
-      outcome.refused += 1;
-      if (running < 0.75 * LIMIT) outcome.refusedWithRoom += 1;
-    }
-    if (!isRetry) after(1000 + 1500 * random(), () => call(true));
-  };
-  for (; nowMs < DURATION_MS; nowMs += TICK_MS) {
-    for (const run of due.get(nowMs) ?? []) run();
-    due.delete(nowMs);
-    for (let expected = (perSecond * TICK_MS) / 1000; expected > 0; expected -= 1)
-      if (random() < expected) call(false);
-    history.push(running);
-    if (nowMs % everyMs === 0) {
-      const countedAtMs = Math.max(0, nowMs - ageMs);
-      latest = { ...latest, running: history[countedAtMs / TICK_MS] ?? 0, countedAtMs };
-    }
-    if (nowMs < WARM_UP_MS) continue;
-    outcome.maxStreams = Math.max(outcome.maxStreams, running);
-    outcome.minStreams = Math.min(outcome.minStreams, running);
-  }
-  outcome.refusedWithRoom /= callers;
-  outcome.refused /= callers;
-  return outcome;
 }
 
 /** Arrival rate of 1.25 times the group's capacity. */
