Bound what crash evidence costs each request

After a crash the traits of requests were computed for good, and each look at a trait that all requests share sorted all its runs: 0.8 ms a request with 300 runs, as after the loss of a data centre.

--- a/src/core/crashes/evidence.ts
+++ b/src/core/crashes/evidence.ts
@@ -41,6 +41,13 @@
   readonly sentAtMs: number;
 }
 
+/** The runs with a trait. */
+interface Suspect {
+  readonly runs: Set<RunId>;
+  /** When the latest of them ended, ms. */
+  lastCrashedAtMs: number;
+}
+
 /** A run that has just ended with the crash of its endpoint. */
 export type NewCrashedRun = Omit<CrashedRun, 'crashedAtMs'>;
 
@@ -55,14 +62,18 @@
 export class CrashEvidence {
   private readonly runs = new Map<RunId, RunRecord>();
   private readonly successes = new Map<TraitId, Success>();
-  /** Runs by trait. */
-  private readonly suspects = new Map<TraitId, Set<RunId>>();
+  private readonly suspects = new Map<TraitId, Suspect>();
   private readonly sightings = new Sightings();
   private readonly clock: Pick<Clock, 'nowMs'>;
   private readonly jitter: number;
   private readonly runPrefix = randomBytes(6).toString('hex');
   private changes = 0;
   private ownRuns = 0;
+  /** Crashes by trait as of `cachedVersion`: with 300 runs they took 0.8 ms of each request. */
+  private readonly crashCache = new Map<TraitId, readonly CrashedRun[]>();
+  private cachedVersion = 0;
+  /** When the evidence of the latest crash expires, ms. */
+  private expiresAtMs = Number.NEGATIVE_INFINITY;
 
   constructor({ clock, random = () => 0 }: CrashEvidenceDeps) {
     this.clock = clock;
@@ -76,7 +87,7 @@
 
   /** Whether there are no suspects, in which case the traits of requests need not be known. */
   get isEmpty(): boolean {
-    return this.runs.size === 0;
+    return this.clock.nowMs() >= this.expiresAtMs;
   }
 
   /** Counts a request for a service that arrived. */
@@ -90,7 +101,7 @@
    */
   refusedTrait(traits: readonly TraitId[]): TraitId | undefined {
     if (this.isEmpty) return undefined;
-    const refused = traits.filter((id) => this.suspects.has(id) && this.isRefused(id, traits));
+    const refused = traits.filter((id) => this.isSuspected(id) && this.isRefused(id, traits));
     const [first, ...others] = refused;
     return others.reduce(
       (likeliest, id) =>
@@ -101,6 +112,14 @@
     );
   }
 
+  /** Whether a trait was in a crash since its last success. */
+  private isSuspected(id: TraitId): boolean {
+    const suspect = this.suspects.get(id);
+    if (!suspect) return false;
+    const success = this.successes.get(id);
+    return !success || suspect.lastCrashedAtMs >= success.sentAtMs;
+  }
+
   /** Crashes with a trait since its last success. */
   crashCount(id: TraitId): number {
     return this.crashesOf(id).length;
@@ -165,9 +184,19 @@
     return !success || run.crashedAtMs >= success.sentAtMs;
   }
 
-  private crashesOf(id: TraitId): CrashedRun[] {
-    const runs = [...(this.suspects.get(id) ?? [])].map((run) => this.runs.get(run) as RunRecord);
-    return distinctCrashes(runs.filter((run) => this.isLive(id, run)));
+  private crashesOf(id: TraitId): readonly CrashedRun[] {
+    if (this.cachedVersion !== this.changes) this.crashCache.clear();
+    this.cachedVersion = this.changes;
+    const cached = this.crashCache.get(id);
+    if (cached) return cached;
+    const crashes = distinctCrashes(this.runsOf(id).filter((run) => this.isLive(id, run)));
+    this.crashCache.set(id, crashes);
+    return crashes;
+  }
+
+  private runsOf(id: TraitId): CrashedRun[] {
+    const ids = [...(this.suspects.get(id)?.runs ?? [])];
+    return ids.map((run) => this.runs.get(run) as RunRecord);
   }
 
   /** Notes that an endpoint crashed as a run had just started there. */
@@ -188,11 +217,8 @@
   }
 
   private clears(id: TraitId, sentAtMs: number): boolean {
-    for (const runId of this.suspects.get(id) ?? []) {
-      const run = this.runs.get(runId) as RunRecord;
-      if (run.crashedAtMs < sentAtMs && this.isLive(id, run)) return true;
-    }
-    return false;
+    if (!this.isSuspected(id)) return false;
+    return this.runsOf(id).some((run) => run.crashedAtMs < sentAtMs && this.isLive(id, run));
   }
 
   private setSuccess(id: TraitId, sentAtMs: number, isOwn: boolean): void {
@@ -207,19 +233,24 @@
   private add(id: RunId, run: CrashedRun, isOwn: boolean): void {
     this.changes += 1;
     this.runs.set(id, { ...run, isOwn, version: this.changes });
-    for (const trait of run.traits) {
-      const runs = this.suspects.get(trait) ?? new Set<RunId>();
-      this.suspects.set(trait, runs.add(id));
-      this.sightings.add(trait);
-    }
+    this.expiresAtMs = Math.max(this.expiresAtMs, run.crashedAtMs + EVIDENCE_TTL_MS);
+    for (const trait of run.traits) this.suspect(trait, id, run.crashedAtMs);
     this.evict();
   }
 
+  private suspect(trait: TraitId, run: RunId, crashedAtMs: number): void {
+    const suspect = this.suspects.get(trait) ?? { runs: new Set(), lastCrashedAtMs: crashedAtMs };
+    suspect.runs.add(run);
+    suspect.lastCrashedAtMs = Math.max(suspect.lastCrashedAtMs, crashedAtMs);
+    this.suspects.set(trait, suspect);
+    this.sightings.add(trait);
+  }
+
   private remove(id: RunId): void {
     for (const trait of this.runs.get(id)?.traits ?? []) {
-      const runs = this.suspects.get(trait);
-      runs?.delete(id);
-      if (runs?.size) continue;
+      const suspect = this.suspects.get(trait);
+      suspect?.runs.delete(id);
+      if (suspect?.runs.size) continue;
       this.suspects.delete(trait);
       this.sightings.remove(trait);
     }
@@ -309,7 +340,9 @@
     const known = this.runs.get(runId);
     if (!known) return this.add(runId, run, false);
     // The ages in a message grow while it is under way, so the earliest time is the most accurate.
-    if (crashedAtMs < known.crashedAtMs) this.runs.set(runId, { ...known, ...run });
+    if (crashedAtMs >= known.crashedAtMs) return;
+    this.runs.set(runId, { ...known, ...run });
+    this.crashCache.clear();
   }
 
   private mergeSuccess(id: TraitId, sentAtMs: number): void {
--- a/test/core/crashes/evidence.test.ts
+++ b/test/core/crashes/evidence.test.ts
@@ -86,6 +86,18 @@
   assert.equal(evidence.refusedTrait([P]), P);
 });
 
+/** Traits cost each request some microseconds, which are not spent for good after a crash. */
+test('evidence is empty again ten minutes after the last crash', () => {
+  const clock = { nowMs: 0 };
+  const evidence = evidenceAt(clock);
+  assert.equal(evidence.isEmpty, true);
+  crash(evidence, clock, 'e-1', [P]);
+  clock.nowMs = 600_000;
+  assert.equal(evidence.isEmpty, false);
+  clock.nowMs = 600_050;
+  assert.equal(evidence.isEmpty, true);
+});
+
 /** Without it, all entries of a fleet let such a request through at the same moment. */
 test('refusals do not end at all entries at the same time', () => {
   const clock = { nowMs: 0 };
