Play requests that share a crashing prompt part in the soak

Scenario crashing: below two more paths, one of plain endpoints and one of ranks, no two requests are alike but for a part of their prompts; sound requests share the other parts. The checker counts them together and knows them from harmless ones; its bounds are the same.

--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -47,6 +47,16 @@
   });
 }
 
+/** Number of parts that follow the shared one in prompts. */
+const TOPICS = 5;
+
+/** Parts of the prompt of a request: one shared by all, one of its path, a few topics, and its own. */
+function promptOf({ path, id }: CallerRequest): string {
+  const [, , pathPart = ''] = path.split('/');
+  const topic = `topic-${Number(id.replace(/\D/g, '')) % TOPICS}`;
+  return ['shared', pathPart, topic, `own-${id}`].map((part) => `${part}:40`).join();
+}
+
 /** Options of sending one request. */
 interface SendOptions {
   /** Connections to use; a new one if undefined. */
@@ -163,10 +173,14 @@
     };
   }
 
-  /** A request that crashes endpoints; all of one path are identical except for their IDs. */
-  private crashingRequest(entry: SoakInstance, id: string, path: string): CallerRequest {
+  /**
+   * A request that crashes endpoints; all of one path are identical except for their IDs, those
+   * below a prefix have only a part of their prompt in common.
+   */
+  private crashingRequest(entry: SoakInstance, id: string, crashing: string): CallerRequest {
     const sentAtMs = this.deployment.nowMs();
     const key = KEYS[0] ?? '';
+    const path = crashing.endsWith('/') ? `${crashing}${id}` : crashing;
     return {
       id,
       kind: 'repeatable',
@@ -226,6 +240,7 @@
           'x-request-id': request.id,
           'x-deadline-ms': String(DEADLINE_MS),
           authorization: `Bearer ${request.key}`,
+          'x-prompt-prefix': promptOf(request),
         },
       },
       (res) => {
--- a/bench/soak/check.ts
+++ b/bench/soak/check.ts
@@ -5,7 +5,7 @@
 import { checkBackpressure } from './backpressure-check.js';
 import { eventData, completeAnswer, STREAM_EVENTS } from '../../fakes/platform-engine/index.js';
 import { checkAnswersAreRead, isSlowReader } from './slow-readers.js';
-import type { CallerRequest, Disturbance, SoakRecord } from './record.js';
+import { isCausedBy, type CallerRequest, type Disturbance, type SoakRecord } from './record.js';
 
 /** Statuses that guarantee that a request has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
@@ -210,7 +210,7 @@
     const thirdCrash = crashes.filter((crash) => crash.path === path)[2];
     if (!thirdCrash) return [];
     const appliedByMs = thirdCrash.atMs + CONTACT_MS;
-    const late = runs.filter((run) => run.path === path && run.startedAtMs > appliedByMs);
+    const late = runs.filter((run) => isCausedBy(path, run.path) && run.startedAtMs > appliedByMs);
     return late.length > MAX_RUNS_AFTER_CRASHES
       ? [`${path}: ran ${late.length} times after crashing three endpoints`]
       : [];
@@ -218,11 +218,11 @@
 
 /** Only requests that crash endpoints are refused with `crashes-endpoints`. */
 const harmlessRequestsAreNotRefused: Guarantee = ({ requests, crashes }) => {
-  const crashing = new Set(crashes.map(({ path }) => path));
   return requests
     .filter(
       (request) =>
-        request.outcome?.body.includes('crashes-endpoints') && !crashing.has(request.path),
+        request.outcome?.body.includes('crashes-endpoints') &&
+        !crashes.some(({ path }) => isCausedBy(path, request.path)),
     )
     .map((request) => `${request.id}: refused with crashes-endpoints, but crashed none`);
 };
--- a/bench/soak/crashing.ts
+++ b/bench/soak/crashing.ts
@@ -6,8 +6,17 @@
 import { CRASH_DOWNTIME_MS, type Deployment } from './deployment.js';
 import { recordDuring } from './faults.js';
 
-/** Paths of requests that crash endpoints. */
-const CRASHING_PATHS = ['/again/crash-1', '/again/crash-2', '/stream/crash-3'];
+/**
+ * Paths of requests that crash endpoints. Below those that end with a slash no two requests are
+ * alike, but for one part of their prompts.
+ */
+const CRASHING_PATHS = [
+  '/again/crash-1',
+  '/again/crash-2',
+  '/stream/crash-3',
+  '/again/part-1/',
+  '/stream/part-2/',
+];
 /** Longest pause between two crashes that no request causes, ms. */
 const MAX_CRASH_INTERVAL_MS = 1500;
 
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -17,14 +17,15 @@
 import { startStore, type FakeStore } from '../../fakes/store/index.js';
 import { LoopbackProxy, type Address } from './proxy.js';
 import { Program } from './program.js';
-import type {
-  AddedRoute,
-  CallerRequest,
-  Disturbance,
-  EndpointCrash,
-  RateLimitPeriod,
-  Removal,
-  UnreadAnswer,
+import {
+  isCausedBy,
+  type AddedRoute,
+  type CallerRequest,
+  type Disturbance,
+  type EndpointCrash,
+  type RateLimitPeriod,
+  type Removal,
+  type UnreadAnswer,
 } from './record.js';
 
 /** Memory of an instance in its boot file, MB; a few callers that do not read spend the budget. */
@@ -256,9 +257,10 @@
     const rank = service === 'model' ? group.calls(Number(id.split('-')[1])) : undefined;
     const faults: EndpointFault[] = [];
     const crashesOn = (path: string): boolean => {
-      if (!crashingPaths.includes(path)) return false;
+      const cause = crashingPaths.find((each) => isCausedBy(each, path));
+      if (cause === undefined) return false;
       const atMs = nowMs();
-      crashes.push({ path, atMs });
+      crashes.push({ path: cause, atMs });
       disturbances.push({
         kind: 'crash',
         target: id,
--- a/bench/soak/record.ts
+++ b/bench/soak/record.ts
@@ -44,10 +44,19 @@
 
 /** A crash of an endpoint caused by a request that it began to run. */
 export interface EndpointCrash {
+  /** Path of such requests; with a slash at its end, the prefix of their paths. */
   readonly path: string;
   readonly atMs: number;
 }
 
+/**
+ * Whether requests to a path crash endpoints as those of a crash did.
+ * @example isCausedBy('/again/part-1/', '/again/part-1/q-7') // true
+ */
+export function isCausedBy(crashingPath: string, path: string): boolean {
+  return crashingPath.endsWith('/') ? path.startsWith(crashingPath) : path === crashingPath;
+}
+
 /** Removal of a key, a route or an endpoint. */
 export interface Removal {
   readonly resource: 'key' | 'route' | 'endpoint';
--- a/test/soak/check.test.ts
+++ b/test/soak/check.test.ts
@@ -240,6 +240,18 @@
   assert.deepEqual(violations(5900, 4), [], 'entries need not know of the crashes yet');
 });
 
+test('the checker counts requests below a crashing prefix together', () => {
+  const crashes = [1000, 2000, 3000].map((atMs) => ({ path: '/again/part-1/', atMs }));
+  const paths = Array.from({ length: 4 }, (_, i) => `/again/part-1/c-${i}`);
+  const requests = paths.map((path, i) =>
+    request(`c-${i}`, { kind: 'repeatable', path, body: path, outcome: undefined }),
+  );
+  const runs = paths.map((path, i) => run(`c-${i}`, { path, body: path, startedAtMs: 6100 }));
+  assert.deepEqual(violationsOf(record({ requests, crashes, runs })), [
+    '/again/part-1/: ran 4 times after crashing three endpoints',
+  ]);
+});
+
 test('the checker reports a harmless request that is refused with crashes-endpoints', () => {
   const refusal = end({ status: 503, body: '{"reason":"crashes-endpoints"}' });
   const requests = [request('b', { outcome: refusal })];
