Refuse no sound part for crashes that its requests share by chance

Cause: two crashes were enough for any part that is in less than half of the requests. How many are needed now depends on the share of requests with the part: two up to a tenth, three up to four tenths or while it is unknown, four above; and the crashes of one request, which is sent to two endpoints, count once against what it shares with others. A likelier cause must itself be refused.

--- a/src/core/crashes/consts.ts
+++ b/src/core/crashes/consts.ts
@@ -1,9 +1,10 @@
 /** Limits and times of crash evidence. */
 
-/** Crashes without a success in between after which a narrow trait is refused: chance is unlikely. */
-export const CRASHES_TO_REFUSE = 2;
-/** The same for a broad trait: one that many sound requests have is present at any crash. */
-export const BROAD_CRASHES_TO_REFUSE = 4;
+/**
+ * Crashes without a success in between after which a trait is refused, by the share of requests that
+ * have it: the more there are, the likelier some of them run at a crash by chance.
+ */
+export const CRASHES_TO_REFUSE = { rare: 2, common: 3, broad: 4 } as const;
 
 /**
  * Time for which a trait is refused after its last crash, ms. Afterwards requests pass again, and
@@ -41,5 +42,7 @@
 
 /** Requests of a service after which the share of those with a trait is known. */
 export const MIN_SIGHTINGS = 8;
+/** Share of the requests of a service up to which a trait is rare. */
+export const RARE_SHARE = 0.1;
 /** Share of the requests of a service above which a trait is broad. */
-export const BROAD_SHARE = 0.5;
+export const BROAD_SHARE = 0.4;
--- a/src/core/crashes/distinct-crashes.ts
+++ b/src/core/crashes/distinct-crashes.ts
@@ -1,5 +1,6 @@
 /** Groups runs that ended with the same crash. */
 import { LOST_TOGETHER_MS, MIN_RESTART_MS } from './consts.js';
+import { isWholeRequest } from './traits.js';
 import type { CrashedRun } from './types.js';
 
 /** Whether a run was in flight when another one ended with a crash. */
@@ -16,13 +17,24 @@
 }
 
 /**
- * Returns the first run of each crash, oldest first.
- * @example distinctCrashes(runs).length // 2
+ * Whether two runs are one observation of what their requests have in common: they ended with the
+ * same crash, or they are of the same request, which may crash endpoints by itself.
  */
-export function distinctCrashes(runs: readonly CrashedRun[]): CrashedRun[] {
+export function isSameEvidence(a: CrashedRun, b: CrashedRun): boolean {
+  const request = a.traits.find(isWholeRequest);
+  return isSameCrash(a, b) || (request !== undefined && b.traits.includes(request));
+}
+
+/**
+ * Returns the first run of each group of runs that are the same, oldest first.
+ * @example distinctCrashes(runs, isSameCrash).length // 2
+ */
+export function distinctCrashes(
+  runs: readonly CrashedRun[],
+  isSame: (a: CrashedRun, b: CrashedRun) => boolean,
+): CrashedRun[] {
   const crashes: CrashedRun[] = [];
   const ordered = [...runs].sort((a, b) => a.crashedAtMs - b.crashedAtMs);
-  for (const run of ordered)
-    if (!crashes.some((crash) => isSameCrash(crash, run))) crashes.push(run);
+  for (const run of ordered) if (!crashes.some((crash) => isSame(crash, run))) crashes.push(run);
   return crashes;
 }
--- a/src/core/crashes/evidence.ts
+++ b/src/core/crashes/evidence.ts
@@ -9,7 +9,6 @@
 import { asId, type EndpointId } from '../ids/index.js';
 import type { CrashedRunReport, CrashUpdate } from '../../generated/messages.types.js';
 import {
-  BROAD_CRASHES_TO_REFUSE,
   BROAD_REFUSAL_GROWTH,
   BROAD_REFUSAL_MS,
   BROAD_SHARE,
@@ -17,13 +16,14 @@
   EVIDENCE_TTL_MS,
   MAX_CLEARED,
   MAX_RUNS,
+  RARE_SHARE,
   REFUSAL_JITTER,
   REFUSAL_MS,
   SAME_SUCCESS_MS,
 } from './consts.js';
-import { distinctCrashes, isSameCrash } from './distinct-crashes.js';
+import { distinctCrashes, isSameCrash, isSameEvidence } from './distinct-crashes.js';
 import { Sightings } from './sightings.js';
-import { isSharedKind, type TraitId } from './traits.js';
+import { isSharedKind, isWholeRequest, type TraitId } from './traits.js';
 import type { CrashedRun, RunId } from './types.js';
 
 /** Where a record comes from, and the version at which it was added or last changed. */
@@ -158,23 +158,33 @@
 
   private isLikelierCause(other: TraitId, id: TraitId, crashCount: number): boolean {
     const otherCount = this.crashCount(other);
-    if (this.isBroad(other) || otherCount < CRASHES_TO_REFUSE) return false;
+    if (isWholeRequest(other) || this.isBroad(other)) return false;
+    if (otherCount < this.crashesToRefuse(other)) return false;
     if (this.isBroad(id) || otherCount > crashCount) return true;
     return otherCount === crashCount && this.sightings.seenOf(other) < this.sightings.seenOf(id);
   }
 
   /** Whether many sound requests have a trait, so that it is present at crashes it does not cause. */
   private isBroad(id: TraitId): boolean {
-    return isSharedKind(id) || (this.sightings.shareOf(id) ?? 0) > BROAD_SHARE;
+    return this.commonness(id) === 'broad';
+  }
+
+  private commonness(id: TraitId): keyof typeof CRASHES_TO_REFUSE {
+    if (isSharedKind(id)) return 'broad';
+    if (isWholeRequest(id)) return 'rare';
+    const share = this.sightings.shareOf(id);
+    if (share === undefined) return 'common';
+    if (share > BROAD_SHARE) return 'broad';
+    return share > RARE_SHARE ? 'common' : 'rare';
   }
 
   private crashesToRefuse(id: TraitId): number {
-    return this.isBroad(id) ? BROAD_CRASHES_TO_REFUSE : CRASHES_TO_REFUSE;
+    return CRASHES_TO_REFUSE[this.commonness(id)];
   }
 
   private refusalMs(id: TraitId, crashCount: number): number {
     if (!this.isBroad(id)) return REFUSAL_MS * this.jitter;
-    const growth = BROAD_REFUSAL_GROWTH ** (crashCount - BROAD_CRASHES_TO_REFUSE);
+    const growth = BROAD_REFUSAL_GROWTH ** (crashCount - CRASHES_TO_REFUSE.broad);
     return Math.min(REFUSAL_MS, BROAD_REFUSAL_MS * growth) * this.jitter;
   }
 
@@ -189,7 +199,8 @@
     this.cachedVersion = this.changes;
     const cached = this.crashCache.get(id);
     if (cached) return cached;
-    const crashes = distinctCrashes(this.runsOf(id).filter((run) => this.isLive(id, run)));
+    const runs = this.runsOf(id).filter((run) => this.isLive(id, run));
+    const crashes = distinctCrashes(runs, isWholeRequest(id) ? isSameCrash : isSameEvidence);
     this.crashCache.set(id, crashes);
     return crashes;
   }
@@ -270,7 +281,7 @@
     const ids = [...this.runs.keys()];
     const isWeak = (id: RunId): boolean =>
       (this.runs.get(id)?.traits ?? []).every(
-        (trait) => this.crashCount(trait) < CRASHES_TO_REFUSE,
+        (trait) => this.crashCount(trait) < CRASHES_TO_REFUSE.rare,
       );
     const evicted = ids.find(isWeak) ?? ids[0];
     if (evicted !== undefined) this.remove(evicted);
--- a/src/core/crashes/traits.ts
+++ b/src/core/crashes/traits.ts
@@ -29,8 +29,10 @@
 /** Names that are used as they are; others come from callers and are replaced by a digest. */
 const PLAIN_NAME = /^[\w.-]{1,32}$/;
 
+const WHOLE = 'request';
 const SENDER = 'sender';
 const FIRST_PART = 'first-part';
+const PART = 'part';
 
 function digestOf(...values: (string | Buffer)[]): string {
   const hash = createHash('sha256');
@@ -38,9 +40,13 @@
   return hash.digest('hex').slice(0, DIGEST_HEX_DIGITS);
 }
 
+/** A name as it stands in a trait. */
+export function plainName(name: string): string {
+  return PLAIN_NAME.test(name) ? name : digestOf(name);
+}
+
 function trait(kind: string, ...names: string[]): TraitId {
-  const plain = names.map((name) => (PLAIN_NAME.test(name) ? name : digestOf(name)));
-  return [kind, ...plain].join(':') as TraitId;
+  return [kind, ...names.map(plainName)].join(':') as TraitId;
 }
 
 /**
@@ -52,10 +58,10 @@
   const { service, route, organisation, path, caller, body, promptParts } = contents;
   const [first, ...others] = [...new Set(promptParts.slice(0, MAX_PARTS))];
   return [
-    trait('request', digestOf(JSON.stringify([path, caller]), body)),
+    trait(WHOLE, digestOf(JSON.stringify([path, caller]), body)),
     ...(organisation === undefined ? [] : [trait(SENDER, organisation, route)]),
     ...(first === undefined ? [] : [trait(FIRST_PART, service, first)]),
-    ...others.map((part) => trait('part', service, part)),
+    ...others.map((part) => trait(PART, service, part)),
   ];
 }
 
@@ -70,11 +76,25 @@
  */
 export function describeTrait(id: TraitId): string {
   const kind = kindOf(id);
-  if (kind === 'request') return 'path, key and body';
+  if (kind === WHOLE) return 'path, key and body';
   if (kind === SENDER) return 'organisation and route';
   return `prompt part "${id.slice(id.lastIndexOf(':') + 1)}"`;
 }
 
+/** Whether a trait stands for requests that are the same in all but their id. */
+export function isWholeRequest(id: TraitId): boolean {
+  return kindOf(id) === WHOLE;
+}
+
+/**
+ * Service of a part of a prompt, as `plainName` gives it; undefined for other traits.
+ * @example serviceOfPart(id) // 'agent-assist'
+ */
+export function serviceOfPart(id: TraitId): string | undefined {
+  const [kind, service] = id.split(':');
+  return kind === PART ? service : undefined;
+}
+
 /** Whether sound requests usually share such a trait: they have the same sender or first part. */
 export function isSharedKind(id: TraitId): boolean {
   const kind = kindOf(id);
--- a/test/core/crashes/evidence.test.ts
+++ b/test/core/crashes/evidence.test.ts
@@ -175,10 +175,17 @@
   assert.equal(other.refusedTrait([P]), undefined);
 });
 
+/** Sound requests arrive, so that the shares of parts are known; none of them is served. */
+function arriveSound(evidence: CrashEvidence, ...shared: string[]): void {
+  for (let i = 0; i < 20; i += 1)
+    evidence.noteArrival('s', prompt(...shared, `sound-${i % 10}`, `own-s-${i}`));
+}
+
 test('the part that is in all crashes is refused, and no sound part beside it', () => {
   const clock = { nowMs: 0 };
   const evidence = evidenceAt(clock);
   crash(evidence, clock, 'e-1', prompt('bad', 'a', 'own-1'));
+  arriveSound(evidence);
   clock.nowMs += 5000;
   crash(evidence, clock, 'e-2', prompt('bad', 'b', 'own-2'));
   assert.equal(evidence.refusedTrait(prompt('bad', 'c', 'own-3')), part('bad'));
@@ -194,6 +201,7 @@
     crash(evidence, clock, endpoint, prompt('template', 'bad', `own-${i}`));
     clock.nowMs += 5000;
     evidence.noteArrival('s', prompt('template', 'bad', `own-${i}`));
+    arriveSound(evidence, 'template');
   }
   const sound = prompt('template', 'a', 'own-3');
   evidence.noteArrival('s', sound);
@@ -273,6 +281,46 @@
   assert.equal(evidence.refusedTrait(prompt('bad', 'own')), part('bad'));
 });
 
+/**
+ * Two requests that each crash endpoints by themselves have a sound part in common, as one of five
+ * requests has, and no other request with it has succeeded in between.
+ */
+test('a part that one of five requests has is not refused after two crashes', () => {
+  const clock = { nowMs: 0 };
+  const evidence = evidenceAt(clock);
+  crash(evidence, clock, 'e-1', prompt('bad-1', 'topic', 'own-1'));
+  for (let i = 0; i < 4; i += 1) arriveSound(evidence);
+  for (let i = 0; i < 20; i += 1) evidence.noteArrival('s', prompt('topic', `own-t-${i}`));
+  clock.nowMs += 300;
+  crash(evidence, clock, 'e-2', prompt('bad-2', 'topic', 'own-2'));
+  assert.equal(evidence.refusedTrait(prompt('topic', 'own-3')), undefined);
+});
+
+/** One request crashes both endpoints that it is sent to; another one with its topic is in a third crash. */
+test('a common part does not count the crashes of a request that crashes endpoints by itself', () => {
+  const clock = { nowMs: 0 };
+  const evidence = evidenceAt(clock);
+  for (const endpoint of ['e-1', 'e-2']) {
+    crash(evidence, clock, endpoint, prompt('bad', 'topic', 'own-1'));
+    clock.nowMs += 30;
+  }
+  crash(evidence, clock, 'e-3', prompt('topic', 'own-2'));
+  assert.equal(evidence.crashCount(part('topic')), 2);
+  assert.equal(evidence.refusedTrait(prompt('topic', 'own-3')), undefined);
+});
+
+/** As in the test before last, at an entry that has seen too few requests to know how common the part is. */
+test('a part of unknown share is not refused after two crashes', () => {
+  const clock = { nowMs: 0 };
+  const evidence = evidenceAt(clock);
+  crash(evidence, clock, 'e-1', prompt('bad-1', 'topic', 'own-1'));
+  clock.nowMs += 300;
+  crash(evidence, clock, 'e-2', prompt('bad-2', 'topic', 'own-2'));
+  assert.equal(evidence.refusedTrait(prompt('topic', 'own-3')), undefined);
+  crash(evidence, clock, 'e-3', prompt('topic', 'own-3'));
+  assert.equal(evidence.refusedTrait(prompt('topic', 'own-4')), part('topic'));
+});
+
 const OBSERVATION = fc.record({
   trait: fc.constantFrom(P, Q, part('a')),
   endpoint: fc.constantFrom('e-1', 'e-2', 'e-3'),
