Refuse no sender of most requests, and clear a crash by any later success

Found by the soak with crashing parts, on the code before: the only sender of a route was refused after four crashes of streams that had nothing else in common; a part that one of five requests has was taken for rare, as none of the first eight had it; a success within a second of a known one was not merged, so that a crash between them counted on at some entries.

The soak's crashing sends two parts that crash endpoints; sound requests share the first part of their prompts. With topics, which sound requests share too, it is the scenario crashing-among-topics: a tenth of the runs end with a crash there.

--- a/bench/soak/crashing.ts
+++ b/bench/soak/crashing.ts
@@ -17,6 +17,8 @@
   '/again/part-1/',
   '/stream/part-2/',
 ];
+/** Topics of prompts, each of one of so many requests. */
+const TOPICS = 5;
 /** Longest pause between two crashes that no request causes, ms. */
 const MAX_CRASH_INTERVAL_MS = 1500;
 
@@ -40,3 +42,17 @@
     await sleep(MAX_CRASH_INTERVAL_MS * random());
   }
 }
+
+/**
+ * As `crashEndpoints`, with prompts of a few topics: sound requests and those that crash endpoints
+ * share more than their first part. Every tenth run of a plain endpoint ends with a crash.
+ * @example await crashEndpointsAmongTopics(deployment, random, 20_000);
+ */
+export async function crashEndpointsAmongTopics(
+  deployment: Deployment,
+  random: () => number,
+  untilMs: number,
+): Promise<void> {
+  deployment.promptTopics = TOPICS;
+  await crashEndpoints(deployment, random, untilMs);
+}
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -102,6 +102,8 @@
   readonly rateLimitPeriods: RateLimitPeriod[];
   /** Paths of requests that crash endpoints; callers mix them with other requests. */
   readonly crashingPaths: string[];
+  /** Number of topics, each a part of the prompts of as many requests; 0 if they share none. */
+  promptTopics: number;
   areCallersPaused: boolean;
   /** Slow readers to start, with the time after which each begins to read; undefined for never. */
   readonly slowReaders: { readonly readAfterMs: number | undefined }[];
@@ -364,6 +366,7 @@
     crashes,
     rateLimitPeriods: [],
     crashingPaths,
+    promptTopics: 0,
     areCallersPaused: false,
     slowReaders: [],
     unreadAnswers,
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -15,7 +15,7 @@
 } from './deployment.js';
 import { signalBackpressure } from './backpressure.js';
 import { restoreFromCopies } from './copies.js';
-import { crashEndpoints } from './crashing.js';
+import { crashEndpoints, crashEndpointsAmongTopics } from './crashing.js';
 import { disturb } from './faults.js';
 import { silenceDuringChanges, silenceWithoutRelays } from './silence.js';
 import { signalLongRateLimits } from './limits.js';
@@ -84,6 +84,7 @@
   'silence-without-relays': silenceWithoutRelays,
   copies: restoreFromCopies,
   crashing: crashEndpoints,
+  'crashing-among-topics': crashEndpointsAmongTopics,
   asking: signalBackpressure,
   limits: signalLongRateLimits,
   'slow-readers': readSlowly,
--- a/src/core/crashes/consts.ts
+++ b/src/core/crashes/consts.ts
@@ -29,7 +29,7 @@
 export const LOST_TOGETHER_MS = 250;
 /** A crashed endpoint is not back sooner, ms; covers the transit of messages from other entries. */
 export const MIN_RESTART_MS = 200;
-/** A success that is newer by less is the same one, received through another entry, ms. */
+/** A success that clears nothing and is newer by less is a known one, received through another entry, ms. */
 export const SAME_SUCCESS_MS = 1000;
 
 /**
--- a/src/core/crashes/evidence.ts
+++ b/src/core/crashes/evidence.ts
@@ -23,7 +23,7 @@
 } from './consts.js';
 import { distinctCrashes, isSameCrash, isSameEvidence } from './distinct-crashes.js';
 import { Sightings } from './sightings.js';
-import { isSharedKind, isWholeRequest, type TraitId } from './traits.js';
+import { isSender, isSharedKind, isWholeRequest, type TraitId } from './traits.js';
 import type { CrashedRun, RunId } from './types.js';
 
 /** Where a record comes from, and the version at which it was added or last changed. */
@@ -129,6 +129,7 @@
     const crashes = this.crashesOf(id);
     const last = crashes.at(-1);
     if (!last || crashes.length < this.crashesToRefuse(id)) return false;
+    if (isSender(id) && !this.isMinor(id)) return false;
     if (this.clock.nowMs() - last.crashedAtMs >= this.refusalMs(id, crashes.length)) return false;
     const unexplained = crashes.filter(
       (crash) => !this.isExplained(crash, id, crashes.length, traits),
@@ -169,6 +170,12 @@
     return this.commonness(id) === 'broad';
   }
 
+  /** Whether most requests for the service are known to lack a trait, and are served without it. */
+  private isMinor(id: TraitId): boolean {
+    const share = this.sightings.shareOf(id);
+    return share !== undefined && share <= BROAD_SHARE;
+  }
+
   private commonness(id: TraitId): keyof typeof CRASHES_TO_REFUSE {
     if (isSharedKind(id)) return 'broad';
     if (isWholeRequest(id)) return 'rare';
@@ -358,6 +365,8 @@
 
   private mergeSuccess(id: TraitId, sentAtMs: number): void {
     const known = this.successes.get(id)?.sentAtMs ?? Number.NEGATIVE_INFINITY;
-    if (sentAtMs > known + SAME_SUCCESS_MS) this.setSuccess(id, sentAtMs, false);
+    if (sentAtMs <= known) return;
+    if (this.clears(id, sentAtMs) || sentAtMs > known + SAME_SUCCESS_MS)
+      this.setSuccess(id, sentAtMs, false);
   }
 }
--- a/src/core/crashes/traits.ts
+++ b/src/core/crashes/traits.ts
@@ -52,14 +52,14 @@
 /**
  * Returns the traits of a request. Hashing a body of 4 KB takes 6 to 8 us, so this is called only
  * while there is evidence of a crash.
- * @example traitsOf(contents) // ['request:9f0c…', 'sender:org-1:r-1', 'first-part:model:5c1e07a2', …]
+ * @example traitsOf(contents) // ['request:9f0c…', 'sender:model:org-1:r-1', 'first-part:model:5c1e07a2', …]
  */
 export function traitsOf(contents: RequestContents): TraitId[] {
   const { service, route, organisation, path, caller, body, promptParts } = contents;
   const [first, ...others] = [...new Set(promptParts.slice(0, MAX_PARTS))];
   return [
     trait(WHOLE, digestOf(JSON.stringify([path, caller]), body)),
-    ...(organisation === undefined ? [] : [trait(SENDER, organisation, route)]),
+    ...(organisation === undefined ? [] : [trait(SENDER, service, organisation, route)]),
     ...(first === undefined ? [] : [trait(FIRST_PART, service, first)]),
     ...others.map((part) => trait(PART, service, part)),
   ];
@@ -87,16 +87,19 @@
 }
 
 /**
- * Service of a part of a prompt, as `plainName` gives it; undefined for other traits.
- * @example serviceOfPart(id) // 'agent-assist'
+ * Service of the requests with a trait, as `plainName` gives it; undefined for a whole request.
+ * @example serviceOf(id) // 'agent-assist'
  */
-export function serviceOfPart(id: TraitId): string | undefined {
-  const [kind, service] = id.split(':');
-  return kind === PART ? service : undefined;
+export function serviceOf(id: TraitId): string | undefined {
+  return isWholeRequest(id) ? undefined : id.split(':')[1];
+}
+
+/** Whether a trait stands for the organisation and the route of requests. */
+export function isSender(id: TraitId): boolean {
+  return kindOf(id) === SENDER;
 }
 
 /** Whether sound requests usually share such a trait: they have the same sender or first part. */
 export function isSharedKind(id: TraitId): boolean {
-  const kind = kindOf(id);
-  return kind === SENDER || kind === FIRST_PART;
+  return isSender(id) || kindOf(id) === FIRST_PART;
 }
