Give the rule that refuses traits a module of its own

evidence.ts held the records, their exchange and the rule. No change of behaviour: the 37 tests of crash evidence and of crashing requests pass, assertions as before.

--- a/src/core/crashes/evidence.ts
+++ b/src/core/crashes/evidence.ts
@@ -1,29 +1,24 @@
 /**
- * Tracks which traits requests had that had just started on endpoints when these crashed, to refuse
- * further requests with a trait that causes the crashes. A trait is suspected from the crashes since
- * a request with it last succeeded. Entries merge their observations; updates may be merged in any
- * order and more than once, without a coordinator.
+ * Records which traits requests had that had just started on endpoints when these crashed, and when
+ * a request with such a trait last succeeded. Entries merge their observations; updates may be merged
+ * in any order and more than once, without a coordinator.
  */
 import { randomBytes } from 'node:crypto';
 import type { Clock } from '../clock/index.js';
 import { asId, type EndpointId } from '../ids/index.js';
 import type { CrashedRunReport, CrashUpdate } from '../../generated/messages.types.js';
 import {
-  BROAD_REFUSAL_GROWTH,
-  BROAD_REFUSAL_MS,
-  BROAD_SHARE,
   CRASHES_TO_REFUSE,
   EVIDENCE_TTL_MS,
   MAX_CLEARED,
   MAX_RUNS,
-  RARE_SHARE,
   REFUSAL_JITTER,
-  REFUSAL_MS,
   SAME_SUCCESS_MS,
 } from './consts.js';
 import { distinctCrashes, isSameCrash, isSameEvidence } from './distinct-crashes.js';
+import { RefusalRule } from './refusal-rule.js';
 import { Sightings } from './sightings.js';
-import { isSender, isSharedKind, isWholeRequest, type TraitId } from './traits.js';
+import { isWholeRequest, type TraitId } from './traits.js';
 import type { CrashedRun, RunId } from './types.js';
 
 /** Where a record comes from, and the version at which it was added or last changed. */
@@ -65,7 +60,7 @@
   private readonly suspects = new Map<TraitId, Suspect>();
   private readonly sightings = new Sightings();
   private readonly clock: Pick<Clock, 'nowMs'>;
-  private readonly jitter: number;
+  private readonly rule: RefusalRule;
   private readonly runPrefix = randomBytes(6).toString('hex');
   private changes = 0;
   private ownRuns = 0;
@@ -77,7 +72,15 @@
 
   constructor({ clock, random = () => 0 }: CrashEvidenceDeps) {
     this.clock = clock;
-    this.jitter = 1 + REFUSAL_JITTER * random();
+    this.rule = new RefusalRule({
+      clock,
+      sightings: this.sightings,
+      jitter: 1 + REFUSAL_JITTER * random(),
+      runs: () => this.runs.values(),
+      isSuspected: (id) => this.isSuspected(id),
+      crashesOf: (id) => this.crashesOf(id),
+      isLive: (id, run) => this.isLive(id, run),
+    });
   }
 
   /** Rises with each change. */
@@ -101,15 +104,7 @@
    */
   refusedTrait(traits: readonly TraitId[]): TraitId | undefined {
     if (this.isEmpty) return undefined;
-    const refused = traits.filter((id) => this.isSuspected(id) && this.isRefused(id, traits));
-    const [first, ...others] = refused;
-    return others.reduce(
-      (likeliest, id) =>
-        likeliest && this.isLikelierCause(id, likeliest, this.crashCount(likeliest))
-          ? id
-          : likeliest,
-      first,
-    );
+    return this.rule.refusedTrait(traits);
   }
 
   /** Whether a trait was in a crash since its last success. */
@@ -125,76 +120,6 @@
     return this.crashesOf(id).length;
   }
 
-  private isRefused(id: TraitId, traits: readonly TraitId[]): boolean {
-    const crashes = this.crashesOf(id);
-    const last = crashes.at(-1);
-    if (!last || crashes.length < this.crashesToRefuse(id)) return false;
-    if (isSender(id) && !this.isMinor(id)) return false;
-    if (this.clock.nowMs() - last.crashedAtMs >= this.refusalMs(id, crashes.length)) return false;
-    const unexplained = crashes.filter(
-      (crash) => !this.isExplained(crash, id, crashes.length, traits),
-    );
-    return unexplained.length >= this.crashesToRefuse(id);
-  }
-
-  /**
-   * Whether a trait that the request does not have is the likelier cause of a crash. Sound requests
-   * share parts with those that crash endpoints, and their parts are then in the same crashes.
-   */
-  private isExplained(
-    crash: CrashedRun,
-    id: TraitId,
-    crashCount: number,
-    traits: readonly TraitId[],
-  ): boolean {
-    for (const run of this.runs.values()) {
-      if (!isSameCrash(crash, run)) continue;
-      for (const other of run.traits) {
-        if (traits.includes(other) || !this.isLive(other, run)) continue;
-        if (this.isLikelierCause(other, id, crashCount)) return true;
-      }
-    }
-    return false;
-  }
-
-  private isLikelierCause(other: TraitId, id: TraitId, crashCount: number): boolean {
-    const otherCount = this.crashCount(other);
-    if (isWholeRequest(other) || this.isBroad(other)) return false;
-    if (otherCount < this.crashesToRefuse(other)) return false;
-    if (this.isBroad(id) || otherCount > crashCount) return true;
-    return otherCount === crashCount && this.sightings.seenOf(other) < this.sightings.seenOf(id);
-  }
-
-  /** Whether many sound requests have a trait, so that it is present at crashes it does not cause. */
-  private isBroad(id: TraitId): boolean {
-    return this.commonness(id) === 'broad';
-  }
-
-  /** Whether most requests for the service are known to lack a trait, and are served without it. */
-  private isMinor(id: TraitId): boolean {
-    const share = this.sightings.shareOf(id);
-    return share !== undefined && share <= BROAD_SHARE;
-  }
-
-  private commonness(id: TraitId): keyof typeof CRASHES_TO_REFUSE {
-    if (isSharedKind(id)) return 'broad';
-    if (isWholeRequest(id)) return 'rare';
-    const share = this.sightings.shareOf(id);
-    if (share === undefined) return 'common';
-    if (share > BROAD_SHARE) return 'broad';
-    return share > RARE_SHARE ? 'common' : 'rare';
-  }
-
-  private crashesToRefuse(id: TraitId): number {
-    return CRASHES_TO_REFUSE[this.commonness(id)];
-  }
-
-  private refusalMs(id: TraitId, crashCount: number): number {
-    if (!this.isBroad(id)) return REFUSAL_MS * this.jitter;
-    const growth = BROAD_REFUSAL_GROWTH ** (crashCount - CRASHES_TO_REFUSE.broad);
-    return Math.min(REFUSAL_MS, BROAD_REFUSAL_MS * growth) * this.jitter;
-  }
-
   /** Whether no success rules out that a trait caused the crash of a run. */
   private isLive(id: TraitId, run: CrashedRun): boolean {
     const success = this.successes.get(id);
