Send on crash evidence that arrives together in one answer

Each entry that had requests on a crashed endpoint reports them, and each that serves one with their traits again clears them. Each report answered the waiting request of every daemon at a relay: 40 reports, 40 answers for each of them. A relay now waits 20 ms for more.

--- a/src/core/published/relay.ts
+++ b/src/core/published/relay.ts
@@ -24,6 +24,9 @@
  */
 const MAX_CHANGES = 512;
 
+/** Time for which crash evidence is collected before it is sent on, ms. */
+const WAKE_DELAY_MS = 20;
+
 /** The fields of an update that concern crashes. */
 type CrashFields = Pick<PublishedUpdate, 'crashVersion' | 'crashes'>;
 
@@ -78,6 +81,7 @@
   private sentList: ReadonlyMap<EndpointId, PublishedEndpoint> = new Map();
   private sentEvacuated: readonly DataCentreId[] = [];
   private readonly wakeCallbacks = new Set<() => void>();
+  private wakeTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly deps: RelayDeps) {}
 
@@ -96,6 +100,17 @@
     this.wake();
   }
 
+  /**
+   * Wakes all waiting requests soon, together with what arrives until then: a crash is reported by
+   * each entry that had requests there, and cleared by each that serves one again.
+   */
+  wakeSoon(): void {
+    this.wakeTimer ??= setTimeout(() => {
+      this.wakeTimer = undefined;
+      this.wake();
+    }, WAKE_DELAY_MS);
+  }
+
   /** Wakes all waiting requests, which then respond with the current state. */
   wake(): void {
     for (const wake of [...this.wakeCallbacks]) wake();
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -114,7 +114,7 @@
     ...sharedDeps,
     ageClock,
     broadcastCrashes: () => {
-      relay.wake();
+      relay.wakeSoon();
       crashUpdates.flush();
     },
     broadcastLeaving: (endpoint) => {
@@ -186,7 +186,7 @@
   const calls: RpcHandlers = {
     published: (request) => relay.answer(request),
     crashes: (update) => {
-      if (crashes.merge(update)) relay.wake();
+      if (crashes.merge(update)) relay.wakeSoon();
     },
     token: (request) => rateLimits.grant(request),
     asks: (update) => {
--- a/test/core/published/relayed-source.test.ts
+++ b/test/core/published/relayed-source.test.ts
@@ -392,6 +392,29 @@
   assert.equal(daemon.crashes.version, version);
 });
 
+/** 40 entries report a crash and clear it again: without it each report answers every waiting request. */
+test('evidence that arrives in quick succession is forwarded in one answer', async () => {
+  const fleet = startFleet();
+  const relay = fleet.start('relay', ['relay']);
+  await readAll(relay, fleet);
+  const daemon = fleet.start('entry', ['relay']);
+  await readAll(daemon, fleet);
+  let answers = 0;
+  const watching = daemon.source.watch(0, 60_000).then(() => (answers += 1));
+  for (let i = 0; i < 40; i += 1) {
+    const { nowMs } = fleet;
+    relay.crashes.noteCrash({
+      endpoint: asId<EndpointId>(`e-${i}`),
+      sentAtMs: nowMs,
+      traits: [TRAIT],
+    });
+    relay.relay.wakeSoon();
+  }
+  assert.equal(answers, 0);
+  await watching;
+  assert.equal(daemon.crashes.deltaSince(0).runs.length, 40);
+});
+
 test('relays that restart all at once get the evidence of crashes from the entries that read from them', async () => {
   const fleet = startFleet();
   await readAll(fleet.start('relay', ['relay']), fleet);
