Refuse no frequent request for the crashes of another one

A sound request that is sent often may be in flight at both endpoints that a crashing request takes down, one after the other. Both were refused for five minutes, as nothing told them apart. The one that arrives less often is now taken for the cause. The test of evidence.test fails before.

--- a/src/core/crashes/refusal-rule.ts
+++ b/src/core/crashes/refusal-rule.ts
@@ -81,7 +81,9 @@
 
   private isLikelierCause(other: TraitId, id: TraitId): boolean {
     const { sightings, crashesOf } = this.facts;
-    if (isWholeRequest(other) || this.commonness(other) === 'broad') return false;
+    if (this.commonness(other) === 'broad') return false;
+    // Each request with a crashing part is in its own crashes.
+    if (isWholeRequest(other) && !isWholeRequest(id)) return false;
     const [crashes, otherCrashes] = [crashesOf(id).length, crashesOf(other).length];
     if (otherCrashes < this.crashesToRefuse(other)) return false;
     if (this.commonness(id) === 'broad' || otherCrashes > crashes) return true;
--- a/src/core/crashes/sightings.ts
+++ b/src/core/crashes/sightings.ts
@@ -3,7 +3,8 @@
 import { plainName, serviceOf, type TraitId } from './traits.js';
 
 interface Sighting {
-  readonly service: string;
+  /** Undefined for a whole request, whose share is not asked for. */
+  readonly service: string | undefined;
   /** Requests for the service before the count began. */
   readonly since: number;
   /** Requests with the trait. */
@@ -15,11 +16,15 @@
   private readonly requests = new Map<string, number>();
   private readonly byTrait = new Map<TraitId, Sighting>();
 
-  /** Begins to count a trait; whole requests are rare in any case. */
+  /** Begins to count a trait. */
   add(id: TraitId): void {
+    if (this.byTrait.has(id)) return;
     const service = serviceOf(id);
-    if (service === undefined || this.byTrait.has(id)) return;
-    this.byTrait.set(id, { service, since: this.requests.get(service) ?? 0, seen: 0 });
+    this.byTrait.set(id, { service, since: this.requestsOf(service), seen: 0 });
+  }
+
+  private requestsOf(service: string | undefined): number {
+    return service === undefined ? 0 : (this.requests.get(service) ?? 0);
   }
 
   remove(id: TraitId): void {
@@ -29,7 +34,7 @@
   /** Counts a request for a service that arrived. */
   count(service: string, traits: readonly TraitId[]): void {
     const name = plainName(service);
-    this.requests.set(name, (this.requests.get(name) ?? 0) + 1);
+    this.requests.set(name, this.requestsOf(name) + 1);
     for (const id of traits) {
       const sighting = this.byTrait.get(id);
       if (sighting) sighting.seen += 1;
@@ -40,7 +45,7 @@
   shareOf(id: TraitId): number | undefined {
     const sighting = this.byTrait.get(id);
     if (!sighting) return undefined;
-    const requests = (this.requests.get(sighting.service) ?? 0) - sighting.since;
+    const requests = this.requestsOf(sighting.service) - sighting.since;
     // One more than was seen: of few requests, a common trait may be in none by chance.
     return requests < MIN_SIGHTINGS ? undefined : (sighting.seen + 1) / requests;
   }
--- a/test/core/crashes/evidence.test.ts
+++ b/test/core/crashes/evidence.test.ts
@@ -318,6 +318,22 @@
   assert.equal(few.refusedTrait(prompt('topic', 'own-3')), undefined);
 });
 
+/** A sound request that is sent often is in flight at both endpoints that another one crashes in turn. */
+test('a frequent request is not refused for the crashes of another one', () => {
+  const clock = { nowMs: 0 };
+  const evidence = evidenceAt(clock);
+  for (const endpoint of ['e-1', 'e-2']) {
+    const sentAtMs = clock.nowMs;
+    clock.nowMs += 30;
+    for (const traits of [[P], [Q]])
+      evidence.noteCrash({ endpoint: at(endpoint), sentAtMs, traits });
+    clock.nowMs += 1;
+  }
+  evidence.noteArrival('s', [Q]);
+  assert.equal(evidence.refusedTrait([Q]), undefined);
+  assert.equal(evidence.refusedTrait([P]), P);
+});
+
 /** One request crashes both endpoints that it is sent to; another one with its topic is in a third crash. */
 test('a common part does not count the crashes of a request that crashes endpoints by itself', () => {
   const clock = { nowMs: 0 };
