--- a/src/core/crashes/evidence.ts
+++ b/src/core/crashes/evidence.ts
@@ -64,7 +64,7 @@
   private readonly runPrefix = randomBytes(6).toString('hex');
   private changes = 0;
   private ownRuns = 0;
-  /** Crashes by trait as of `cachedVersion`: with 300 runs they took 0.8 ms of each request. */
+  /** Crashes by trait as of `cachedVersion`; counting them among 300 runs takes 0.8 ms. */
   private readonly crashCache = new Map<TraitId, readonly CrashedRun[]>();
   private cachedVersion = 0;
   /** When the evidence of the latest crash expires, ms. */
--- a/src/core/crashes/refusal-rule.ts
+++ b/src/core/crashes/refusal-rule.ts
@@ -82,7 +82,7 @@
   private isLikelierCause(other: TraitId, id: TraitId): boolean {
     const { sightings, crashesOf } = this.facts;
     if (this.commonness(other) === 'broad') return false;
-    // Each request with a crashing part is in its own crashes.
+    // Every request with a crashing part is itself present at the crashes that the part causes.
     if (isWholeRequest(other) && !isWholeRequest(id)) return false;
     const [crashes, otherCrashes] = [crashesOf(id).length, crashesOf(other).length];
     if (otherCrashes < this.crashesToRefuse(other)) return false;
--- a/src/core/crashes/sightings.ts
+++ b/src/core/crashes/sightings.ts
@@ -46,7 +46,7 @@
     const sighting = this.byTrait.get(id);
     if (!sighting) return undefined;
     const requests = this.requestsOf(sighting.service) - sighting.since;
-    // One more than was seen: of few requests, a common trait may be in none by chance.
+    // Adds one: a common trait may be missing among few requests by chance.
     return requests < MIN_SIGHTINGS ? undefined : (sighting.seen + 1) / requests;
   }
 
