--- a/bench/soak/check.ts
+++ b/bench/soak/check.ts
@@ -217,15 +217,14 @@
   });
 
 /** Only requests that crash endpoints are refused with `crashes-endpoints`. */
-const harmlessRequestsAreNotRefused: Guarantee = ({ requests, crashes }) => {
-  return requests
+const harmlessRequestsAreNotRefused: Guarantee = ({ requests, crashes }) =>
+  requests
     .filter(
       (request) =>
         request.outcome?.body.includes('crashes-endpoints') &&
         !crashes.some(({ path }) => isCausedBy(path, request.path)),
     )
     .map((request) => `${request.id}: refused with crashes-endpoints, but crashed none`);
-};
 
 const stepsUseOneMap: Guarantee = ({ mixedSteps }) =>
   mixedSteps.map((step) => `step ${step} began with two maps`);
--- a/bench/soak/crashing.ts
+++ b/bench/soak/crashing.ts
@@ -45,7 +45,7 @@
 
 /**
  * As `crashEndpoints`, with prompts of a few topics: sound requests and those that crash endpoints
- * share more than their first part. Every tenth run of a plain endpoint ends with a crash.
+ * share more than their first part.
  * @example await crashEndpointsAmongTopics(deployment, random, 20_000);
  */
 export async function crashEndpointsAmongTopics(
