--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -118,12 +118,23 @@
   ].join('\n');
 }
 
+/** Longest time of a script, ms. */
+const LONGEST_MS = 117_000;
+
 /** Processes and files of this script; `end` stops and removes them all. */
 export class Deployment {
   constructor() {
     this.folder = mkdtempSync(join(tmpdir(), 'harrierglade-review-'));
     this.children = new Set();
     this.closers = [];
+    // The case could not run to its end: what was started must not outlive the script.
+    const abandon = () => {
+      for (const child of this.children) child.kill('SIGKILL');
+      rmSync(this.folder, { recursive: true, force: true });
+      process.exit(2);
+    };
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.once(signal, abandon);
+    setTimeout(abandon, LONGEST_MS).unref();
   }
 
   /** Starts a program of the deploy file; `exited` resolves with its code. */
