--- a/review/lib/plain-engine.mjs
+++ b/review/lib/plain-engine.mjs
@@ -18,7 +18,7 @@
 }
 
 /**
- * Starts an engine. `workMs()` gives the time of one request. `afterAnswer(bytes, channel)` sees each answer
+ * Starts an engine. `workMs()` gives the time of one request, `fails()` whether it ends with the engine's own 500. `afterAnswer(bytes, channel)` sees each answer
  * as it is sent; `beforeRequest(channel)` runs once the next request on a channel has been read.
  */
 export async function startPlainEngine({
@@ -29,6 +29,7 @@
   queue = 24,
   maxConnections = 48,
   workMs,
+  fails = () => false,
   afterAnswer = () => undefined,
   beforeRequest = () => undefined,
 }) {
@@ -68,7 +69,8 @@
       clearTimeout(timer);
       running -= 1;
       record({ engine: id, at: nowMs(), what: isDone ? 'done' : 'dropped', id: request.id });
-      if (isDone) answer(request, '200 OK', [], `${request.path} by ${id} for ${request.id}`);
+      if (isDone && fails()) answer(request, '500 Internal Server Error', [], 'failed');
+      else if (isDone) answer(request, '200 OK', [], `${request.path} by ${id} for ${request.id}`);
       const next = waiting.shift();
       if (next) begin(next);
     };
