--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -19,10 +19,11 @@
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 /** The site's dose of `garble extra late`: for 5 s, at 0.6 of the engines, 0.03 of their answers. */
-const GARBLE = { forMs: 5000, engines: 2, x: 0.03 };
+const ENGINES = 5;
+const GARBLE = { forMs: 5000, engines: 3, x: 0.03 };
 const SPELLS = 8;
 const SPELL_GAP_MS = 1500;
-const CLIENTS = 48;
+const CLIENTS = 80;
 /** Pause of a client that was refused, ms. */
 const THINK_MS = 700;
 /** Time budget of the site's bp-lookup, ms. */
@@ -93,7 +94,7 @@
   for (let i = 0; i < SPELLS; i += 1) {
     await sleep(SPELL_GAP_MS);
     if (HAS_TROUBLE) {
-      const order = [0, 1, 2].sort(() => Math.random() - 0.5);
+      const order = Array.from({ length: ENGINES }, (_, i) => i).sort(() => Math.random() - 0.5);
       garbled = new Set(order.slice(0, GARBLE.engines));
     }
     await sleep(GARBLE.forMs);
@@ -170,7 +171,7 @@
   const entries = [`${net}.1`, `${net}.2`];
   const store = deployment.add(await startStore(`${net}.4`));
   store.put('op/config', CONFIG);
-  for (const index of [0, 1, 2]) {
+  for (let index = 0; index < ENGINES; index += 1) {
     const engine = deployment.add(await startPlainEngine(engineOptions(`${net}.3`, index)));
     store.put(`servers/${engine.id}`, {
       service: 'counter-api',
