Believe a response only once it is known whose it is

Callers saw: once-only requests refused with 503 that had run (REFUSED), or run a second time at another endpoint (TWICE), and three to four 502 for each surplus response of an endpoint.

Cause: a response's headers were checked for "not run" before its request id, and its backpressure signals were recorded before both. A response of another request was then "closed" by aborting a request whose whole response had arrived, which closes nothing, so the responses on that connection stayed shifted by one.

Mended: the headers are checked while they are parsed, and a foreign response closes its connection there, before the next request can be written to it. A response without an id is used only on a connection that carried no other request. `close` closes the connection also after the whole response. An error counts as "not sent" only before the request was written, whatever its code.

--- a/src/gateway/endpoints/connect.ts
+++ b/src/gateway/endpoints/connect.ts
@@ -1,6 +1,6 @@
 /** Connections to endpoints, and classification of connection errors. */
 import type { Socket } from 'node:net';
-import { buildConnector, type Dispatcher } from 'undici';
+import { buildConnector } from 'undici';
 import { CONNECT_TIMEOUT_MS } from '../consts.js';
 
 /** Error code of undici for a connection that broke during a request. */
@@ -48,35 +48,6 @@
     });
 }
 
-/** Wraps a handler to call `onStart` when its request is about to be written to a connection. */
-function notifyingHandler(
-  next: Dispatcher.DispatchHandler,
-  onStart: () => void,
-): Dispatcher.DispatchHandler {
-  return {
-    onRequestStart: (...args) => {
-      onStart();
-      return next.onRequestStart?.(...args);
-    },
-    onRequestUpgrade: (...args) => next.onRequestUpgrade?.(...args),
-    onResponseStart: (...args) => next.onResponseStart?.(...args),
-    onResponseData: (...args) => next.onResponseData?.(...args),
-    onResponseEnd: (...args) => next.onResponseEnd?.(...args),
-    onResponseError: (...args) => next.onResponseError?.(...args),
-  };
-}
-
-/**
- * Wraps a dispatcher to call `onStart` when a request starts to be sent. Until then the request waits for a
- * connection, and no byte of it has left this process.
- * @example await withStartCallback(pool, () => (isOut = true)).request(options);
- */
-export function withStartCallback(pool: Dispatcher, onStart: () => void): Dispatcher {
-  return pool.compose(
-    (dispatch) => (options, handler) => dispatch(options, notifyingHandler(handler, onStart)),
-  );
-}
-
 /** Error codes of connections that failed before any byte of a request was sent. */
 const NOT_SENT_CODES = new Set([
   'ECONNREFUSED',
--- a/src/gateway/endpoints/endpoints.ts
+++ b/src/gateway/endpoints/endpoints.ts
@@ -19,6 +19,7 @@
 import { EndpointHealth, chooseRank } from '../../core/routing/index.js';
 import { ReplaceablePool } from '../../runtime/replaceable-pool.js';
 import { createEndpointConnector } from './connect.js';
+import { createEndpointClient } from './exchange.js';
 import { failurePenalty, type EndpointState } from './endpoint-state.js';
 import {
   UNKNOWN_PASS,
@@ -200,6 +201,7 @@
         connections: Math.max(2, Math.min(MAX_CONNECTIONS, share)),
         pipelining: 1,
         connect: createEndpointConnector(),
+        factory: createEndpointClient,
         keepAliveTimeout: IDLE_CONNECTION_TIMEOUT_MS,
         headersTimeout: 0,
         bodyTimeout: 0,
--- /dev/null
+++ b/src/gateway/endpoints/exchange.ts
@@ -0,0 +1,161 @@
+/**
+ * Exchanges with an endpoint: one request and its response on one connection. An endpoint may send a second
+ * response, or bytes behind a whole one, in the place of the response to the next request on the connection.
+ */
+import type { IncomingHttpHeaders } from 'node:http';
+import type { Socket } from 'node:net';
+import { Client, type buildConnector, type Dispatcher, type Pool } from 'undici';
+import type { Result } from '../../core/result/index.js';
+
+/** Lowest status of a final response; those below are informational. */
+const MIN_FINAL_STATUS = 200;
+
+/** Hooks into one exchange; `Head` is what the caller reads from the response headers. */
+export interface ExchangeHooks<Head> {
+  /** Called when the request is about to be written; until then no byte of it has left this process. */
+  readonly onStart: () => void;
+  /**
+   * Reads the headers of the final response. An error closes the connection while they are parsed, since the
+   * next request may be written to it directly after; the exchange fails with that error.
+   */
+  readonly readHead: (response: RawHead) => Result<Head, Error>;
+}
+
+/** Headers of a final response. */
+export interface RawHead {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  /** Whether the connection has carried no other request, so that the response can belong to no other. */
+  readonly isFirstOnConnection: boolean;
+}
+
+/** A response whose headers were accepted. */
+export interface ExchangeResponse<Head> {
+  readonly head: Head;
+  readonly body: Dispatcher.ResponseData['body'];
+}
+
+/** A request that was handed to a connection pool. */
+export interface Exchange<Head> {
+  readonly response: Promise<ExchangeResponse<Head>>;
+  /** Ends the exchange if it is not complete; a request that was not written yet never is. */
+  readonly cancel: () => void;
+  /**
+   * Ends the exchange and closes its connection, even if the whole response has arrived. A connection that
+   * carries a newer request stays open.
+   */
+  readonly close: () => void;
+}
+
+/** Options of a client as a pool creates it. */
+type PoolClientOptions = Client.Options & { readonly connect: buildConnector.connector };
+
+/** Which connection an exchange runs on; undici passes it on as the opaque value of a request. */
+class ConnectionUse {
+  client: EndpointClient | undefined;
+  isFirst = false;
+}
+
+/** The client of one connection of a pool; knows which exchange was the last one on it. */
+class EndpointClient extends Client {
+  private socket: Socket | null = null;
+  private newest: ConnectionUse | undefined;
+  private isFresh = true;
+
+  constructor(origin: URL, { connect, ...options }: PoolClientOptions) {
+    super(origin, {
+      ...options,
+      connect: (target, callback) =>
+        connect(target, (...result) => {
+          this.socket = result[1];
+          this.isFresh = true;
+          callback(...result);
+        }),
+    });
+  }
+
+  override dispatch(
+    options: Dispatcher.DispatchOptions & { readonly opaque?: unknown },
+    handler: Dispatcher.DispatchHandler,
+  ): boolean {
+    if (options.opaque instanceof ConnectionUse) options.opaque.client = this;
+    return super.dispatch(options, handler);
+  }
+
+  /** Notes that the request of an exchange is written to the connection. */
+  noteStarted(use: ConnectionUse): void {
+    this.newest = use;
+    use.isFirst = this.isFresh;
+    this.isFresh = false;
+  }
+
+  /** Closes the connection if no other exchange has started on it since. */
+  closeAfter(use: ConnectionUse): void {
+    if (this.newest === use) this.socket?.destroy();
+  }
+}
+
+/**
+ * Creates the client of one connection of a pool of endpoint connections.
+ * @example new Pool(origin, { factory: createEndpointClient, connect: createEndpointConnector() })
+ */
+export function createEndpointClient(origin: URL, options: object): Dispatcher {
+  return new EndpointClient(origin, options as PoolClientOptions);
+}
+
+/** Wraps a handler with the hooks of one exchange. */
+function hookedHandler<Head>(
+  next: Dispatcher.DispatchHandler,
+  use: ConnectionUse,
+  hooks: ExchangeHooks<Head>,
+  onHead: (head: Head) => void,
+): Dispatcher.DispatchHandler {
+  return {
+    onRequestStart: (controller, context) => {
+      use.client?.noteStarted(use);
+      hooks.onStart();
+      next.onRequestStart?.(controller, context);
+    },
+    onResponseStart: (controller, status, headers, message) => {
+      if (status >= MIN_FINAL_STATUS) {
+        const head = hooks.readHead({ status, headers, isFirstOnConnection: use.isFirst });
+        if (head.err) return controller.abort(head.val);
+        onHead(head.val);
+      }
+      next.onResponseStart?.(controller, status, headers, message);
+    },
+    onRequestUpgrade: (...args) => next.onRequestUpgrade?.(...args),
+    onResponseData: (...args) => next.onResponseData?.(...args),
+    onResponseEnd: (...args) => next.onResponseEnd?.(...args),
+    onResponseError: (...args) => next.onResponseError?.(...args),
+  };
+}
+
+/**
+ * Sends a request on a connection of a pool of `createEndpointClient`.
+ * @example const exchange = startExchange(pool, { method: 'GET', path: '/x' }, hooks);
+ */
+export function startExchange<Head>(
+  pool: Pool,
+  options: Dispatcher.RequestOptions,
+  hooks: ExchangeHooks<Head>,
+): Exchange<Head> {
+  const aborter = new AbortController();
+  const use = new ConnectionUse();
+  const response = new Promise<ExchangeResponse<Head>>((resolve, reject) => {
+    let head: Head;
+    const noteHead = (read: Head): void => void (head = read);
+    pool
+      .compose(
+        (dispatch) => (opts, next) => dispatch(opts, hookedHandler(next, use, hooks, noteHead)),
+      )
+      .request({ ...options, opaque: use, signal: aborter.signal })
+      .then(({ body }) => resolve({ head, body }), reject);
+  });
+  const cancel = (): void => aborter.abort();
+  const close = (): void => {
+    cancel();
+    use.client?.closeAfter(use);
+  };
+  return { response, cancel, close };
+}
--- a/src/gateway/requests/active-request.ts
+++ b/src/gateway/requests/active-request.ts
@@ -182,6 +182,11 @@
     service: active.service.id,
     kind: fault.kind,
   });
+  if (fault.kind === 'broke' && fault.rejected)
+    active.ctx.metrics.count('responses_rejected_total', {
+      service: active.service.id,
+      reason: fault.rejected,
+    });
   active.ctx.log.info('attempt.fault', {
     request: active.request.id,
     endpoint: target.endpoint.id,
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -1,11 +1,18 @@
 /** One attempt at an endpoint: sends the request and checks the response headers. */
-import type { Dispatcher } from 'undici';
+import type { Dispatcher, Pool } from 'undici';
 import { errorText } from '../../core/errors/index.js';
 import { Err, Ok, type Result } from '../../core/result/index.js';
-import { wasNotSent, withStartCallback } from '../endpoints/connect.js';
+import { wasNotSent } from '../endpoints/connect.js';
+import { startExchange, type Exchange, type RawHead } from '../endpoints/exchange.js';
 import { STALLED_CONNECTION_MS } from '../consts.js';
 import type { EndpointState } from '../endpoints/endpoint-state.js';
-import type { ResponseHead, AttemptFault, GatewayRequest, CallerApi } from '../types.js';
+import type {
+  ResponseHead,
+  AttemptFault,
+  GatewayRequest,
+  CallerApi,
+  RejectReason,
+} from '../types.js';
 
 /** A response whose headers have been checked; its body has yet to be read. */
 export interface AttemptResponse {
@@ -27,40 +34,47 @@
   readonly resumeAfter: number | undefined;
   /** Timeout of the response headers, ms. */
   readonly responseTimeoutMs: number;
-  /** Called with the response headers before they are checked. */
+  /** Called with the headers of a response to this request. */
   readonly onHead: (head: ResponseHead) => void;
 }
 
-function attemptFault(kind: AttemptFault['kind'], detail: string): Result<never, AttemptFault> {
-  return Err({ kind, detail });
+const REJECTED_TEXTS: Record<RejectReason, string> = {
+  'other-request': 'the response belongs to another request',
+  'no-request-id': 'the response lacks a request id',
+  unsigned: 'the response is unsigned',
+  encoded: 'the response has a content encoding',
+};
+
+/** A response that must not be used, whatever its status says. */
+class RejectedResponse extends Error {
+  constructor(readonly reason: RejectReason) {
+    super(REJECTED_TEXTS[reason]);
+  }
 }
 
-/** Checks the response headers before any byte of the body is used. */
-function checkHead(
+/**
+ * Why a response cannot be used. Whose response it is comes before anything that it says: after a surplus
+ * response on its connection, a "not run" may belong to an earlier request.
+ */
+function rejectedHead(
   head: ResponseHead,
   request: GatewayRequest,
-  close: () => void,
-): AttemptFault | undefined {
-  const { backoffMs } = head.asks;
-  if (head.isNotRun && backoffMs !== undefined)
-    return {
-      kind: 'resting',
-      detail: `endpoint answered ${head.status}, backoff of ${backoffMs} ms`,
-    };
-  if (head.isNotRun) return { kind: 'not-run', detail: `endpoint answered ${head.status}` };
-  if (head.requestId !== undefined && head.requestId !== request.id) {
-    close();
-    return { kind: 'broke', detail: 'the response belongs to another request' };
-  }
+  isFirstOnConnection: boolean,
+): RejectReason | undefined {
   const isSuccess = head.status >= 200 && head.status < 300;
-  if (isSuccess && (!head.isSigned || head.isEncoded || head.requestId === undefined)) {
-    close();
-    return {
-      kind: 'broke',
-      detail: 'the response is unsigned, lacks a request id, or has a content encoding',
-    };
-  }
-  return undefined;
+  if (head.requestId === undefined && (isSuccess || !isFirstOnConnection)) return 'no-request-id';
+  if (head.requestId !== undefined && head.requestId !== request.id) return 'other-request';
+  if (!isSuccess) return undefined;
+  if (!head.isSigned) return 'unsigned';
+  return head.isEncoded ? 'encoded' : undefined;
+}
+
+/** The fault of an endpoint that states that it has not run the request. */
+function notRunFault({ isNotRun, status, asks }: ResponseHead): AttemptFault | undefined {
+  if (!isNotRun) return undefined;
+  const detail = `endpoint answered ${status}`;
+  if (asks.backoffMs === undefined) return { kind: 'not-run', detail };
+  return { kind: 'resting', detail: `${detail}, backoff of ${asks.backoffMs} ms` };
 }
 
 function upstreamPathOf(callerApi: CallerApi, request: GatewayRequest): string {
@@ -68,6 +82,46 @@
   return callerApi.upstreamPath?.(url) ?? url;
 }
 
+/** Reads the headers of a response, and checks that it is the one to this request. */
+function readHead(
+  { callers, request }: AttemptOptions,
+  { status, headers, isFirstOnConnection }: RawHead,
+): Result<ResponseHead, RejectedResponse> {
+  const head = callers.readResponse(status, headers);
+  const reason = rejectedHead(head, request, isFirstOnConnection);
+  return reason === undefined ? Ok(head) : Err(new RejectedResponse(reason));
+}
+
+/** Starts the exchange of an attempt; `onStart` is called when its request is about to be written. */
+function startAttempt(
+  options: AttemptOptions,
+  pool: Pool,
+  onStart: () => void,
+): Exchange<ResponseHead> {
+  const { callers, request, target } = options;
+  const call: Dispatcher.RequestOptions = {
+    method: request.req.method as Dispatcher.HttpMethod,
+    path: upstreamPathOf(callers, request),
+    headers: callers.writeAttempt(request.req.headers, {
+      requestId: request.id,
+      endpoint: target.endpoint,
+      organisation: request.organisation?.id,
+      deadlineMs: Math.max(1, Math.floor(options.remainingMs)),
+      resumeAfter: options.resumeAfter,
+    }),
+    body: request.body.length > 0 ? request.body : null,
+  };
+  return startExchange(pool, call, { onStart, readHead: (raw) => readHead(options, raw) });
+}
+
+/** The fault of an attempt whose exchange failed by itself. */
+function faultOf(err: unknown, wasStarted: boolean): AttemptFault {
+  const detail = errorText(err);
+  if (err instanceof RejectedResponse) return { kind: 'broke', detail, rejected: err.reason };
+  if (!wasStarted && wasNotSent(err)) return { kind: 'not-run', detail, isUnreachable: true };
+  return { kind: 'broke', detail };
+}
+
 /**
  * Sends one attempt. The error kind tells whether the request may have run.
  * @example const response = await sendAttempt(options); if (response.ok) await relay(response.val);
@@ -75,61 +129,41 @@
 export async function sendAttempt(
   options: AttemptOptions,
 ): Promise<Result<AttemptResponse, AttemptFault>> {
-  const { callers: callerApi, request, target } = options;
-  const abortController = new AbortController();
-  const close = (): void => abortController.abort();
-  const onDisconnect = (): void => abortController.abort();
-  request.gone.addEventListener('abort', onDisconnect, { once: true });
+  const { request, target, responseTimeoutMs } = options;
   const pool = target.connections.current;
+  let wasStarted = false;
+  let ownFault: AttemptFault | undefined;
+  const cancelUnsent = (reason: string): void => {
+    ownFault = { kind: 'resting', detail: reason };
+    exchange.cancel();
+  };
+  target.cancelUnsent.add(cancelUnsent);
+  const exchange = startAttempt(options, pool, () => {
+    wasStarted = true;
+    target.cancelUnsent.delete(cancelUnsent);
+  });
+  const { close } = exchange;
+  request.gone.addEventListener('abort', exchange.cancel, { once: true });
   const closeStalled = (stalledMs: number): void => {
     close();
     if (stalledMs >= STALLED_CONNECTION_MS) target.connections.replace(pool);
   };
-  let hasTimedOut = false;
   const timer = setTimeout(() => {
-    hasTimedOut = true;
-    closeStalled(options.responseTimeoutMs);
-  }, options.responseTimeoutMs);
-  let cancelReason: string | undefined;
-  const cancelUnsent = (reason: string): void => {
-    cancelReason = reason;
-    close();
-  };
-  target.cancelUnsent.add(cancelUnsent);
+    const detail = `no response within ${Math.round(responseTimeoutMs)} ms`;
+    ownFault = { kind: 'silent', detail };
+    closeStalled(responseTimeoutMs);
+  }, responseTimeoutMs);
   try {
-    const res = await withStartCallback(pool, () =>
-      target.cancelUnsent.delete(cancelUnsent),
-    ).request({
-      method: request.req.method as Dispatcher.HttpMethod,
-      path: upstreamPathOf(callerApi, request),
-      headers: callerApi.writeAttempt(request.req.headers, {
-        requestId: request.id,
-        endpoint: target.endpoint,
-        organisation: request.organisation?.id,
-        deadlineMs: Math.max(1, Math.floor(options.remainingMs)),
-        resumeAfter: options.resumeAfter,
-      }),
-      body: request.body.length > 0 ? request.body : null,
-      signal: abortController.signal,
-    });
+    const { head, body } = await exchange.response;
     // An unhandled error of an unread body would end the process.
-    res.body.on('error', () => undefined);
-    const head = callerApi.readResponse(res.statusCode, res.headers);
+    body.on('error', () => undefined);
     options.onHead(head);
-    const headFault = checkHead(head, request, close);
-    if (!headFault) return Ok({ head, body: res.body, close, closeStalled });
-    await res.body.dump().catch(() => close());
-    return Err(headFault);
+    const notRun = notRunFault(head);
+    if (!notRun) return Ok({ head, body, close, closeStalled });
+    await body.dump().catch(() => close());
+    return Err(notRun);
   } catch (err) {
-    if (hasTimedOut)
-      return attemptFault(
-        'silent',
-        `no response within ${Math.round(options.responseTimeoutMs)} ms`,
-      );
-    if (cancelReason !== undefined) return attemptFault('resting', cancelReason);
-    const detail = errorText(err);
-    if (wasNotSent(err)) return Err({ kind: 'not-run', detail, isUnreachable: true });
-    return attemptFault('broke', detail);
+    return Err(ownFault ?? faultOf(err, wasStarted));
   } finally {
     target.cancelUnsent.delete(cancelUnsent);
     clearTimeout(timer);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -177,6 +177,9 @@
   readonly gone: AbortSignal;
 }
 
+/** Why the headers of a response show that it must not be used; label `reason` of `responses_rejected_total`. */
+export type RejectReason = 'other-request' | 'no-request-id' | 'unsigned' | 'encoded';
+
 /** Why an attempt produced no response. */
 export type AttemptFault =
   /** The request has not run: the endpoint states so, or the connection failed. */
@@ -184,7 +187,7 @@
   /** It has not run: the endpoint requested a backoff and refused it, or it was not sent there. */
   | { readonly kind: 'resting'; readonly detail: string }
   /** The connection or the response failed; the request may have run. */
-  | { readonly kind: 'broke'; readonly detail: string }
+  | { readonly kind: 'broke'; readonly detail: string; readonly rejected?: RejectReason }
   /** No response, or no further event, within the timeout. */
   | { readonly kind: 'silent'; readonly detail: string }
   /** Aborted by the entry because the endpoint is slow and another one can resume the stream. */
