End an attempt only if its request can go on elsewhere

Callers saw: streams on routes without stream-resume closed with no response, or cut inside one, as their endpoint turned slow (LOST); 504 after 1,250 ms of silence although nothing else could be tried.

Cause: the decision to leave a slow endpoint asked `mayRetry`, which allows a request that has not run. The break itself marks it as run, and the same question then forbids the retry. The idle timeout asked nothing at all.

Mended: one decision (claim-retry.ts) is asked before an attempt is ended and pays for the next one; the retry after it does not ask again. A slow endpoint is left only for one that is not slow. Silence ends an attempt before the deadline only with such a claim (silence-timeout.ts), also before the headers of a whole response.

Ruled out: the retry budget as the cause (no stream of the case may be resumed, so none reached it).

Conclusion: mended for the case and for silence; breaks are bounded by the retry budget also if every endpoint is slow.

--- a/src/gateway/endpoints/choose-endpoint.ts
+++ b/src/gateway/endpoints/choose-endpoint.ts
@@ -75,10 +75,13 @@
 }
 
 /**
- * Whether another endpoint or group is available: without one, aborting a slow stream gains
- * nothing.
- * @example if (isSlow && hasAlternative(active)) switchEndpoint();
+ * Whether a suitable other endpoint or another group is available: without one, ending an attempt gains nothing.
+ * @example hasAlternative(active, (other) => !endpoints.isSlow(other))
  */
-export function hasAlternative(active: ActiveRequest): boolean {
-  return chooseEndpoint(active) !== undefined || chooseOtherGroup(active) !== undefined;
+export function hasAlternative(
+  active: ActiveRequest,
+  isSuitable: (other: EndpointState) => boolean,
+): boolean {
+  const other = chooseEndpoint(active);
+  return (other !== undefined && isSuitable(other)) || chooseOtherGroup(active) !== undefined;
 }
--- a/src/gateway/requests/active-request.ts
+++ b/src/gateway/requests/active-request.ts
@@ -4,7 +4,6 @@
 import {
   BUSY_RETRY_S,
   FINAL_RESPONSE_MARGIN_MS,
-  MIN_ATTEMPT_TIME_MS,
   OUTAGE_RETRY_S,
   BACKOFF_RETRY_JITTER_S,
 } from '../consts.js';
@@ -62,6 +61,8 @@
   opening: Opening | undefined;
   /** The group in which this request holds a slot. */
   group: GroupQueue | undefined;
+  /** Whether the next attempt is paid for from the retry budget. */
+  hasRetryClaim: boolean;
 }
 
 /** Time until the deadline, ms, less the time reserved for writing the final response. */
@@ -77,23 +78,6 @@
   return range.min + ctx.random() * (range.max - range.min);
 }
 
-/** Whether the route and the remaining time allow another attempt. */
-export function mayRetry(active: ActiveRequest): boolean {
-  const { route } = active.request;
-  if (active.tried.size >= route.maxAttempts || remainingMs(active) < MIN_ATTEMPT_TIME_MS)
-    return false;
-  if (!active.mayHaveRun) return true;
-  if (route.kind === 'once') return false;
-  return route.kind === 'repeatable' || route.resumable;
-}
-
-/** Whether the retry budget allows another attempt; counts denials. */
-export function hasRetryBudget(active: ActiveRequest): boolean {
-  const has = active.service.budget.canWithdraw();
-  if (!has) active.ctx.metrics.count('retries_denied_total', { service: active.service.id });
-  return has;
-}
-
 /** Creates the outcome of a refused request. */
 export function refuseWith(
   reason: Refusal['reason'],
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -6,6 +6,7 @@
 import { startExchange, type Exchange, type RawHead } from '../endpoints/exchange.js';
 import { STALLED_CONNECTION_MS } from '../consts.js';
 import type { EndpointState } from '../endpoints/endpoint-state.js';
+import { SilenceTimeout } from './silence-timeout.js';
 import type {
   ResponseHead,
   AttemptFault,
@@ -20,8 +21,8 @@
   readonly body: Dispatcher.ResponseData['body'];
   /** Closes the connection: late bytes on it must not be taken for another response. */
   readonly close: () => void;
-  /** Closes the connection after a stall; other open connections to the endpoint may be dead too. */
-  readonly closeStalled: (stalledMs: number) => void;
+  /** Notes a silence of the endpoint, ms; other open connections to it may be dead too. */
+  readonly noteSilence: (silentMs: number) => void;
 }
 
 /** Options of one attempt. */
@@ -32,8 +33,12 @@
   /** Remaining time, ms. */
   readonly remainingMs: number;
   readonly resumeAfter: number | undefined;
-  /** Timeout of the response headers, ms. */
+  /** Timeout of the response headers while the request can go on elsewhere, ms. */
   readonly responseTimeoutMs: number;
+  /** Time until the deadline, ms. */
+  readonly untilDeadlineMs: () => number;
+  /** Whether the request can go on elsewhere if this attempt, which may have run it or not, is ended. */
+  readonly mayEnd: (mayHaveRun: boolean) => boolean;
   /** Called with the headers of a response to this request. */
   readonly onHead: (head: ResponseHead) => void;
 }
@@ -129,7 +134,7 @@
 export async function sendAttempt(
   options: AttemptOptions,
 ): Promise<Result<AttemptResponse, AttemptFault>> {
-  const { request, target, responseTimeoutMs } = options;
+  const { request, target } = options;
   const pool = target.connections.current;
   let wasStarted = false;
   let ownFault: AttemptFault | undefined;
@@ -144,28 +149,33 @@
   });
   const { close } = exchange;
   request.gone.addEventListener('abort', exchange.cancel, { once: true });
-  const closeStalled = (stalledMs: number): void => {
-    close();
-    if (stalledMs >= STALLED_CONNECTION_MS) target.connections.replace(pool);
+  const noteSilence = (silentMs: number): void => {
+    if (silentMs >= STALLED_CONNECTION_MS) target.connections.replace(pool);
   };
-  const timer = setTimeout(() => {
-    const detail = `no response within ${Math.round(responseTimeoutMs)} ms`;
-    ownFault = { kind: 'silent', detail };
-    closeStalled(responseTimeoutMs);
-  }, responseTimeoutMs);
+  const timeout = new SilenceTimeout({
+    idleMs: options.responseTimeoutMs,
+    remainingMs: options.untilDeadlineMs,
+    mayEnd: () => options.mayEnd(wasStarted),
+    onSilence: noteSilence,
+    end: (silentMs) => {
+      ownFault = { kind: 'silent', detail: `no response within ${Math.round(silentMs)} ms` };
+      close();
+    },
+  });
+  timeout.restart();
   try {
     const { head, body } = await exchange.response;
     // An unhandled error of an unread body would end the process.
     body.on('error', () => undefined);
     options.onHead(head);
     const notRun = notRunFault(head);
-    if (!notRun) return Ok({ head, body, close, closeStalled });
+    if (!notRun) return Ok({ head, body, close, noteSilence });
     await body.dump().catch(() => close());
     return Err(notRun);
   } catch (err) {
     return Err(ownFault ?? faultOf(err, wasStarted));
   } finally {
     target.cancelUnsent.delete(cancelUnsent);
-    clearTimeout(timer);
+    timeout.stop();
   }
 }
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -1,6 +1,7 @@
 /** The attempts of one request: chooses endpoints and timeouts, and decides on retries. */
 import { recordSignals } from '../backpressure/backpressure-signals.js';
 import { sendAttempt } from './attempt.js';
+import { claimContinuation, claimRetry } from './claim-retry.js';
 import { acquireEndpoint, chooseOtherGroup } from '../endpoints/choose-endpoint.js';
 import { OTHER_ENTRY_RETRY_S, RETRY_TIMEOUT_FACTOR, STREAM_IDLE_TIMEOUT_MS } from '../consts.js';
 import { describeTrait } from '../../core/crashes/index.js';
@@ -8,16 +9,14 @@
 import type { EndpointState } from '../endpoints/endpoint-state.js';
 import {
   failureOutcome,
-  hasRetryBudget,
   remainingMs,
-  mayRetry,
   recordFault,
   refuseWith,
   type RequestOutcome,
   type ActiveRequest,
 } from './active-request.js';
 
-/** Timeout of the response headers, ms. */
+/** Timeout of the response headers while the request can go on elsewhere, ms. */
 function responseTimeoutMs(active: ActiveRequest): number {
   const { route } = active.request;
   const remaining = remainingMs(active);
@@ -47,6 +46,8 @@
       remainingMs: remainingMs(active),
       resumeAfter: progress.lastEventId,
       responseTimeoutMs: responseTimeoutMs(active),
+      untilDeadlineMs: () => remainingMs(active),
+      mayEnd: (mayHaveRun) => claimContinuation(active, { mayHaveRun }),
       onHead: (head) => recordSignals(active, target, head, sentAtMs),
     });
     const run = { request, endpoint: target.endpoint, sentAtMs };
@@ -125,9 +126,8 @@
     const outcome = await runAttempt(active, target);
     if (outcome) return outcome;
     if (request.gone.aborted) return { kind: 'gone' };
-    if (!mayRetry(active)) return failureOutcome(active);
-    if (!hasRetryBudget(active)) return failureOutcome(active);
-    service.budget.withdraw();
+    if (!claimRetry(active)) return failureOutcome(active);
+    active.hasRetryClaim = false;
     switchGroup(active);
     ctx.metrics.count('retries_total', {
       service: service.id,
--- a/src/gateway/requests/deliver.ts
+++ b/src/gateway/requests/deliver.ts
@@ -1,14 +1,12 @@
 /** Forwards the response of one attempt to the caller. */
 import type { AttemptResponse } from './attempt.js';
-import { hasAlternative } from '../endpoints/choose-endpoint.js';
 import { STREAM_IDLE_TIMEOUT_MS } from '../consts.js';
 import type { EndpointState } from '../endpoints/endpoint-state.js';
+import { claimContinuation, claimRetry } from './claim-retry.js';
 import { relayStream, type StreamOutcome } from './relay-stream.js';
 import { readFullResponse } from './read-response.js';
 import {
-  hasRetryBudget,
   remainingMs,
-  mayRetry,
   recordFault,
   refuseWith,
   type RequestOutcome,
@@ -39,7 +37,7 @@
   if (status >= MIN_SERVER_ERROR_STATUS || NOT_RUN_STATUSES.has(status)) {
     recordFault(active, target, { kind: 'broke', detail: `endpoint answered ${status}` });
     // A status that wrongly claims "not run" is never forwarded; others are after the last attempt.
-    if (NOT_RUN_STATUSES.has(status) || (mayRetry(active) && hasRetryBudget(active))) {
+    if (NOT_RUN_STATUSES.has(status) || claimRetry(active)) {
       writer.discard();
       return undefined;
     }
@@ -63,7 +61,7 @@
   response: AttemptResponse,
   sentAtMs: number,
 ): Promise<RequestOutcome | undefined> {
-  const { ctx, request, progress, service, writer } = active;
+  const { ctx, request, progress, writer } = active;
   const { status } = response.head;
   if (status < 200 || status >= 300) return deliverBuffered(active, target, response);
   const eventsBefore = progress.events;
@@ -76,9 +74,8 @@
       remainingMs: () => remainingMs(active),
       shouldSwitchEndpoint: () =>
         ctx.endpoints.isSlow(target) &&
-        mayRetry(active) &&
-        service.budget.canWithdraw() &&
-        hasAlternative(active),
+        claimContinuation(active, { isSuitable: (other) => !ctx.endpoints.isSlow(other) }),
+      mayEnd: () => claimContinuation(active),
       onFirstEvent: () => {
         const nowMs = ctx.clock.nowMs();
         active.summary.firstMs ??= nowMs - request.arrivedAtMs;
--- a/src/gateway/requests/read-response.ts
+++ b/src/gateway/requests/read-response.ts
@@ -23,7 +23,8 @@
   let hasTimedOut = false;
   const timer = setTimeout(() => {
     hasTimedOut = true;
-    response.closeStalled(timeoutMs);
+    response.noteSilence(timeoutMs);
+    response.close();
   }, timeoutMs);
   try {
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
--- a/src/gateway/requests/relay-stream.ts
+++ b/src/gateway/requests/relay-stream.ts
@@ -7,6 +7,7 @@
 import type { AttemptResponse } from './attempt.js';
 import { EventSplitter, type StreamEvent } from './event-splitter.js';
 import type { ResponseWriter } from './response-writer.js';
+import { SilenceTimeout } from './silence-timeout.js';
 
 /** Progress of a caller's stream over all attempts. */
 export interface StreamProgress {
@@ -32,12 +33,14 @@
   readonly writer: Pick<ResponseWriter, 'writeHead' | 'write'>;
   readonly progress: StreamProgress;
   readonly nowMs: () => number;
-  /** Timeout between two events, ms. */
+  /** Timeout between two events while the stream can go on elsewhere, ms. */
   readonly idleTimeoutMs: number;
   /** Time until the deadline of the request, ms. */
   readonly remainingMs: () => number;
   /** Whether to resume the stream on another endpoint; called after each chunk. */
   readonly shouldSwitchEndpoint: () => boolean;
+  /** Whether the stream can go on elsewhere if this attempt is ended. */
+  readonly mayEnd: () => boolean;
   /** Called at the first event of each attempt. */
   readonly onFirstEvent: () => void;
   /** Called at each later event with the pause before it, ms. */
@@ -86,14 +89,17 @@
   const splitter = new EventSplitter();
   let timeoutDetail = '';
   let isFirst = true;
-  const startIdleTimer = (): NodeJS.Timeout => {
-    const timeoutMs = Math.max(1, Math.min(options.idleTimeoutMs, options.remainingMs()));
-    return setTimeout(() => {
-      timeoutDetail = `no event within ${Math.round(timeoutMs)} ms`;
-      response.closeStalled(timeoutMs);
-    }, timeoutMs);
-  };
-  let timer = startIdleTimer();
+  const timeout = new SilenceTimeout({
+    idleMs: options.idleTimeoutMs,
+    remainingMs: options.remainingMs,
+    mayEnd: options.mayEnd,
+    onSilence: response.noteSilence,
+    end: (silentMs) => {
+      timeoutDetail = `no event within ${Math.round(silentMs)} ms`;
+      response.close();
+    },
+  });
+  timeout.restart();
   try {
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
       const accepted: Buffer[] = [];
@@ -117,14 +123,13 @@
         response.close();
         return { kind: 'slow', detail: 'the endpoint is slow' };
       }
-      clearTimeout(timer);
-      timer = startIdleTimer();
+      timeout.restart();
     }
   } catch (err) {
     if (timeoutDetail) return { kind: 'silent', detail: timeoutDetail };
     return { kind: 'broke', detail: errorText(err) };
   } finally {
-    clearTimeout(timer);
+    timeout.stop();
   }
   if (splitter.pendingBytes > 0)
     return { kind: 'broke', detail: 'the stream ended inside an event' };
--- a/src/gateway/requests/serve-request.ts
+++ b/src/gateway/requests/serve-request.ts
@@ -46,6 +46,7 @@
     isRateLimited: false,
     opening: undefined,
     group: undefined,
+    hasRetryClaim: false,
     writer: new ResponseWriter({
       res: request.res,
       budget: ctx.memory,
--- a/test/gateway/requests/response-writer.test.ts
+++ b/test/gateway/requests/response-writer.test.ts
@@ -108,7 +108,7 @@
     head: { status: 200, headers: {} },
     body: body(),
     close: () => undefined,
-    closeStalled: () => undefined,
+    noteSilence: () => undefined,
   } as unknown as AttemptResponse;
   return relayStream(
     {
@@ -118,6 +118,7 @@
       idleTimeoutMs: 1000,
       remainingMs: () => 1000,
       shouldSwitchEndpoint: () => false,
+      mayEnd: () => true,
       onFirstEvent: () => undefined,
       onPause: () => undefined,
     },
