Cancel a request that waits for a connection at once, and refuse it as not run

Callers saw: 504, which promises nothing, for requests that were never sent because all connections to their endpoint were taken. Some were sent as their time ended, and some after their caller had the response, and ran in vain.

Cause: undici reports the abort of a queued request only when it reaches a connection, and a timeout counted as silence of the endpoint whether the request had been sent or not. The attempts that timed out closed their connections, and the new ones in their place carried the requests that waited. A "silence" of a request that was not sent also replaced connections that were sound.

Mended: the exchange itself rejects a request that is cancelled before it starts, and never starts it after that. What was not sent in time is "not run": another endpoint may get it, also if it may run once only, and its caller gets 503 with Retry-After.

Ruled out: REFUSED by this path (the callers got 504).

--- a/src/gateway/endpoints/exchange.ts
+++ b/src/gateway/endpoints/exchange.ts
@@ -9,6 +9,7 @@
 
 /** Lowest status of a final response; those below are informational. */
 const MIN_FINAL_STATUS = 200;
+const CANCELLED = 'the request was cancelled before it was sent';
 
 /** Hooks into one exchange; `Head` is what the caller reads from the response headers. */
 export interface ExchangeHooks<Head> {
@@ -50,9 +51,11 @@
 /** Options of a client as a pool creates it. */
 type PoolClientOptions = Client.Options & { readonly connect: buildConnector.connector };
 
-/** Which connection an exchange runs on; undici passes it on as the opaque value of a request. */
+/** Progress of an exchange on its connection; undici passes it on as the opaque value of a request. */
 class ConnectionUse {
   client: EndpointClient | undefined;
+  isStarted = false;
+  isCancelled = false;
   isFirst = false;
 }
 
@@ -112,6 +115,8 @@
 ): Dispatcher.DispatchHandler {
   return {
     onRequestStart: (controller, context) => {
+      if (use.isCancelled) return controller.abort(new Error(CANCELLED));
+      use.isStarted = true;
       use.client?.noteStarted(use);
       hooks.onStart();
       next.onRequestStart?.(controller, context);
@@ -142,9 +147,11 @@
 ): Exchange<Head> {
   const aborter = new AbortController();
   const use = new ConnectionUse();
+  let rejectUnsent: (err: Error) => void = () => undefined;
   const response = new Promise<ExchangeResponse<Head>>((resolve, reject) => {
     let head: Head;
     const noteHead = (read: Head): void => void (head = read);
+    rejectUnsent = reject;
     pool
       .compose(
         (dispatch) => (opts, next) => dispatch(opts, hookedHandler(next, use, hooks, noteHead)),
@@ -152,7 +159,12 @@
       .request({ ...options, opaque: use, signal: aborter.signal })
       .then(({ body }) => resolve({ head, body }), reject);
   });
-  const cancel = (): void => aborter.abort();
+  const cancel = (): void => {
+    use.isCancelled = true;
+    aborter.abort();
+    // undici reports the end of a queued request only when a connection becomes free.
+    if (!use.isStarted) rejectUnsent(new Error(CANCELLED));
+  };
   const close = (): void => {
     cancel();
     use.client?.closeAfter(use);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -225,6 +225,8 @@
     }
     const end = await serveAdmitted(request, note);
     finish(request, id, res, end, note);
+    // After a timeout an attempt may still wait for a connection, and must not be sent.
+    if (request.remainingMs() < FINAL_RESPONSE_MARGIN_MS) disconnected.abort();
   }
 
   /** The outcome of a request whose body could not be read. */
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -4,7 +4,7 @@
 import { Err, Ok, type Result } from '../../core/result/index.js';
 import { wasNotSent } from '../endpoints/connect.js';
 import { startExchange, type Exchange, type RawHead } from '../endpoints/exchange.js';
-import { STALLED_CONNECTION_MS } from '../consts.js';
+import { MIN_ATTEMPT_TIME_MS, STALLED_CONNECTION_MS } from '../consts.js';
 import type { EndpointState } from '../endpoints/endpoint-state.js';
 import { SilenceTimeout } from './silence-timeout.js';
 import type {
@@ -119,6 +119,13 @@
   return startExchange(pool, call, { onStart, readHead: (raw) => readHead(options, raw) });
 }
 
+/** The fault of an attempt that this entry ended after a silence, ms. */
+function silenceFault(silentMs: number, wasStarted: boolean): AttemptFault {
+  const within = `within ${Math.round(silentMs)} ms`;
+  if (wasStarted) return { kind: 'silent', detail: `no response ${within}` };
+  return { kind: 'not-run', detail: `not sent: no connection was free ${within}` };
+}
+
 /** The fault of an attempt whose exchange failed by itself. */
 function faultOf(err: unknown, wasStarted: boolean): AttemptFault {
   const detail = errorText(err);
@@ -154,11 +161,14 @@
   };
   const timeout = new SilenceTimeout({
     idleMs: options.responseTimeoutMs,
-    remainingMs: options.untilDeadlineMs,
+    // A request that waits for a connection is not sent when it is too late to be served.
+    remainingMs: () => options.untilDeadlineMs() - (wasStarted ? 0 : MIN_ATTEMPT_TIME_MS),
     mayEnd: () => options.mayEnd(wasStarted),
-    onSilence: noteSilence,
+    onSilence: (silentMs) => {
+      if (wasStarted) noteSilence(silentMs);
+    },
     end: (silentMs) => {
-      ownFault = { kind: 'silent', detail: `no response within ${Math.round(silentMs)} ms` };
+      ownFault = silenceFault(silentMs, wasStarted);
       close();
     },
   });
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -173,7 +173,7 @@
   readonly arrivedAtMs: number;
   /** Time until its deadline, ms; time during which the process was suspended counts. */
   readonly remainingMs: () => number;
-  /** Aborted when the caller disconnects. */
+  /** Aborted when the caller disconnects, or got its final response while the request was still served. */
   readonly gone: AbortSignal;
 }
 
--- a/test/gateway/requests/ended-attempt.test.ts
+++ b/test/gateway/requests/ended-attempt.test.ts
@@ -32,6 +32,8 @@
 /** Longer than the idle timeout of a stream that can go on elsewhere. */
 const SILENCE_MS = 1500;
 const SLOW_PACE = 3;
+/** Connections of one entry to an endpoint of the test service. */
+const CONNECTIONS = 8;
 
 const STREAM: Partial<Route> = { kind: 'stream', timeoutMs: 3000, gapMs: 100, maxAttempts: 2 };
 const WHOLE = Array.from({ length: EVENTS }, (_, i) => event(i + 1)).join('');
@@ -190,3 +192,21 @@
     assert.ok(tookMs < 700, `${tookMs} ms`);
   });
 });
+
+test('an attempt that waits for a connection is not sent after its caller got the response', async () => {
+  const change = { kind: 'once', maxAttempts: 1, timeoutMs: 300 } as const;
+  const responses: (() => void)[] = [];
+  const held: RawResponder = (req) =>
+    void responses.push(() => req.socket.write(okResponse(req, 'own')));
+  const options = { responders: [held], change, areEngines: false };
+  await play(options, async ({ entry, raws }) => {
+    const sent = Array.from({ length: CONNECTIONS + 2 }, (_, i) => entry.send(`q-${i}`));
+    const statuses = (await Promise.all(sent)).map(({ status }) => status);
+    // Those that were never sent are refused as not run; the others may have run.
+    assert.equal(statuses.filter((status) => status === 503).length, 2);
+    assert.equal(statuses.filter((status) => status === 504).length, CONNECTIONS);
+    for (const respond of responses) respond();
+    assert.equal((await entry.send('q-last')).status, 504);
+    assert.equal(arrivals(raws), CONNECTIONS + 1);
+  });
+});
