--- a/src/gateway/requests/active-request.ts
+++ b/src/gateway/requests/active-request.ts
@@ -143,6 +143,14 @@
   return { kind: 'refused', refusal: { reason, detail, retryAfterS } };
 }
 
+/**
+ * Refuses a request in flight, which claims that it has not run; after an attempt that may have run it, the
+ * outcome of that attempt is reported instead.
+ */
+export function refuseUnlessRun(active: ActiveRequest, refusal: Refusal): RequestOutcome {
+  return active.mayHaveRun ? failureOutcome(active) : { kind: 'refused', refusal };
+}
+
 /** Records an attempt that produced no response. */
 export function recordFault(
   active: ActiveRequest,
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -11,7 +11,7 @@
   failureOutcome,
   remainingMs,
   recordFault,
-  refuseWith,
+  refuseUnlessRun,
   type RequestOutcome,
   type ActiveRequest,
 } from './active-request.js';
@@ -82,20 +82,14 @@
   active.group = next;
 }
 
-/**
- * Refuses a request that crashes endpoints, without claiming "not run" if it may have run; undefined
- * if there is no reason to refuse it.
- */
+/** Refuses a request that crashes endpoints; undefined if there is no reason to refuse it. */
 export function refuseIfCrashing(active: ActiveRequest): RequestOutcome | undefined {
   const { ctx, request, service } = active;
   const trait = ctx.crashes.refusedTrait(request, service.id);
   if (trait === undefined) return undefined;
   ctx.crashes.recordRefusal(trait);
-  if (active.mayHaveRun) return failureOutcome(active);
-  return refuseWith(
-    'crashes-endpoints',
-    `endpoints crashed as they began to run requests with the same ${describeTrait(trait)}`,
-  );
+  const detail = `endpoints crashed as they began to run requests with the same ${describeTrait(trait)}`;
+  return refuseUnlessRun(active, { reason: 'crashes-endpoints', detail });
 }
 
 /**
@@ -116,12 +110,11 @@
     if (lateRefusal) return lateRefusal;
     if (!request.route.isPublic && !ctx.areKeysConfirmed()) {
       // The freshness check may have expired while the request was queued or attempted.
-      if (active.mayHaveRun) return failureOutcome(active);
-      return refuseWith(
-        'proof-old',
-        'the freshness check of the configuration expired before the request was sent',
-        OTHER_ENTRY_RETRY_S,
-      );
+      return refuseUnlessRun(active, {
+        reason: 'proof-old',
+        detail: 'the freshness check of the configuration expired before the request was sent',
+        retryAfterS: OTHER_ENTRY_RETRY_S,
+      });
     }
     const outcome = await runAttempt(active, target);
     if (outcome) return outcome;
