One unusable endpoint costs only itself

Cause: the check of an address took any five digits for a port and any three for a part of the IP number. The connection pool for such an address throws in its constructor, inside the loop over all endpoints of the service, and the handler of last resort closed the caller's connection.

A record that is skipped is logged once and counted. An endpoint for which no state can be created is left out of the choice, once logged and counted, so that lists from peers cannot do the same.

Ruled out: the missing fields of that record as the cause (each has a default; the address alone throws).

Loops over endpoints on the path of a request (choose, firstOpening, isAvailable) take states from one iterator now.

--- a/src/core/published/state-updater.ts
+++ b/src/core/published/state-updater.ts
@@ -17,12 +17,16 @@
   readonly metrics: Metrics;
 }
 
+/** Number of skipped records that are remembered as logged. */
+const MAX_LOGGED_INVALID = 256;
+
 /**
  * Applies configurations to the published state and logs changes of it and of the endpoint list.
  */
 export class StateUpdater {
   /** Whether the active configuration is the newest published one. */
   private isNewest = false;
+  private readonly loggedInvalid = new Set<string>();
 
   constructor(
     private readonly deps: StateUpdaterDeps,
@@ -86,9 +90,15 @@
       this.deps.log.info('evacuation.ended', { dataCentre, ...this.originFields() });
   }
 
-  /** Logs skipped records. */
+  /** Counts and logs skipped records, each once as long as it is read again and again. */
   logInvalid(records: readonly string[]): void {
-    for (const detail of records) this.deps.log.warn('published.invalid', { detail });
+    for (const detail of records) {
+      if (this.loggedInvalid.has(detail)) continue;
+      if (this.loggedInvalid.size >= MAX_LOGGED_INVALID) this.loggedInvalid.clear();
+      this.loggedInvalid.add(detail);
+      this.deps.metrics.count('published_invalid_total');
+      this.deps.log.warn('published.invalid', { detail });
+    }
   }
 
   /**
--- a/src/gateway/endpoints/endpoints.ts
+++ b/src/gateway/endpoints/endpoints.ts
@@ -6,6 +6,7 @@
   type RateLimiter,
 } from '../../core/backpressure/index.js';
 import type { Clock } from '../../core/clock/index.js';
+import { errorText } from '../../core/errors/index.js';
 import type { EndpointId } from '../../core/ids/index.js';
 import type { Log } from '../../core/logging/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
@@ -75,6 +76,8 @@
   private readonly byId = new Map<EndpointId, EndpointState>();
   /** Previous processes of restarted endpoints that still have requests in flight. */
   private readonly previousProcesses = new Set<EndpointState>();
+  /** Records of endpoints for which no state could be created. */
+  private readonly unusable = new WeakSet<PublishedEndpoint>();
   private sequence = 0;
 
   constructor(private readonly deps: EndpointsDeps) {}
@@ -117,9 +120,9 @@
     const ranks: RankOption[] = [];
     let best: EndpointState | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
-    for (const endpoint of this.deps.state.availableEndpoints(service)) {
+    for (const state of this.usableStates(service)) {
+      const { endpoint } = state;
       if (tried.has(endpoint.id) || !mayTake(endpoint)) continue;
-      const state = this.stateOf(endpoint);
       if (state.gate.opening(nowMs).atMs > nowMs) continue;
       const status = this.deps.statusOf(endpoint);
       if (status) {
@@ -151,7 +154,8 @@
   /** Whether an endpoint may be sent a request now. */
   isAvailable(endpoint: PublishedEndpoint): boolean {
     const nowMs = this.deps.clock.nowMs();
-    return this.stateOf(endpoint).gate.opening(nowMs).atMs <= nowMs;
+    const state = this.usableStateOf(endpoint);
+    return state !== undefined && state.gate.opening(nowMs).atMs <= nowMs;
   }
 
   /**
@@ -161,8 +165,8 @@
    */
   firstOpening(service: ServiceId, nowMs = this.deps.clock.nowMs()): Opening | undefined {
     let first: Opening | undefined;
-    for (const endpoint of this.deps.state.availableEndpoints(service)) {
-      const opening = this.stateOf(endpoint).gate.opening(nowMs);
+    for (const state of this.usableStates(service)) {
+      const opening = state.gate.opening(nowMs);
       if (!first || opening.atMs < first.atMs) first = opening;
     }
     return first;
@@ -188,6 +192,31 @@
     return isSlowEngine(this.deps.statusOf(state.endpoint));
   }
 
+  /** The endpoints of a service that receive requests, without those that cannot be used. */
+  private *usableStates(service: ServiceId): Iterable<EndpointState> {
+    for (const endpoint of this.deps.state.availableEndpoints(service)) {
+      const state = this.usableStateOf(endpoint);
+      if (state) yield state;
+    }
+  }
+
+  /** The state of an endpoint; undefined if its record is unusable, which must not fail the choice among the others. */
+  private usableStateOf(endpoint: PublishedEndpoint): EndpointState | undefined {
+    if (this.unusable.has(endpoint)) return undefined;
+    try {
+      return this.stateOf(endpoint);
+    } catch (err) {
+      this.unusable.add(endpoint);
+      this.deps.metrics.count('endpoints_unusable_total', { service: endpoint.service });
+      this.deps.log.warn('endpoint.unusable', {
+        endpoint: endpoint.id,
+        address: endpoint.address,
+        detail: errorText(err),
+      });
+      return undefined;
+    }
+  }
+
   private stateOf(endpoint: PublishedEndpoint): EndpointState {
     const state = this.byId.get(endpoint.id);
     if (state && isSameProcess(state.endpoint, endpoint)) return state;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -285,14 +285,22 @@
       req.on('error', () => undefined);
       applyLimits();
       serveCaller(req, res)
-        .catch((err: unknown) => {
-          log.error('caller.failed', { err: errorText(err) });
-          res.destroy();
-        })
+        .catch((err: unknown) => answerFailure(res, err))
         .finally(() => (inFlight -= 1));
     },
   );
 
+  /** Reports an unexpected error to the caller, whose request may have run. */
+  function answerFailure(res: ServerResponse, err: unknown): void {
+    const detail = errorText(err);
+    log.error('caller.failed', { err: detail });
+    sendRefusal(res, metrics, {
+      reason: 'answer-lost',
+      detail: `this entry failed: ${detail}`,
+      close: true,
+    });
+  }
+
   /** Applies the timeouts of the newest configuration to the server. */
   function applyLimits(): void {
     const limits = state.config?.limits;
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -310,6 +310,16 @@
     { ...ENDPOINT, address: 'engine:80' },
     /address: "engine:80" is not an address/,
   ],
+  [
+    'an impossible port',
+    { ...ENDPOINT, address: '127.0.0.9:87280' },
+    /address: "127.0.0.9:87280" is not an address/,
+  ],
+  [
+    'an impossible IP number',
+    { ...ENDPOINT, address: '999.0.0.1:80' },
+    /address: "999.0.0.1:80" is not an address/,
+  ],
   [
     'a start time that is not a number',
     { ...ENDPOINT, born: 'today' },
