Free what a waiting response holds when its connection closes

Cause: Node emits `close` only on the response in front of a connection. The reservation of a body, the end of the request's work and its own end rest on that event, so a response that waited behind another one never ended.

Mended: the responses that wait on a connection are closed with it.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,6 +21,7 @@
 import { readRequestBody } from './requests/read-request-body.js';
 import { sendRefusal, type Refusal } from './requests/refuse.js';
 import { serveRequest } from './requests/serve-request.js';
+import { WaitingResponses } from './requests/waiting-responses.js';
 import {
   randomRetryAfterS,
   refuseWith,
@@ -278,11 +279,13 @@
     }
   }
 
+  const waiting = new WaitingResponses();
   const server = createServer(
     { maxHeaderSize: settings.parserHeaderBytes, requestTimeout: 0 },
     (req, res) => {
       inFlight += 1;
       req.on('error', () => undefined);
+      waiting.add(req, res);
       applyLimits();
       serveCaller(req, res)
         .catch((err: unknown) => answerFailure(res, err))
