Try a resumed stream again after an endpoint's error

Callers saw: a resumed stream cut, with `caller.failed` and ERR_HTTP_HEADERS_SENT in the log, although another endpoint could go on with it.

Cause: the error response of the endpoint that was to go on was written as the response to the caller, who already had the head of the stream.

Mended: after the first event an error is a fault of the attempt: the stream is tried again or cut by decision.

Evidence: stream.test with 500 and 404 at the second of three endpoints failed on; 503 was handled before.

--- a/src/gateway/requests/deliver.ts
+++ b/src/gateway/requests/deliver.ts
@@ -34,10 +34,12 @@
     recordFault(active, target, body.val);
     return undefined;
   }
-  if (status >= MIN_SERVER_ERROR_STATUS || NOT_RUN_STATUSES.has(status)) {
+  // After the first event the caller has the head of the stream, and cannot get another one.
+  const hasHead = active.progress.events > 0;
+  if (hasHead || status >= MIN_SERVER_ERROR_STATUS || NOT_RUN_STATUSES.has(status)) {
     recordFault(active, target, { kind: 'broke', detail: `endpoint answered ${status}` });
     // A status that wrongly claims "not run" is never forwarded; others are after the last attempt.
-    if (NOT_RUN_STATUSES.has(status) || claimRetry(active)) {
+    if (hasHead || NOT_RUN_STATUSES.has(status) || claimRetry(active)) {
       writer.discard();
       return undefined;
     }
--- a/test/gateway/requests/stream.test.ts
+++ b/test/gateway/requests/stream.test.ts
@@ -44,10 +44,11 @@
   answers: readonly RawResponder[],
   run: (testGateway: TestGateway, endpoints: readonly RawEndpoint[]) => Promise<void>,
   resumable = true,
+  maxAttempts = STREAM_ROUTE.maxAttempts,
 ): Promise<void> {
   const endpoints = await Promise.all(answers.map((answer) => startRawEndpoint(answer)));
   const testGateway = await startGateway(
-    config([{ ...STREAM_ROUTE, resumable }]),
+    config([{ ...STREAM_ROUTE, resumable, maxAttempts }]),
     endpoints.map((raw, i) => endpoint(`e-${i}`, raw.address)),
   );
   try {
@@ -153,6 +154,38 @@
   );
 });
 
+/**
+ * A resumed stream has sent its head to the caller. Writing the head of an endpoint's error behind it threw, and
+ * the stream was lost although a third endpoint could go on with it.
+ */
+for (const status of ['500 Failed', '503 Failed', '404 Not Found'])
+  test(`a resumed stream outlasts an endpoint that answers ${status}`, async () => {
+    const failing: RawResponder = (req) =>
+      void req.socket.write(responseHead(req, status, ['Content-Length: 0']));
+    let arrivals = 0;
+    const answer: RawResponder = (req) => {
+      arrivals += 1;
+      if (arrivals === 1) return sendEvents(1, 3, resetConnection)(req);
+      if (arrivals === 2) return failing(req);
+      sendEvents(4, 5, endStream)(req);
+    };
+    await withStreamEndpoints(
+      [answer, answer, answer],
+      async (testGateway) => {
+        const { body, complete } = await testGateway.send('q-1');
+        assert.deepEqual([body, complete], [events(1, 5), true]);
+      },
+      true,
+      3,
+    );
+    arrivals = 0;
+    await withStreamEndpoints([answer, answer], async (testGateway) => {
+      const { body, complete } = await testGateway.send('q-1');
+      assert.deepEqual([body, complete], [events(1, 3), false]);
+      assert.ok(!testGateway.logLines.some(({ event }) => event === 'caller.failed'));
+    });
+  });
+
 test('a caller resumes its stream after the last event that it received', async () => {
   const answer: RawResponder = (req) => {
     assert.equal(req.headers['last-event-id'], '12');
