Send no request to an endpoint that has left

Cause: an attempt that waits for a free connection was cancelled for evacuations, cold endpoints and backoff, but not when its endpoint was listed as leaving, was removed, or announced it in a response or through another entry.

Mended: such attempts are cancelled and go on elsewhere. Not at once: the endpoint serves for seconds more, and what waits for it would crowd the others. They may still be sent until 1.7 s after the list was last confirmed without the leaving; 2 s is the strictest drain-ms. An attempt that was never sent does not use up the route's max-attempts, which bound the endpoints that a request is sent to.

Ruled out: new requests to leaving endpoints (none is chosen after the list says so).

--- a/src/gateway/backpressure/backpressure-signals.ts
+++ b/src/gateway/backpressure/backpressure-signals.ts
@@ -49,6 +49,7 @@
   const { id, startedAtMs } = target.endpoint;
   countSignal(active, 'leaving');
   if (!ctx.state.noteLeaving(target.endpoint)) return;
+  ctx.endpoints.cancelUnavailable();
   logSignal(active, target, 'endpoint.leaving', { source: 'answer' });
   ctx.broadcastLeaving({ endpoint: id, startedAtMs });
 }
@@ -92,7 +93,7 @@
  * @example if (applyLeaving(ctx, update)) forward(update);
  */
 export function applyLeaving(
-  { state, log }: Pick<GatewayContext, 'state' | 'log'>,
+  { state, log, endpoints }: Pick<GatewayContext, 'state' | 'log' | 'endpoints'>,
   { from, leaving }: Pick<BackpressureUpdate, 'from' | 'leaving'>,
 ): boolean {
   const newFlags = leaving.map(({ endpoint, startedAtMs }) => {
@@ -100,5 +101,7 @@
     if (isNew) log.info('endpoint.leaving', { endpoint, source: from });
     return isNew;
   });
-  return newFlags.includes(true);
+  if (!newFlags.includes(true)) return false;
+  endpoints.cancelUnavailable();
+  return true;
 }
--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -4,6 +4,11 @@
 export const CONNECT_TIMEOUT_MS = 400;
 /** Idle timeout of a connection to an endpoint that names none itself, ms. */
 export const IDLE_CONNECTION_TIMEOUT_MS = 4000;
+/**
+ * Time for which requests that wait for a connection to a leaving endpoint are still sent, ms; no deployment lets them
+ * reach it later than 2 s after it left.
+ */
+export const LEAVING_SEND_MS = 1700;
 /** Time after which no further rate-limit token is requested, ms; refuses callers early. */
 export const MAX_TOKEN_WAIT_MS = 100;
 /** Maximum number of connections from one entry to one endpoint. */
--- a/src/gateway/endpoints/endpoints.ts
+++ b/src/gateway/endpoints/endpoints.ts
@@ -33,6 +33,7 @@
 import {
   ASSUMED_CONNECTION_PEERS,
   IDLE_CONNECTION_TIMEOUT_MS,
+  LEAVING_SEND_MS,
   MAX_CONNECTIONS,
 } from '../consts.js';
 
@@ -78,6 +79,10 @@
   private readonly previousProcesses = new Set<EndpointState>();
   /** Records of endpoints for which no state could be created. */
   private readonly unusable = new WeakSet<PublishedEndpoint>();
+  /** Leaving endpoints whose waiting attempts are about to be cancelled. */
+  private readonly cancelling = new Set<EndpointState>();
+  /** As of when the list in use until the last update was confirmed, ms. */
+  private listConfirmedAtMs = Number.NEGATIVE_INFINITY;
   private sequence = 0;
 
   constructor(private readonly deps: EndpointsDeps) {}
@@ -315,7 +320,9 @@
 
   /** Applies the published list: cancels attempts that wait for a connection to an unsuitable endpoint. */
   noteListed(): void {
-    this.cancelEvacuated();
+    this.cancelUnavailable();
+    const nowMs = this.deps.clock.nowMs();
+    this.listConfirmedAtMs = nowMs - this.deps.state.confirmedAgoMs(nowMs);
     for (const { id } of this.deps.cold?.update(this.deps.state.list.values()) ?? []) {
       const state = this.byId.get(id);
       if (state) cancelUnsent(state, 'the endpoint turned cold before the request was sent');
@@ -332,13 +339,33 @@
     this.deps.cold?.noteReached(endpoint);
   }
 
-  /** Cancels attempts that still wait for a connection to an endpoint of an evacuated data centre. */
-  cancelEvacuated(): void {
-    const { evacuated } = this.deps.state;
-    if (evacuated.size === 0) return;
-    for (const state of [...this.byId.values(), ...this.previousProcesses])
-      if (evacuated.has(state.endpoint.dataCentre))
+  /**
+   * Cancels attempts that still wait for a connection to an endpoint that receives no new requests: at once if its
+   * data centre is evacuated, a moment later if it is leaving or was removed from the list.
+   */
+  cancelUnavailable(): void {
+    for (const state of [...this.byId.values(), ...this.previousProcesses]) {
+      if (state.cancelUnsent.size === 0) continue;
+      if (this.deps.state.evacuated.has(state.endpoint.dataCentre))
         cancelUnsent(state, 'the data centre was evacuated before the request was sent');
+      else if (!this.deps.state.isAvailable(state.endpoint.id)) this.cancelLeaving(state);
+    }
+  }
+
+  /** A leaving endpoint still serves for seconds, while requests that wait for it would crowd the others. */
+  private cancelLeaving(state: EndpointState): void {
+    if (this.cancelling.has(state)) return;
+    this.cancelling.add(state);
+    // It left after the list was last confirmed without that.
+    const leftAgoMs = this.deps.clock.nowMs() - this.listConfirmedAtMs;
+    setTimeout(
+      () => {
+        this.cancelling.delete(state);
+        if (this.deps.state.isAvailable(state.endpoint.id)) return;
+        cancelUnsent(state, 'the endpoint left before the request was sent');
+      },
+      Math.max(0, LEAVING_SEND_MS - leftAgoMs),
+    );
   }
 
   /** Records the first byte of a successful response to an attempt that was sent at `sentAtMs`. */
--- a/src/gateway/requests/active-request.ts
+++ b/src/gateway/requests/active-request.ts
@@ -52,6 +52,8 @@
   readonly progress: StreamProgress;
   /** Writes the response to the caller. */
   readonly writer: ResponseWriter;
+  /** Attempts that ended before the request was sent; the route's maximum does not count them. */
+  unsentAttempts: number;
   /** Whether any attempt may have run the request. */
   mayHaveRun: boolean;
   lastFault: AttemptFault | undefined;
@@ -65,6 +67,11 @@
   hasRetryClaim: boolean;
 }
 
+/** Number of endpoints that the request was sent to. */
+export function sentAttempts({ tried, unsentAttempts }: ActiveRequest): number {
+  return tried.size - unsentAttempts;
+}
+
 /** Time until the deadline, ms, less the time reserved for writing the final response. */
 export function remainingMs(active: ActiveRequest): number {
   return active.request.remainingMs() - FINAL_RESPONSE_MARGIN_MS;
@@ -159,6 +166,7 @@
 ): void {
   active.lastFault = fault;
   if (!NOT_RUN_FAULTS.has(fault.kind)) active.mayHaveRun = true;
+  if ('isUnsent' in fault && fault.isUnsent) active.unsentAttempts += 1;
   active.summary.tries.push(`${target.endpoint.id}:${fault.kind}`);
   // An attempt that the caller or this entry aborted is no evidence against the endpoint.
   if (active.request.gone.aborted || fault.kind === 'slow') return;
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -123,14 +123,15 @@
 function silenceFault(silentMs: number, wasStarted: boolean): AttemptFault {
   const within = `within ${Math.round(silentMs)} ms`;
   if (wasStarted) return { kind: 'silent', detail: `no response ${within}` };
-  return { kind: 'not-run', detail: `not sent: no connection was free ${within}` };
+  return { kind: 'not-run', detail: `not sent: no connection was free ${within}`, isUnsent: true };
 }
 
 /** The fault of an attempt whose exchange failed by itself. */
 function faultOf(err: unknown, wasStarted: boolean): AttemptFault {
   const detail = errorText(err);
   if (err instanceof RejectedResponse) return { kind: 'broke', detail, rejected: err.reason };
-  if (!wasStarted && wasNotSent(err)) return { kind: 'not-run', detail, isUnreachable: true };
+  if (!wasStarted && wasNotSent(err))
+    return { kind: 'not-run', detail, isUnreachable: true, isUnsent: true };
   return { kind: 'broke', detail };
 }
 
@@ -146,7 +147,7 @@
   let wasStarted = false;
   let ownFault: AttemptFault | undefined;
   const cancelUnsent = (reason: string): void => {
-    ownFault = { kind: 'resting', detail: reason };
+    ownFault = { kind: 'resting', detail: reason, isUnsent: true };
     exchange.cancel();
   };
   target.cancelUnsent.add(cancelUnsent);
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -10,6 +10,7 @@
 import {
   failureOutcome,
   remainingMs,
+  sentAttempts,
   recordFault,
   refuseUnlessRun,
   type RequestOutcome,
@@ -23,7 +24,7 @@
   if (route.kind === 'once') return remaining;
   if (route.kind === 'stream') return Math.min(remaining, STREAM_IDLE_TIMEOUT_MS);
   // The last attempt may use all of the remaining time.
-  const isLast = active.tried.size >= route.maxAttempts;
+  const isLast = sentAttempts(active) >= route.maxAttempts;
   return isLast ? remaining : Math.min(remaining, route.targetMs * RETRY_TIMEOUT_FACTOR);
 }
 
--- a/src/gateway/requests/claim-retry.ts
+++ b/src/gateway/requests/claim-retry.ts
@@ -5,7 +5,7 @@
 import { MIN_ATTEMPT_TIME_MS } from '../consts.js';
 import { hasAlternative } from '../endpoints/choose-endpoint.js';
 import type { EndpointState } from '../endpoints/endpoint-state.js';
-import { remainingMs, type ActiveRequest } from './active-request.js';
+import { remainingMs, sentAttempts, type ActiveRequest } from './active-request.js';
 
 /** Whether the route allows a request to run more than once. */
 function mayRunAgain({ request: { route } }: ActiveRequest): boolean {
@@ -15,7 +15,8 @@
 /** Whether the route and the remaining time allow another attempt. */
 function mayRetry(active: ActiveRequest, mayHaveRun: boolean): boolean {
   const { maxAttempts } = active.request.route;
-  if (active.tried.size >= maxAttempts || remainingMs(active) < MIN_ATTEMPT_TIME_MS) return false;
+  if (sentAttempts(active) >= maxAttempts || remainingMs(active) < MIN_ATTEMPT_TIME_MS)
+    return false;
   return !mayHaveRun || mayRunAgain(active);
 }
 
--- a/src/gateway/requests/serve-request.ts
+++ b/src/gateway/requests/serve-request.ts
@@ -41,6 +41,7 @@
       lastEventAtMs: 0,
       longestPauseMs: 0,
     },
+    unsentAttempts: 0,
     mayHaveRun: false,
     lastFault: undefined,
     isRateLimited: false,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -183,9 +183,14 @@
 /** Why an attempt produced no response. */
 export type AttemptFault =
   /** The request has not run: the endpoint states so, or the connection failed. */
-  | { readonly kind: 'not-run'; readonly detail: string; readonly isUnreachable?: boolean }
+  | {
+      readonly kind: 'not-run';
+      readonly detail: string;
+      readonly isUnreachable?: boolean;
+      readonly isUnsent?: boolean;
+    }
   /** It has not run: the endpoint requested a backoff and refused it, or it was not sent there. */
-  | { readonly kind: 'resting'; readonly detail: string }
+  | { readonly kind: 'resting'; readonly detail: string; readonly isUnsent?: boolean }
   /** The connection or the response failed; the request may have run. */
   | { readonly kind: 'broke'; readonly detail: string; readonly rejected?: RejectReason }
   /** No response, or no further event, within the timeout. */
--- a/test/gateway/requests/evacuation.test.ts
+++ b/test/gateway/requests/evacuation.test.ts
@@ -57,7 +57,7 @@
   const gateway = await startGateway(config(routes), listed, rest);
   const evacuate = (): void => {
     gateway.state.offerEvacuations({ kind: 'whole', dataCentres: [EVACUATED] });
-    gateway.ctx.endpoints.cancelEvacuated();
+    gateway.ctx.endpoints.cancelUnavailable();
   };
   try {
     await run({ gateway, raw, listed, evacuate });
