Soak: endpoints that do what a faulty one may do on the wire

The stand-ins of endpoints never sent a second response in the place of the next one, and no route had streams that may not be resumed, so neither fault of the review could show.

New check: an entry ends no request that may run once only while its endpoint is at work and its caller waits.

--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -6,7 +6,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { entryAddress, KEYS, type Deployment, type SoakInstance } from './deployment.js';
 import { pick } from './faults.js';
-import type { CallerRequest, RequestKind } from './record.js';
+import { DEADLINE_MS, type CallerRequest, type RequestKind } from './record.js';
 import { LARGE_SUFFIX, withoutPadding } from '../../fakes/platform-engine/index.js';
 
 /** Mean interval between requests, ms. */
@@ -14,8 +14,6 @@
 /** Interval of readiness probes, ms; the platform documents one per second. */
 const READINESS_POLL_MS = 1000;
 const READINESS_TIMEOUT_MS = 800;
-/** Deadline that callers send with each request, ms. */
-const DEADLINE_MS = 3000;
 /** Share of callers that disconnect before the response is complete. */
 const DISCONNECT_SHARE = 0.03;
 /** Share of requests with a key that was never issued. */
@@ -29,8 +27,8 @@
   once: '/once/',
   repeatable: '/again/',
   stream: '/stream/',
+  'single-stream': '/single-stream/',
 };
-const KINDS: readonly RequestKind[] = ['once', 'repeatable', 'stream', 'stream'];
 
 function isReady(entry: SoakInstance): Promise<boolean> {
   const { host, port } = entryAddress(entry).ready;
@@ -154,7 +152,7 @@
       return this.crashingRequest(entry, id, pick(crashingPaths, this.random));
     const { extraRoutes, removedRoutes } = config;
     const extra = [...extraRoutes, ...removedRoutes];
-    const kind = pick(KINDS, this.random);
+    const kind = pick(this.deployment.kinds, this.random);
     const isExtra = kind === 'repeatable' && extra.length > 0 && this.random() < 0.5;
     const prefix = isExtra ? `/${pick(extra, this.random)}/` : PREFIX[kind];
     const isKnown = this.random() >= UNKNOWN_KEY_SHARE;
--- a/bench/soak/check.ts
+++ b/bench/soak/check.ts
@@ -5,7 +5,13 @@
 import { checkBackpressure } from './backpressure-check.js';
 import { eventData, completeAnswer, STREAM_EVENTS } from '../../fakes/platform-engine/index.js';
 import { checkAnswersAreRead, isSlowReader } from './slow-readers.js';
-import { isCausedBy, type CallerRequest, type Disturbance, type SoakRecord } from './record.js';
+import {
+  DEADLINE_MS,
+  isCausedBy,
+  type CallerRequest,
+  type Disturbance,
+  type SoakRecord,
+} from './record.js';
 
 /** Statuses that guarantee that a request has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
@@ -61,7 +67,7 @@
   requests.filter(isSuccess).flatMap((request) => {
     const { body, isComplete, isSigned } = request.outcome ?? { body: '', isComplete: false };
     if (!isSigned) return [`${request.id}: success without signature`];
-    if (request.kind === 'stream')
+    if (request.kind === 'stream' || request.kind === 'single-stream')
       return isExpectedStream(request, body, isComplete)
         ? []
         : [`${request.id}: not its own stream`];
@@ -89,23 +95,40 @@
   return counts;
 }
 
+/** Whether a request may run at most once. */
+const isOnce = ({ kind }: CallerRequest): boolean => kind === 'once' || kind === 'single-stream';
+
 const onceRequestsRunOnce: Guarantee = (record) => {
   const counts = runsById(record);
   return record.requests
-    .filter((request) => request.kind === 'once' && (counts.get(request.id) ?? 0) > 1)
+    .filter((request) => isOnce(request) && (counts.get(request.id) ?? 0) > 1)
     .map((request) => `${request.id}: ran ${counts.get(request.id)} times`);
 };
 
 const refusedRequestsDoNotRun: Guarantee = (record) => {
   const counts = runsById(record);
   return record.requests
-    .filter(
-      (request) => request.kind === 'once' && NOT_RUN_STATUSES.has(request.outcome?.status ?? 0),
-    )
+    .filter((request) => isOnce(request) && NOT_RUN_STATUSES.has(request.outcome?.status ?? 0))
     .filter((request) => counts.has(request.id))
     .map((request) => `${request.id}: answered ${request.outcome?.status}, and ran`);
 };
 
+/** Time before its deadline within which an entry may end a request, ms; covers delays of the soak process. */
+const END_MARGIN_MS = 300;
+
+/** An entry ends no request that may run once only while its endpoint is at work and its caller waits. */
+const workIsNotAbandoned: Guarantee = (record) => {
+  const requests = new Map(record.requests.map((request) => [request.id, request]));
+  return record.abandoned.flatMap(({ endpoint, requestId, atMs }) => {
+    const request = requests.get(requestId);
+    if (!request?.outcome || !isOnce(request)) return [];
+    if (atMs > request.sentAtMs + DEADLINE_MS - END_MARGIN_MS) return [];
+    if (isDisturbed(record, [request.entry, endpoint], request.sentAtMs - CONTACT_MS, atMs))
+      return [];
+    return [`${requestId}: ended by ${request.entry} while ${endpoint} was at work`];
+  });
+};
+
 const removedKeysAreRejected: Guarantee = (record) => {
   const removedAtMs = new Map(
     record.removals
@@ -266,6 +289,7 @@
   runsMatchRequests,
   onceRequestsRunOnce,
   refusedRequestsDoNotRun,
+  workIsNotAbandoned,
   removedKeysAreRejected,
   removedTargetsGetNothing,
   addedRoutesAreServed,
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -24,6 +24,7 @@
   type Disturbance,
   type EndpointCrash,
   type RateLimitPeriod,
+  type RequestKind,
   type Removal,
   type UnreadAnswer,
 } from './record.js';
@@ -104,6 +105,8 @@
   readonly crashingPaths: string[];
   /** Number of topics, each a part of the prompts of as many requests; 0 if they share none. */
   promptTopics: number;
+  /** Kinds of the requests that callers send; one is as frequent as it is listed. */
+  readonly kinds: RequestKind[];
   areCallersPaused: boolean;
   /** Slow readers to start, with the time after which each begins to read; undefined for never. */
   readonly slowReaders: { readonly readAfterMs: number | undefined }[];
@@ -195,6 +198,7 @@
     route('once', 'non_idempotent', 'plain'),
     route('again', 'idempotent', 'plain'),
     route('stream', 'stream', 'model', { 'stream-resume': true, 'gap-aim-ms': 120 }),
+    route('single-stream', 'stream', 'model', { 'gap-aim-ms': 120 }),
     ...[...config.extraRoutes].map((name) => route(name, 'idempotent', 'plain')),
   ];
 }
@@ -367,6 +371,7 @@
     rateLimitPeriods: [],
     crashingPaths,
     promptTopics: 0,
+    kinds: ['once', 'repeatable', 'stream', 'stream'],
     areCallersPaused: false,
     slowReaders: [],
     unreadAnswers,
--- /dev/null
+++ b/bench/soak/misbehaving.ts
@@ -0,0 +1,66 @@
+/**
+ * Scenario `misbehaving`: endpoints send what a faulty one may send on the wire, and ranks report a slow pace for
+ * a while. Each seed plays one of these behaviours or two, so that a failure names its cause. Nothing else is
+ * disturbed, so nothing excuses a request that is refused although it ran, runs twice or is ended too soon.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { EndpointFault } from '../../fakes/platform-engine/index.js';
+import type { Deployment } from './deployment.js';
+import { pick } from './faults.js';
+
+/** Mean time between two faults of one endpoint, ms. */
+const FAULT_INTERVAL_MS = 120;
+/** Share of the time in which some ranks are slow. */
+const SLOW_SHARE = 0.5;
+const SLOW_PERIOD_MS = 1200;
+/** Longest queue of faults; more would outlast the disturbance. */
+const MAX_QUEUED_FAULTS = 3;
+
+/** A behaviour of the endpoints; adds its faults to one endpoint, or changes the group. */
+type Behaviour = (deployment: Deployment, random: () => number) => Promise<void>;
+
+const withFaults =
+  (...kinds: readonly EndpointFault[]): Behaviour =>
+  async ({ endpoints }, random) => {
+    const { faults } = pick(endpoints, random);
+    if (faults.length < MAX_QUEUED_FAULTS) faults.push(pick(kinds, random));
+    await sleep((2 * FAULT_INTERVAL_MS * random()) / endpoints.length);
+  };
+
+/** Some ranks are slow, others at each turn; callers also send streams that may not be resumed. */
+const slowRanks: Behaviour = async ({ group, endpoints }, random) => {
+  const ranks = endpoints.filter(({ service }) => service === 'model').length;
+  for (let rank = 0; rank < ranks; rank += 1) if (random() < SLOW_SHARE) group.slowRanks.add(rank);
+  await sleep(SLOW_PERIOD_MS * (0.5 + random()));
+  group.slowRanks.clear();
+};
+
+/** Behaviours by the sentence of the interface that allows them; docs/PROMISES.md has the table. */
+const BEHAVIOURS: readonly Behaviour[] = [
+  withFaults('full-late', 'full'),
+  withFaults('late', 'full'),
+  withFaults('twice', 'trailing'),
+  withFaults('cut', 'short'),
+  withFaults('crossed', 'unsigned'),
+  withFaults('unframed', 'informational', 'closing'),
+  withFaults('full', 'error'),
+  slowRanks,
+];
+
+/**
+ * Plays one or two random behaviours at once until `untilMs`.
+ * @example await misbehave(deployment, random, 8000);
+ */
+export async function misbehave(
+  deployment: Deployment,
+  random: () => number,
+  untilMs: number,
+): Promise<void> {
+  deployment.kinds.push('single-stream', 'single-stream', 'once');
+  const chosen = new Set([pick(BEHAVIOURS, random), pick(BEHAVIOURS, random)]);
+  const repeat = async (behaviour: Behaviour): Promise<void> => {
+    while (deployment.nowMs() < untilMs) await behaviour(deployment, random);
+  };
+  await Promise.all([...chosen].map(repeat));
+  for (const { faults } of deployment.endpoints) faults.length = 0;
+}
--- a/bench/soak/record.ts
+++ b/bench/soak/record.ts
@@ -2,13 +2,17 @@
  * Record of one soak run: what callers and endpoints observed, and the disturbances of the system.
  */
 import type {
+  AbandonedRequest,
   EndpointArrival,
   EndpointSignal,
   EndpointExecution,
 } from '../../fakes/platform-engine/index.js';
 
-/** Kinds of request, as defined by their routes. */
-export type RequestKind = 'once' | 'repeatable' | 'stream';
+/** Deadline that callers send with each request, ms. */
+export const DEADLINE_MS = 3000;
+
+/** Kinds of request, as defined by their routes; a `single-stream` may not be resumed. */
+export type RequestKind = 'once' | 'repeatable' | 'stream' | 'single-stream';
 
 /** How a request ended: with a response, part of one, or none. */
 export interface RequestOutcome {
@@ -102,6 +106,8 @@
   readonly addedRoutes: readonly AddedRoute[];
   readonly crashes: readonly EndpointCrash[];
   readonly unreadAnswers: readonly UnreadAnswer[];
+  /** Requests whose connection an entry closed while the endpoint was at work on them. */
+  readonly abandoned: readonly AbandonedRequest[];
   /** Organisation by key; keys that were never issued are missing. */
   readonly organisations: Readonly<Record<string, string>>;
   /** Steps that the ranks of a group began with different maps. */
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -17,6 +17,7 @@
 import { restoreFromCopies } from './copies.js';
 import { crashEndpoints, crashEndpointsAmongTopics } from './crashing.js';
 import { disturb } from './faults.js';
+import { misbehave } from './misbehaving.js';
 import { silenceDuringChanges, silenceWithoutRelays } from './silence.js';
 import { signalLongRateLimits } from './limits.js';
 import { readSlowly, readSlowlyAmongFaults } from './slow-readers.js';
@@ -62,6 +63,7 @@
     addedRoutes: deployment.addedRoutes,
     crashes: deployment.crashes,
     unreadAnswers: deployment.unreadAnswers,
+    abandoned: deployment.endpoints.flatMap((endpoint) => endpoint.engine.abandoned),
     organisations: Object.fromEntries(KEYS.map((key) => [key, ORGANISATION])),
     mixedSteps: deployment.group.mixedSteps,
     longestHoldMs: deployment.group.longestHoldMs,
@@ -86,6 +88,7 @@
   crashing: crashEndpoints,
   'crashing-among-topics': crashEndpointsAmongTopics,
   asking: signalBackpressure,
+  misbehaving: misbehave,
   limits: signalLongRateLimits,
   'slow-readers': readSlowly,
   'slow-readers-and-faults': readSlowlyAmongFaults,
--- a/fakes/platform-engine/engine.ts
+++ b/fakes/platform-engine/engine.ts
@@ -7,6 +7,7 @@
 import type { EngineCalls } from '../../src/group/engine-calls.js';
 import { closeServer } from '../http/index.js';
 import { serveRankCalls } from './rank-calls.js';
+import { formatAnswer, formatUnframed, SurplusAnswers } from './surplus-answers.js';
 
 /** A request that an endpoint started to execute. */
 export interface EndpointExecution {
@@ -19,11 +20,29 @@
 }
 
 /**
- * Fault of one request: rejected without execution (`full`), status 500 (`error`), connection reset
- * (`cut`). The last three concern only complete answers: the ID of another request (`crossed`), no
- * stamp of the server (`unsigned`), a truncated body (`short`).
+ * Fault of one request: rejected without execution (`full`), also once more in the place of the next answer
+ * (`full-late`), status 500 (`error`), connection reset (`cut`). The others concern only complete answers: the ID of
+ * another request (`crossed`), no stamp of the server (`unsigned`), a truncated body (`short`), a second answer in
+ * the place of the next one (`late`) or at once (`twice`), other bytes behind it (`trailing`), no length
+ * (`unframed`), an informational answer before it (`informational`), `Connection: close` (`closing`).
  */
-export type EndpointFault = 'full' | 'error' | 'cut' | 'crossed' | 'unsigned' | 'short';
+export type EndpointFault =
+  | 'full'
+  | 'full-late'
+  | 'error'
+  | 'cut'
+  | 'crossed'
+  | 'unsigned'
+  | 'short'
+  | 'late'
+  | 'twice'
+  | 'trailing'
+  | 'unframed'
+  | 'informational'
+  | 'closing';
+
+/** Faults after which a connection is of no further use, or ends in the middle of an answer. */
+const SPOILING: ReadonlySet<EndpointFault> = new Set(['short', 'twice', 'trailing', 'unframed']);
 
 /** Backpressure that an endpoint signals in its answers. */
 export interface EndpointBackpressure {
@@ -79,9 +98,17 @@
   readonly nowMs: () => number;
 }
 
+/** A request whose connection was closed while the endpoint was at work on it. */
+export interface AbandonedRequest {
+  readonly endpoint: string;
+  readonly requestId: string;
+  readonly atMs: number;
+}
+
 /** A running fake endpoint and its records. */
 export interface PlatformEngine {
   readonly executions: readonly EndpointExecution[];
+  readonly abandoned: readonly AbandonedRequest[];
   readonly arrivals: readonly EndpointArrival[];
   readonly signals: readonly EndpointSignal[];
   close(): void;
@@ -132,6 +159,8 @@
   const executions: EndpointExecution[] = [];
   const arrivals: EndpointArrival[] = [];
   const signals: EndpointSignal[] = [];
+  const abandoned: AbandonedRequest[] = [];
+  const surplus = new SurplusAnswers();
 
   /** Headers for the current backpressure signals; records them if there are any. */
   function backpressureHeaders(requestId: string, retryAfterS?: number): Record<string, string> {
@@ -200,10 +229,15 @@
     if (singleHeader(req, 'x-expect-instance') !== options.id)
       return void res.writeHead(421, { 'x-request-id': requestId }).end();
     arrivals.push({ endpoint: options.id, requestId, atMs: options.nowMs() });
+    surplus.sendDue(req.socket);
     if (rejectsWithRetryAfter(requestId, res)) return;
     const fault = options.nextFault();
-    if (fault === 'full')
-      return void res.writeHead(503, responseHeaders(requestId, { 'x-not-executed': '1' })).end();
+    if (fault === 'full' || fault === 'full-late') {
+      const headers = responseHeaders(requestId, { 'x-not-executed': '1' });
+      if (fault === 'full-late')
+        surplus.repeat(req.socket, { status: '503 Service Unavailable', headers, body: '' });
+      return void res.writeHead(503, headers).end();
+    }
     const body = await readText(req);
     executions.push({
       endpoint: options.id,
@@ -214,6 +248,7 @@
       startedAtMs: options.nowMs(),
     });
     if (options.crashesOn?.(req.url ?? '')) return;
+    if (fault !== 'cut') recordIfAbandoned(req, res, requestId);
     if (options.rank) return sendEventStream(req, res, fault === 'cut');
     await sleep(options.workMs);
     if (fault === 'cut') return void req.socket.resetAndDestroy();
@@ -221,6 +256,15 @@
     sendAnswer(req, res, requestId, fault);
   }
 
+  /** Records a request whose connection is closed before its answer, unless the endpoint spoiled the connection. */
+  function recordIfAbandoned(req: IncomingMessage, res: ServerResponse, requestId: string): void {
+    const { socket } = req;
+    res.on('close', () => {
+      if (res.writableEnded || surplus.isSpoiled(socket)) return;
+      abandoned.push({ endpoint: options.id, requestId, atMs: options.nowMs() });
+    });
+  }
+
   /** Answers a plain request, applying the fault if there is one. */
   function sendAnswer(
     req: IncomingMessage,
@@ -228,13 +272,23 @@
     requestId: string,
     fault: EndpointFault | undefined,
   ): void {
-    const text = completeAnswer(requestId);
-    const headers = responseHeaders(requestId, { 'content-length': String(text.length) });
+    const { socket } = req;
+    const body = completeAnswer(requestId);
+    const headers = responseHeaders(requestId);
+    const answer = { status: '200 OK', headers, body };
     if (fault === 'crossed') headers['x-request-id'] = `${requestId}-other`;
     if (fault === 'unsigned') delete headers['x-server-stamp'];
-    res.writeHead(200, headers);
-    if (fault !== 'short') return void res.end(text);
-    res.write(text.slice(0, text.length / 2), () => req.socket.end());
+    if (fault === 'closing') headers['connection'] = 'close';
+    if (fault === 'late') surplus.repeat(socket, answer);
+    if (fault === 'informational') res.writeEarlyHints({ link: '</style.css>; rel=preload' });
+    if (fault !== undefined && SPOILING.has(fault)) surplus.spoil(socket);
+    if (fault === 'unframed') return void socket.end(formatUnframed(answer));
+    res.writeHead(200, { ...headers, 'content-length': String(body.length) });
+    if (fault === 'short')
+      return void res.write(body.slice(0, body.length / 2), () => socket.end());
+    res.end(body);
+    if (fault === 'twice') socket.write(formatAnswer(answer));
+    if (fault === 'trailing') socket.write('bytes of no answer');
   }
 
   const server: Server = createServer((req, res) => {
@@ -245,5 +299,5 @@
       .catch(() => req.socket.destroy());
   });
   await new Promise<void>((resolve) => server.listen(options.port, options.host, resolve));
-  return { executions, arrivals, signals, close: () => closeServer(server) };
+  return { executions, arrivals, abandoned, signals, close: () => closeServer(server) };
 }
--- a/fakes/rank-engine/rank-group.ts
+++ b/fakes/rank-engine/rank-group.ts
@@ -58,6 +58,8 @@
 /** Tokens per step for each expert, before demand first shifts. */
 const DEMAND = [500, 20, 10];
 const ANSWER_MS = 3;
+/** Pace that a slow rank reports. */
+const SLOW_PACE = 4;
 const DEFAULT_ANSWER_TIMEOUT_MS = 250;
 /** Limit to the number of steps that one delayed tick adds to a hold. */
 const MAX_TICKS_COUNTED = 4;
@@ -78,6 +80,8 @@
 export class RankGroup {
   /** Steps that started while maps of the ranks differed by version or by contents. */
   readonly mixedSteps: number[] = [];
+  /** Ranks that report a slow pace. */
+  readonly slowRanks = new Set<number>();
   step = 0;
   epoch = 1;
   private maxHoldMs = 0;
@@ -150,7 +154,7 @@
           rank: index,
           ranks: this.options.ranks,
           isGroupRunning: true,
-          pace: 1,
+          pace: this.slowRanks.has(index) ? SLOW_PACE : 1,
           running: 1,
           queued: 0,
           step: this.step,
--- a/test/soak/backpressure-check.test.ts
+++ b/test/soak/backpressure-check.test.ts
@@ -60,6 +60,7 @@
     addedRoutes: [],
     crashes: [],
     unreadAnswers: [],
+    abandoned: [],
     organisations: {},
     mixedSteps: [],
     longestHoldMs: 0,
--- a/test/soak/check.test.ts
+++ b/test/soak/check.test.ts
@@ -55,6 +55,7 @@
     addedRoutes: [],
     crashes: [],
     unreadAnswers: [],
+    abandoned: [],
     organisations: { 'k-0': 'org-1', 'k-1': 'org-1' },
     mixedSteps: [],
     longestHoldMs: 40,
@@ -278,3 +279,14 @@
   );
   assert.deepEqual(violations, []);
 });
+
+test('the checker reports work on a once-only request that an entry ended, unless its deadline was near', () => {
+  const requests = [request('b', { outcome: end({ status: 502, isSigned: false }) })];
+  const runs = [run('b')];
+  const endedAt = (atMs: number): string[] =>
+    violationsOf(
+      record({ requests, runs, abandoned: [{ endpoint: 'plain-0', requestId: 'b', atMs }] }),
+    );
+  assert.deepEqual(endedAt(1500), ['b: ended by entry-0 while plain-0 was at work']);
+  assert.deepEqual(endedAt(3900), []);
+});
