Count a retry as denied only where it would have been made

A stream at a slow endpoint asks at each event whether it may go on elsewhere; retries_denied_total counted each of these as a denied retry since the claim was introduced.

--- a/src/gateway/requests/claim-retry.ts
+++ b/src/gateway/requests/claim-retry.ts
@@ -27,9 +27,7 @@
 }
 
 function payForRetry(active: ActiveRequest): boolean {
-  const { ctx, service } = active;
-  active.hasRetryClaim = service.budget.withdraw();
-  if (!active.hasRetryClaim) ctx.metrics.count('retries_denied_total', { service: service.id });
+  active.hasRetryClaim = active.service.budget.withdraw();
   return active.hasRetryClaim;
 }
 
@@ -39,7 +37,10 @@
  */
 export function claimRetry(active: ActiveRequest): boolean {
   if (active.hasRetryClaim) return true;
-  return mayRetry(active, active.mayHaveRun) && payForRetry(active);
+  if (!mayRetry(active, active.mayHaveRun)) return false;
+  if (payForRetry(active)) return true;
+  active.ctx.metrics.count('retries_denied_total', { service: active.service.id });
+  return false;
 }
 
 /** What `claimContinuation` takes for granted unless it is told otherwise. */
