--- a/test/gateway/requests/surplus-response.test.ts
+++ b/test/gateway/requests/surplus-response.test.ts
@@ -17,9 +17,17 @@
   type RawResponder,
 } from '../../../fakes/raw-endpoint/index.js';
 import type { Route } from '../../../src/core/published/index.js';
-import { config, endpoint, route, startGateway, type TestGateway } from '../harness.js';
+import {
+  config,
+  endpoint,
+  route,
+  startGateway,
+  TEST_SETTINGS,
+  type TestGateway,
+} from '../harness.js';
 
 const LENGTH_0 = 'Content-Length: 0';
+const LARGE_BYTES = 20_000;
 const ONCE = { kind: 'once', maxAttempts: 1 } as const;
 
 /** The first response of an endpoint, which it sends again. */
@@ -55,10 +63,11 @@
   responders: readonly RawResponder[],
   change: Partial<Route>,
   run: (setup: Setup) => Promise<void>,
+  settings = TEST_SETTINGS,
 ): Promise<void> {
   const raws = await Promise.all(responders.map((respond) => startRawEndpoint(respond)));
   const endpoints = raws.map(({ address }, i) => endpoint(`e-${i + 1}`, address));
-  const entry = await startGateway(config([route(change)]), endpoints);
+  const entry = await startGateway(config([route(change)]), endpoints, { settings });
   try {
     await run({ entry, raws });
   } finally {
@@ -185,6 +194,17 @@
   });
 }
 
+test('the connection of a response that does not fit into the memory of the entry is closed', async () => {
+  const respond: RawResponder = (req) =>
+    void req.socket.write(okResponse(req, 'x'.repeat(LARGE_BYTES)));
+  const settings = { ...TEST_SETTINGS, memoryBytes: LARGE_BYTES };
+  const run = async ({ entry, raws }: Setup): Promise<void> => {
+    for (let i = 1; i <= 3; i += 1) assert.equal((await entry.send(`q-${i}`)).status, 502);
+    assert.equal(connectionsOf(raws[0]), 3);
+  };
+  await withEndpoints([respond], ONCE, run, settings);
+});
+
 test('bytes behind a whole response belong to no request', async () => {
   const responders: RawResponder[] = ['HTTP/1.1 200 OK\r\n\r\n', 'rest', '\r\n\r\n'].map(
     (surplus) => (req) => void req.socket.write(okResponse(req, 'own') + surplus),
