Keep the connection when a request that was cancelled in the queue reaches it

Endpoints saw: one new connection for each request that was cancelled while it waited (caller gone, deadline, backoff, evacuation, leaving), as the pool came to it.

Cause: ending a queued request through the controller of undici destroys the connection that it was about to use; so did the abort signal before. A throw in its place ends only the request.

--- a/src/gateway/endpoints/exchange.ts
+++ b/src/gateway/endpoints/exchange.ts
@@ -115,7 +115,8 @@
 ): Dispatcher.DispatchHandler {
   return {
     onRequestStart: (controller, context) => {
-      if (use.isCancelled) return controller.abort(new Error(CANCELLED));
+      // Aborting here would close the connection, which is sound.
+      if (use.isCancelled) throw new Error(CANCELLED);
       use.isStarted = true;
       use.client?.noteStarted(use);
       hooks.onStart();
--- a/test/gateway/requests/ended-attempt.test.ts
+++ b/test/gateway/requests/ended-attempt.test.ts
@@ -5,6 +5,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setTimeout as wait } from 'node:timers/promises';
 import {
   chunk,
   event,
@@ -210,3 +211,27 @@
     assert.equal(arrivals(raws), CONNECTIONS + 1);
   });
 });
+
+test('a cancelled request that was never sent closes no connection', async () => {
+  const change = { kind: 'once', maxAttempts: 1, timeoutMs: 3000 } as const;
+  const held: (() => void)[] = [];
+  const hold: RawResponder = (req) =>
+    void held.push(() => req.socket.write(okResponse(req, 'own')));
+  const options = { responders: [hold], change, areEngines: false };
+  await play(options, async ({ entry, raws }) => {
+    const served = Array.from({ length: CONNECTIONS }, (_, i) => entry.send(`q-${i}`, { headers }));
+    while (held.length < CONNECTIONS) await wait(5);
+    const leaving = { headers, disconnectAfterMs: 20 };
+    await Promise.all(Array.from({ length: 12 }, (_, i) => entry.send(`gone-${i}`, leaving)));
+    while (entry.gateway.running() > CONNECTIONS) await wait(5);
+    for (const respond of held.splice(0)) respond();
+    await Promise.all(served);
+    const next = Array.from({ length: CONNECTIONS }, (_, i) =>
+      entry.send(`next-${i}`, { headers }),
+    );
+    while (held.length < CONNECTIONS) await wait(5);
+    for (const respond of held.splice(0)) respond();
+    await Promise.all(next);
+    assert.deepEqual([arrivals(raws), raws[0]?.connections], [2 * CONNECTIONS, CONNECTIONS]);
+  });
+});
