Read what arrived during a pause of the entry before a timeout expires

Callers saw: requests run a second time, streams that moved to another endpoint, and one more endpoint crashed by a request that crashes endpoints, after an entry on a busy machine had stood still for longer than a timeout.

Cause: after a pause Node runs timers before it reads. The silence timeouts of attempts, the timeout of a whole response, the probe of a crashed endpoint and the time limit of a caller's body expired although the bytes were in the socket.

Mended: IoTimeout expires only after one more poll for I/O, and is used by these four.

Not changed: calls between daemons and to the store still use plain timeouts; they are repeated, at the price of new connections.

--- a/src/gateway/requests/crash-detector.ts
+++ b/src/gateway/requests/crash-detector.ts
@@ -3,7 +3,7 @@
  * lock-step group, one such request takes all ranks out of service for seconds.
  */
 import { connect } from 'node:net';
-import type { Clock } from '../../core/clock/index.js';
+import { IoTimeout, type Clock } from '../../core/clock/index.js';
 import { CrashEvidence, kindOf, traitsOf, type TraitId } from '../../core/crashes/index.js';
 import type { Log } from '../../core/logging/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
@@ -42,13 +42,15 @@
 function isConnectionRefused(address: string): Promise<boolean> {
   const target = { host: hostOf(address), port: portOf(address) };
   return new Promise((resolve) => {
-    const socket = connect({ ...target, timeout: CRASH_PROBE_TIMEOUT_MS });
+    const socket = connect(target);
+    const timeout = new IoTimeout(() => end(false));
     const end = (refused: boolean): void => {
+      timeout.stop();
       socket.destroy();
       resolve(refused);
     };
+    timeout.start(CRASH_PROBE_TIMEOUT_MS);
     socket.on('connect', () => end(false));
-    socket.on('timeout', () => end(false));
     socket.on('error', (err: NodeJS.ErrnoException) => end(err.code === 'ECONNREFUSED'));
   });
 }
--- a/src/gateway/requests/read-response.ts
+++ b/src/gateway/requests/read-response.ts
@@ -1,4 +1,5 @@
 /** Reads responses that are not streamed to the end before they are forwarded. */
+import { IoTimeout } from '../../core/clock/index.js';
 import { errorText } from '../../core/errors/index.js';
 import { Err, Ok, type Result } from '../../core/result/index.js';
 import type { AttemptResponse } from './attempt.js';
@@ -21,11 +22,12 @@
   const chunks: Buffer[] = [];
   let size = 0;
   let hasTimedOut = false;
-  const timer = setTimeout(() => {
+  const timeout = new IoTimeout(() => {
     hasTimedOut = true;
     response.noteSilence(timeoutMs);
     response.close();
-  }, timeoutMs);
+  });
+  timeout.start(timeoutMs);
   try {
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
       size += chunk.length;
@@ -52,6 +54,6 @@
       });
     return Err({ kind: 'broke', detail: errorText(err) });
   } finally {
-    clearTimeout(timer);
+    timeout.stop();
   }
 }
--- a/src/gateway/requests/silence-timeout.ts
+++ b/src/gateway/requests/silence-timeout.ts
@@ -2,6 +2,7 @@
  * Ends an attempt whose endpoint is silent. Before the deadline it is ended only if the request can go on
  * elsewhere: an endpoint that is merely slow would otherwise lose work that cannot be repeated.
  */
+import { IoTimeout } from '../../core/clock/index.js';
 
 /** Options of a silence timeout. */
 export interface SilenceTimeoutOptions {
@@ -19,8 +20,9 @@
 
 /** A timeout that starts anew whenever the endpoint sends something. */
 export class SilenceTimeout {
-  private timer: NodeJS.Timeout | undefined;
+  private readonly timeout = new IoTimeout(() => this.expire());
   private silentMs = 0;
+  private waitMs = 0;
 
   /** @example const timeout = new SilenceTimeout(options); timeout.restart(); */
   constructor(private readonly options: SilenceTimeoutOptions) {}
@@ -33,19 +35,18 @@
 
   /** Stops the timeout. */
   stop(): void {
-    clearTimeout(this.timer);
+    this.timeout.stop();
   }
 
   private schedule(): void {
-    this.stop();
     const { idleMs, remainingMs } = this.options;
-    const waitMs = Math.max(1, Math.min(idleMs, remainingMs()));
-    this.timer = setTimeout(() => this.expire(waitMs), waitMs);
+    this.waitMs = Math.max(1, Math.min(idleMs, remainingMs()));
+    this.timeout.start(this.waitMs);
   }
 
-  private expire(waitedMs: number): void {
+  private expire(): void {
     const { remainingMs, mayEnd, onSilence, end } = this.options;
-    this.silentMs += waitedMs;
+    this.silentMs += this.waitMs;
     onSilence(this.silentMs);
     if (remainingMs() > 0 && !mayEnd()) this.schedule();
     else end(this.silentMs);
--- a/src/runtime/read-body.ts
+++ b/src/runtime/read-body.ts
@@ -1,5 +1,6 @@
 /** Reads a request body within a size limit and a time limit. */
 import type { IncomingMessage } from 'node:http';
+import { IoTimeout } from '../core/clock/index.js';
 import { Err, Ok, type Result } from '../core/result/index.js';
 import { notRun, type HarriergladeError } from '../core/errors/index.js';
 
@@ -18,7 +19,7 @@
     const chunks: Buffer[] = [];
     let size = 0;
     const settle = (result: () => Result<Buffer, HarriergladeError>): void => {
-      clearTimeout(timer);
+      timeout.stop();
       req
         .off('data', onData)
         .off('end', onEnd)
@@ -37,10 +38,10 @@
       else if (!hasRoom(size))
         settle(() => Err(notRun('buffers-full', 'The entry cannot buffer the body.')));
     };
-    const timer = setTimeout(
-      () => settle(() => Err(notRun('body-late', `The body took longer than ${maxMs} ms.`))),
-      maxMs,
+    const timeout = new IoTimeout(() =>
+      settle(() => Err(notRun('body-late', `The body took longer than ${maxMs} ms.`))),
     );
+    timeout.start(maxMs);
     // Without a listener, a later error on the connection would end the process.
     req.on('error', () => undefined);
     req.on('data', onData);
