Count both crashes of a retried request at all entries

Callers saw: a request that crashes each endpoint that begins to run it crashed a third one when it came back through another entry; two is the limit.

Cause: runs that were in flight together and ended within 250 ms count as one crash, since a rack may have been lost. A retry is sent 0.4 to 0.9 ms after the crash before it (traced, warm process). Another entry knows both times only from reports that travel separately, in whole ms: the retry seemed in flight already as the first endpoint crashed. Two crashes counted as one there.

Mended: a report names the request (its id, or a digest if it is long). Attempts of one request follow one another, so they never end with the same crash.

Evidence: a property over gaps up to 2 ms and transits up to 500 ms fails before, without any transit too (rounding alone; counterexample gap 0, run of 0.5 ms).

Weighed: an allowance for transit in the times, refused since it would count one lost rack as several crashes.

--- a/src/core/crashes/distinct-crashes.ts
+++ b/src/core/crashes/distinct-crashes.ts
@@ -8,9 +8,16 @@
   return run.sentAtMs < other.crashedAtMs + slackMs;
 }
 
+/** Whether two runs are attempts of one request, of which one begins when the one before has ended. */
+function areAttemptsOfOne(a: CrashedRun, b: CrashedRun): boolean {
+  return a.request !== undefined && a.request === b.request;
+}
+
 /** Whether two runs ended with the same crash: of their endpoint, or of endpoints lost together. */
 export function isSameCrash(a: CrashedRun, b: CrashedRun): boolean {
   const isSameEndpoint = a.endpoint === b.endpoint;
+  // A retry follows within 1 ms, and the times of runs seen by another entry are off by the transit of its reports.
+  if (!isSameEndpoint && areAttemptsOfOne(a, b)) return false;
   const slackMs = isSameEndpoint ? MIN_RESTART_MS : 0;
   if (!wasInFlight(a, b, slackMs) || !wasInFlight(b, a, slackMs)) return false;
   return isSameEndpoint || Math.abs(a.crashedAtMs - b.crashedAtMs) < LOST_TOGETHER_MS;
--- a/src/core/crashes/evidence.ts
+++ b/src/core/crashes/evidence.ts
@@ -246,9 +246,10 @@
     const runs = [...this.runs].filter(([, run]) => isIncluded(run));
     const cleared = [...this.successes].filter(([, success]) => isIncluded(success));
     return {
-      runs: runs.map(([id, { endpoint, sentAtMs, crashedAtMs, traits }]) => ({
+      runs: runs.map(([id, { endpoint, request, sentAtMs, crashedAtMs, traits }]) => ({
         id,
         endpoint,
+        ...(request === undefined ? {} : { request }),
         sentAgoMs: agoMs(sentAtMs),
         crashedAgoMs: agoMs(crashedAtMs),
         traits: [...traits],
@@ -269,13 +270,15 @@
     return this.changes > before;
   }
 
-  private mergeRun({ id, endpoint, sentAgoMs, crashedAgoMs, traits }: CrashedRunReport): void {
+  private mergeRun(report: CrashedRunReport): void {
+    const { id, endpoint, request, sentAgoMs, crashedAgoMs, traits } = report;
     const nowMs = this.clock.nowMs();
     if (crashedAgoMs >= EVIDENCE_TTL_MS) return;
     const runId = asId<RunId>(id);
     const crashedAtMs = nowMs - crashedAgoMs;
     const run = {
       endpoint: asId<EndpointId>(endpoint),
+      request,
       sentAtMs: nowMs - sentAgoMs,
       crashedAtMs,
       traits: traits.map((trait) => asId<TraitId>(trait)),
--- a/src/gateway/requests/crash-detector.ts
+++ b/src/gateway/requests/crash-detector.ts
@@ -4,7 +4,13 @@
  */
 import { connect } from 'node:net';
 import { IoTimeout, type Clock } from '../../core/clock/index.js';
-import { CrashEvidence, kindOf, traitsOf, type TraitId } from '../../core/crashes/index.js';
+import {
+  CrashEvidence,
+  kindOf,
+  plainName,
+  traitsOf,
+  type TraitId,
+} from '../../core/crashes/index.js';
 import type { Log } from '../../core/logging/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
 import { hostOf, portOf, type PublishedEndpoint } from '../../core/published/index.js';
@@ -104,7 +110,12 @@
     if (!hasCrashed) return;
     const traits = this.traitsFor(request, endpoint.service);
     const { version } = this.evidence;
-    this.evidence.noteCrash({ endpoint: endpoint.id, sentAtMs, traits });
+    this.evidence.noteCrash({
+      endpoint: endpoint.id,
+      request: plainName(request.id),
+      sentAtMs,
+      traits,
+    });
     this.deps.metrics.count('crash_suspects_total', { service: endpoint.service });
     this.deps.log.warn('crash.suspect', {
       request: request.id,
--- a/test/core/crashes/evidence.test.ts
+++ b/test/core/crashes/evidence.test.ts
@@ -359,6 +359,39 @@
   assert.equal(evidence.refusedTrait(prompt('topic', 'own-4')), part('topic'));
 });
 
+/**
+ * A retry is sent within 1 ms of the crash of the attempt before it. Reports of the two crashes travel separately,
+ * so that at other entries the retry seemed in flight already as the first endpoint crashed, both crashes counted
+ * as one, and the request crashed a third endpoint there.
+ */
+test('both crashes of a request that was retried count at other entries, however long their reports take', () => {
+  const ms = (max: number): fc.Arbitrary<number> => fc.double({ min: 0, max, noNaN: true });
+  fc.assert(
+    fc.property(ms(2), ms(50), ms(500), ms(500), (gapMs, ranMs, transitMs, laterTransitMs) => {
+      const clock = { nowMs: 1000 };
+      const [entry, other] = [evidenceAt(clock), evidenceAt(clock)];
+      const crashAt = (endpoint: string): void => {
+        const sentAtMs = clock.nowMs;
+        clock.nowMs += ranMs;
+        entry.noteCrash({ endpoint: at(endpoint), request: 'r-1', sentAtMs, traits: [P] });
+      };
+      crashAt('e-1');
+      const crashedAtMs = clock.nowMs;
+      const { version } = entry;
+      const report = entry.ownSince(0);
+      clock.nowMs += gapMs;
+      crashAt('e-2');
+      const laterReport = entry.ownSince(version);
+      clock.nowMs = Math.max(clock.nowMs, crashedAtMs + transitMs);
+      other.merge(report);
+      clock.nowMs += laterTransitMs;
+      other.merge(laterReport);
+      assert.equal(other.crashCount(P), 2);
+      assert.equal(other.refusedTrait([P]), P);
+    }),
+  );
+});
+
 /** Successes follow each other within a second; the one after the crash came with an update of another entry. */
 test('a success received soon after an earlier one still clears the crash between them', () => {
   const clock = { nowMs: 0 };
