Soak: endpoints that reject, drop and ignore requests and connections

The table of what an endpoint may do on the wire (docs/PROMISES.md) had gaps: answers of status 429 and 421, silence, bytes that are no answer, connections closed as the next request is written or beyond the endpoint's maximum.

--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -17,7 +17,7 @@
 import { restoreFromCopies } from './copies.js';
 import { crashEndpoints, crashEndpointsAmongTopics } from './crashing.js';
 import { disturb } from './faults.js';
-import { misbehave } from './misbehaving.js';
+import { misbehave, rejectRequests } from './misbehaving.js';
 import { silenceDuringChanges, silenceWithoutRelays } from './silence.js';
 import { signalLongRateLimits } from './limits.js';
 import { readSlowly, readSlowlyAmongFaults } from './slow-readers.js';
@@ -89,6 +89,7 @@
   'crashing-among-topics': crashEndpointsAmongTopics,
   asking: signalBackpressure,
   misbehaving: misbehave,
+  rejecting: rejectRequests,
   limits: signalLongRateLimits,
   'slow-readers': readSlowly,
   'slow-readers-and-faults': readSlowlyAmongFaults,
--- a/fakes/platform-engine/engine.ts
+++ b/fakes/platform-engine/engine.ts
@@ -3,6 +3,7 @@
  * streams advance with the steps of its group. It records every request that it starts to execute.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { EngineCalls } from '../../src/group/engine-calls.js';
 import { closeServer } from '../http/index.js';
@@ -20,17 +21,24 @@
 }
 
 /**
- * Fault of one request: rejected without execution (`full`), also once more in the place of the next answer
- * (`full-late`), status 500 (`error`), connection reset (`cut`). The others concern only complete answers: the ID of
- * another request (`crossed`), no stamp of the server (`unsigned`), a truncated body (`short`), a second answer in
- * the place of the next one (`late`) or at once (`twice`), other bytes behind it (`trailing`), no length
- * (`unframed`), an informational answer before it (`informational`), `Connection: close` (`closing`).
+ * Fault of one request: rejected without execution with status 503 (`full`), also once more in the place of the next
+ * answer (`full-late`), 429 (`limited`) or 421 (`misdirected`); connection reset before execution (`dropped`) or
+ * after it (`cut`), status 500 (`error`), bytes that are no answer (`garbled`), none at all (`silent`). The others
+ * concern only complete answers: the ID of another request (`crossed`), no stamp of the server (`unsigned`), a
+ * truncated body (`short`), a second answer in the place of the next one (`late`) or at once (`twice`), other bytes
+ * behind it (`trailing`), no length (`unframed`), an informational answer before it (`informational`),
+ * `Connection: close` (`closing`), a connection closed soon after it without notice (`idle-close`).
  */
 export type EndpointFault =
   | 'full'
   | 'full-late'
+  | 'limited'
+  | 'misdirected'
+  | 'dropped'
   | 'error'
   | 'cut'
+  | 'garbled'
+  | 'silent'
   | 'crossed'
   | 'unsigned'
   | 'short'
@@ -39,10 +47,27 @@
   | 'trailing'
   | 'unframed'
   | 'informational'
-  | 'closing';
+  | 'closing'
+  | 'idle-close';
+
+/** Status of a request that is rejected without execution. */
+const REJECTED_STATUS: Partial<Record<EndpointFault, number>> = {
+  full: 503,
+  'full-late': 503,
+  limited: 429,
+  misdirected: 421,
+};
+/** Longest time after which a connection is closed without notice, ms; the next request is often on its way. */
+const IDLE_CLOSE_MS = 30;
 
 /** Faults after which a connection is of no further use, or ends in the middle of an answer. */
-const SPOILING: ReadonlySet<EndpointFault> = new Set(['short', 'twice', 'trailing', 'unframed']);
+const SPOILING: ReadonlySet<EndpointFault> = new Set([
+  'short',
+  'twice',
+  'trailing',
+  'unframed',
+  'garbled',
+]);
 
 /** Backpressure that an endpoint signals in its answers. */
 export interface EndpointBackpressure {
@@ -111,6 +136,8 @@
   readonly abandoned: readonly AbandonedRequest[];
   readonly arrivals: readonly EndpointArrival[];
   readonly signals: readonly EndpointSignal[];
+  /** Closes connections that are opened beyond a number; undefined for no limit. */
+  limitConnections(max: number | undefined): void;
   close(): void;
 }
 
@@ -232,12 +259,14 @@
     surplus.sendDue(req.socket);
     if (rejectsWithRetryAfter(requestId, res)) return;
     const fault = options.nextFault();
-    if (fault === 'full' || fault === 'full-late') {
+    const rejectedStatus = fault && REJECTED_STATUS[fault];
+    if (rejectedStatus !== undefined) {
       const headers = responseHeaders(requestId, { 'x-not-executed': '1' });
       if (fault === 'full-late')
         surplus.repeat(req.socket, { status: '503 Service Unavailable', headers, body: '' });
-      return void res.writeHead(503, headers).end();
+      return void res.writeHead(rejectedStatus, headers).end();
     }
+    if (fault === 'dropped') return void req.socket.resetAndDestroy();
     const body = await readText(req);
     executions.push({
       endpoint: options.id,
@@ -248,7 +277,9 @@
       startedAtMs: options.nowMs(),
     });
     if (options.crashesOn?.(req.url ?? '')) return;
+    if (fault === 'garbled') return sendGarbled(req);
     if (fault !== 'cut') recordIfAbandoned(req, res, requestId);
+    if (fault === 'silent') return;
     if (options.rank) return sendEventStream(req, res, fault === 'cut');
     await sleep(options.workMs);
     if (fault === 'cut') return void req.socket.resetAndDestroy();
@@ -265,6 +296,18 @@
     });
   }
 
+  function sendGarbled({ socket }: IncomingMessage): void {
+    surplus.spoil(socket);
+    socket.write('bytes of no answer\r\n\r\n');
+  }
+
+  const idleCloseMs = (): number => IDLE_CLOSE_MS * (options.random?.() ?? 1);
+
+  function dropConnection(socket: Socket): void {
+    surplus.spoil(socket);
+    socket.destroy();
+  }
+
   /** Answers a plain request, applying the fault if there is one. */
   function sendAnswer(
     req: IncomingMessage,
@@ -289,6 +332,7 @@
     res.end(body);
     if (fault === 'twice') socket.write(formatAnswer(answer));
     if (fault === 'trailing') socket.write('bytes of no answer');
+    if (fault === 'idle-close') setTimeout(() => dropConnection(socket), idleCloseMs());
   }
 
   const server: Server = createServer((req, res) => {
@@ -299,5 +343,12 @@
       .catch(() => req.socket.destroy());
   });
   await new Promise<void>((resolve) => server.listen(options.port, options.host, resolve));
-  return { executions, arrivals, abandoned, signals, close: () => closeServer(server) };
+  return {
+    executions,
+    arrivals,
+    abandoned,
+    signals,
+    limitConnections: (max) => (server.maxConnections = max ?? Number.MAX_SAFE_INTEGER),
+    close: () => closeServer(server),
+  };
 }
