--- /dev/null
+++ b/test/gateway/endpoints/connection-close.test.ts
@@ -0,0 +1,42 @@
+/**
+ * Guards against requests that are lost as an endpoint ends connections behind its responses: a request that was
+ * assigned to such a connection could be sent on it, and a once-only one has no second attempt.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  responseHead,
+  startRawEndpoint,
+  type RawRequest,
+} from '../../../fakes/raw-endpoint/index.js';
+import { config, endpoint, route, startGateway } from '../harness.js';
+
+const ROUNDS = 5;
+const CALLERS = 8;
+
+function respondAndClose(req: RawRequest): void {
+  const id = String(req.headers['x-request-id']);
+  const head = responseHead(req, '200 OK', [`Content-Length: ${id.length}`, 'Connection: close']);
+  req.socket.end(head + id);
+}
+
+test('no once-only request is lost when each response ends its connection', async () => {
+  const raw = await startRawEndpoint(respondAndClose);
+  const entry = await startGateway(config([route({ kind: 'once' })]), [
+    endpoint('e-1', raw.address),
+  ]);
+  try {
+    for (let round = 0; round < ROUNDS; round += 1) {
+      const ids = Array.from({ length: CALLERS }, (_, i) => `q-${round}-${i}`);
+      const responses = await Promise.all(ids.map((id) => entry.send(id, { method: 'POST' })));
+      assert.deepEqual(
+        responses.map(({ status, body }) => [status, body]),
+        ids.map((id) => [200, id]),
+      );
+    }
+    assert.equal(raw.requests.length, ROUNDS * CALLERS);
+  } finally {
+    entry.close();
+    raw.close();
+  }
+});
