Take runs for attempts of one request only if their contents are the same too

Callers choose the ids of their requests. A caller with one id for all of them has several in flight when a rack is lost; each then counted as a crash of its own, and four such runs are enough to refuse a part that many requests share.

The new test counts one crash for four endpoints lost together; it fails without the comparison.

--- a/src/core/crashes/distinct-crashes.ts
+++ b/src/core/crashes/distinct-crashes.ts
@@ -8,9 +8,18 @@
   return run.sentAtMs < other.crashedAtMs + slackMs;
 }
 
-/** Whether two runs are attempts of one request, of which one begins when the one before has ended. */
+/** Whether two runs are of the same request, or of requests that differ only in their id. */
+function haveSameContents(a: CrashedRun, b: CrashedRun): boolean {
+  const request = a.traits.find(isWholeRequest);
+  return request !== undefined && b.traits.includes(request);
+}
+
+/**
+ * Whether two runs are attempts of one request, of which one begins when the one before has ended. Callers choose
+ * the ids of their requests, and may use one for many.
+ */
 function areAttemptsOfOne(a: CrashedRun, b: CrashedRun): boolean {
-  return a.request !== undefined && a.request === b.request;
+  return a.request !== undefined && a.request === b.request && haveSameContents(a, b);
 }
 
 /** Whether two runs ended with the same crash: of their endpoint, or of endpoints lost together. */
@@ -28,8 +37,7 @@
  * same crash, or they are of the same request, which may crash endpoints by itself.
  */
 export function isSameEvidence(a: CrashedRun, b: CrashedRun): boolean {
-  const request = a.traits.find(isWholeRequest);
-  return isSameCrash(a, b) || (request !== undefined && b.traits.includes(request));
+  return isSameCrash(a, b) || haveSameContents(a, b);
 }
 
 /**
--- a/test/core/crashes/evidence.test.ts
+++ b/test/core/crashes/evidence.test.ts
@@ -392,6 +392,22 @@
   );
 });
 
+/** Callers choose ids: a caller with one id for all its requests had some in flight at endpoints lost together. */
+test('requests with one id but different contents are not taken for attempts of one request', () => {
+  const clock = { nowMs: 0 };
+  const evidence = evidenceAt(clock);
+  clock.nowMs += 50;
+  for (const name of ['1', '2', '3', '4'])
+    evidence.noteCrash({
+      endpoint: at(`e-${name}`),
+      request: 'r-1',
+      sentAtMs: 0,
+      traits: prompt('topic', `own-${name}`),
+    });
+  assert.equal(evidence.crashCount(part('topic')), 1);
+  assert.equal(evidence.refusedTrait(prompt('topic', 'own-5')), undefined);
+});
+
 /** Successes follow each other within a second; the one after the crash came with an update of another entry. */
 test('a success received soon after an earlier one still clears the crash between them', () => {
   const clock = { nowMs: 0 };
