Test of leaving endpoints: wait until all requests have arrived

The endpoint left once eight requests held its connections, whether or not the other three had reached the entry; one that arrives later goes elsewhere at once, as it should.

The test now waits for all of them. The assertions are unchanged.

--- a/test/gateway/requests/leaving-endpoint.test.ts
+++ b/test/gateway/requests/leaving-endpoint.test.ts
@@ -69,7 +69,8 @@
   const sent = Array.from({ length: CONNECTIONS + WAITING }, (_, i) =>
     entry.send(`q-${i}`, { headers }),
   );
-  while (held.length < CONNECTIONS) await wait(5);
+  // Requests that arrive once the endpoint leaves do not wait for it.
+  while (held.length < CONNECTIONS || entry.gateway.running() < sent.length) await wait(5);
   entry.state.offerList(listed, false);
   if (isConfirmed) entry.ctx.endpoints.noteListed();
   leave(setup);
