Give an attempt one option for the time until its deadline

Attempts had the remaining time twice, as a number for the header and as a function for the silence timeout; both came from the same call in the same turn. The function serves both.

--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -30,13 +30,11 @@
   readonly callers: CallerApi;
   readonly request: GatewayRequest;
   readonly target: EndpointState;
-  /** Remaining time, ms. */
-  readonly remainingMs: number;
   readonly resumeAfter: number | undefined;
   /** Timeout of the response headers while the request can go on elsewhere, ms. */
   readonly responseTimeoutMs: number;
   /** Time until the deadline, ms. */
-  readonly untilDeadlineMs: () => number;
+  readonly remainingMs: () => number;
   /** Whether the request can go on elsewhere if this attempt, which may have run it or not, is ended. */
   readonly mayEnd: (mayHaveRun: boolean) => boolean;
   /** Called with the headers of a response to this request. */
@@ -111,7 +109,7 @@
       requestId: request.id,
       endpoint: target.endpoint,
       organisation: request.organisation?.id,
-      deadlineMs: Math.max(1, Math.floor(options.remainingMs)),
+      deadlineMs: Math.max(1, Math.floor(options.remainingMs())),
       resumeAfter: options.resumeAfter,
     }),
     body: request.body.length > 0 ? request.body : null,
@@ -163,7 +161,7 @@
   const timeout = new SilenceTimeout({
     idleMs: options.responseTimeoutMs,
     // A request that waits for a connection is not sent when it is too late to be served.
-    remainingMs: () => options.untilDeadlineMs() - (wasStarted ? 0 : MIN_ATTEMPT_TIME_MS),
+    remainingMs: () => options.remainingMs() - (wasStarted ? 0 : MIN_ATTEMPT_TIME_MS),
     mayEnd: () => options.mayEnd(wasStarted),
     onSilence: (silentMs) => {
       if (wasStarted) noteSilence(silentMs);
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -44,10 +44,9 @@
       callers: ctx.callers,
       request,
       target,
-      remainingMs: remainingMs(active),
       resumeAfter: progress.lastEventId,
       responseTimeoutMs: responseTimeoutMs(active),
-      untilDeadlineMs: () => remainingMs(active),
+      remainingMs: () => remainingMs(active),
       mayEnd: (mayHaveRun) => claimContinuation(active, { mayHaveRun }),
       onHead: (head) => recordSignals(active, target, head, sentAtMs),
     });
