Tests: one set-up of an entry in front of raw endpoints

Assertions, bounds and seeds are unchanged; endpoints of surplus-response.test are named from e-0 on, which no check reads.

--- a/test/core/clock/io-timeout.test.ts
+++ b/test/core/clock/io-timeout.test.ts
@@ -8,7 +8,7 @@
 import { once } from 'node:events';
 import { setTimeout as wait } from 'node:timers/promises';
 import { IoTimeout } from '../../../src/core/clock/index.js';
-import { pauseProcess } from '../../pause-process.js';
+import { pauseProcess } from '../../fixtures/pause-process.js';
 
 const TIMEOUT_MS = 50;
 const PAUSE_MS = 3 * TIMEOUT_MS;
--- a/test/gateway/backpressure/backpressure-signals.test.ts
+++ b/test/gateway/backpressure/backpressure-signals.test.ts
@@ -25,6 +25,7 @@
   startSignallingEndpoint,
   type SignallingEndpoint,
 } from '../signalling-endpoint.js';
+import { pauseProcess } from '../../fixtures/pause-process.js';
 import {
   config,
   endpoint,
@@ -290,8 +291,7 @@
       if (tokenAtMs !== undefined) return tokenAtMs;
       tokenAtMs = nowMs + 1;
       // The process is held up between the choice and the refusal.
-      const untilMs = performance.now() + 5;
-      while (performance.now() < untilMs);
+      pauseProcess(5);
       return tokenAtMs;
     },
     acquire: () => Promise.resolve(true),
--- a/test/gateway/endpoints/connection-close.test.ts
+++ b/test/gateway/endpoints/connection-close.test.ts
@@ -4,12 +4,8 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import {
-  responseHead,
-  startRawEndpoint,
-  type RawRequest,
-} from '../../../fakes/raw-endpoint/index.js';
-import { config, endpoint, route, startGateway } from '../harness.js';
+import { responseHead, type RawRequest } from '../../../fakes/raw-endpoint/index.js';
+import { config, route, withRawEndpoints } from '../harness.js';
 
 const ROUNDS = 5;
 const CALLERS = 8;
@@ -21,11 +17,8 @@
 }
 
 test('no once-only request is lost when each response ends its connection', async () => {
-  const raw = await startRawEndpoint(respondAndClose);
-  const entry = await startGateway(config([route({ kind: 'once' })]), [
-    endpoint('e-1', raw.address),
-  ]);
-  try {
+  const cfg = config([route({ kind: 'once' })]);
+  await withRawEndpoints([respondAndClose], cfg, async ({ entry, raws }) => {
     for (let round = 0; round < ROUNDS; round += 1) {
       const ids = Array.from({ length: CALLERS }, (_, i) => `q-${round}-${i}`);
       const responses = await Promise.all(ids.map((id) => entry.send(id, { method: 'POST' })));
@@ -34,9 +27,6 @@
         ids.map((id) => [200, id]),
       );
     }
-    assert.equal(raw.requests.length, ROUNDS * CALLERS);
-  } finally {
-    entry.close();
-    raw.close();
-  }
+    assert.equal(raws[0]?.requests.length, ROUNDS * CALLERS);
+  });
 });
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -15,6 +15,11 @@
   type LimitPeers,
 } from '../../src/core/backpressure/index.js';
 import { asId } from '../../src/core/ids/index.js';
+import {
+  startRawEndpoint,
+  type RawEndpoint,
+  type RawResponder,
+} from '../../fakes/raw-endpoint/index.js';
 import { silentLog, type Log, type LogFields } from '../../src/core/logging/index.js';
 import { Metrics } from '../../src/core/metrics/index.js';
 import {
@@ -212,6 +217,41 @@
   };
 }
 
+/** An entry in front of raw endpoints. */
+export interface RawEndpointsSetup {
+  readonly entry: TestGateway;
+  readonly raws: readonly RawEndpoint[];
+  readonly listed: readonly PublishedEndpoint[];
+}
+
+/** Options of `withRawEndpoints`. */
+export interface RawEndpointsOptions extends TestGatewayOptions {
+  /** Record of the endpoint with this address and index. */
+  readonly recordOf?: (address: string, index: number) => PublishedEndpoint;
+}
+
+/**
+ * Runs with an entry in front of raw endpoints, `e-0`, `e-1` and so on, and closes all of them afterwards.
+ * @example await withRawEndpoints([respondOk], config([route()]), ({ entry }) => entry.send('q-1'));
+ */
+export async function withRawEndpoints<T>(
+  responders: readonly RawResponder[],
+  cfg: PublishedConfig,
+  run: (setup: RawEndpointsSetup) => Promise<T>,
+  options: RawEndpointsOptions = {},
+): Promise<T> {
+  const { recordOf = (address, i) => endpoint(`e-${i}`, address), ...parts } = options;
+  const raws = await Promise.all(responders.map((respond) => startRawEndpoint(respond)));
+  const listed = raws.map(({ address }, i) => recordOf(address, i));
+  const entry = await startGateway(cfg, listed, parts);
+  try {
+    return await run({ entry, raws, listed });
+  } finally {
+    entry.close();
+    for (const raw of raws) raw.close();
+  }
+}
+
 function sendRequest(port: number, id: string, request: TestRequest): Promise<TestResponse> {
   const startedAt = performance.now();
   return new Promise((resolve) => {
--- a/test/gateway/requests/buffered-response.test.ts
+++ b/test/gateway/requests/buffered-response.test.ts
@@ -18,12 +18,13 @@
   route,
   TEST_SETTINGS,
   startGateway,
+  withRawEndpoints,
   type TestGateway,
 } from '../harness.js';
 
 interface TestSetup {
   readonly testGateway: TestGateway;
-  readonly endpoints: RawEndpoint[];
+  readonly endpoints: readonly RawEndpoint[];
 }
 
 async function withEndpoints(
@@ -32,15 +33,9 @@
   run: (setup: TestSetup) => Promise<void>,
   cfg: Partial<PublishedConfig> = {},
 ): Promise<void> {
-  const endpoints = await Promise.all(answers.map((answer) => startRawEndpoint(answer)));
-  const listed = endpoints.map((raw, i) => endpoint(`e-${i}`, raw.address));
-  const testGateway = await startGateway(config([route(change)], cfg), listed);
-  try {
-    await run({ testGateway, endpoints });
-  } finally {
-    testGateway.close();
-    for (const raw of endpoints) raw.close();
-  }
+  await withRawEndpoints(answers, config([route(change)], cfg), ({ entry, raws }) =>
+    run({ testGateway: entry, endpoints: raws }),
+  );
 }
 
 const respondOk: RawResponder = (req) => req.socket.write(okResponse(req, 'fine'));
--- a/test/gateway/requests/claimed-outcome.test.ts
+++ b/test/gateway/requests/claimed-outcome.test.ts
@@ -8,11 +8,11 @@
 import {
   okResponse,
   responseHead,
-  startRawEndpoint,
   type RawRequest,
+  type RawResponder,
 } from '../../../fakes/raw-endpoint/index.js';
 import type { Route } from '../../../src/core/published/index.js';
-import { config, endpoint, route, startGateway } from '../harness.js';
+import { config, route, withRawEndpoints } from '../harness.js';
 
 const ENDPOINTS = 3;
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
@@ -75,35 +75,25 @@
   const arrivals = new Map<string, number>();
   const add = (counts: Map<string, number>, id: string): void =>
     void counts.set(id, (counts.get(id) ?? 0) + 1);
-  const raws = await Promise.all(
-    Array.from({ length: ENDPOINTS }, () =>
-      startRawEndpoint((req) => {
-        const id = req.headers['x-request-id'] ?? '';
-        const behaviour = BEHAVIOURS[left.shift() ?? 'ok'];
-        add(arrivals, id);
-        if (behaviour.runs) add(runs, id);
-        behaviour.respond(req);
-      }),
-    ),
-  );
-  const listed = raws.map(({ address }, i) => endpoint(`e-${i}`, address));
+  const responder: RawResponder = (req) => {
+    const id = req.headers['x-request-id'] ?? '';
+    const behaviour = BEHAVIOURS[left.shift() ?? 'ok'];
+    add(arrivals, id);
+    if (behaviour.runs) add(runs, id);
+    behaviour.respond(req);
+  };
   const timeoutMs = behaviours.includes('silent') ? 300 : 2000;
-  const entry = await startGateway(
-    config([route({ kind, maxAttempts, timeoutMs, targetMs: 60 })]),
-    listed,
-  );
+  const cfg = config([route({ kind, maxAttempts, timeoutMs, targetMs: 60 })]);
   const checked: { readonly id: string; readonly status: number }[] = [];
-  try {
+  const responders = Array.from({ length: ENDPOINTS }, () => responder);
+  await withRawEndpoints(responders, cfg, async ({ entry }) => {
     for (let i = 0; left.length > 0 && i < behaviours.length; i += 1) {
       const id = `q-${i}`;
       const { status, body } = await entry.send(id);
       checked.push({ id, status });
       if (status === 200) assert.equal(body, 'own');
     }
-  } finally {
-    entry.close();
-    for (const raw of raws) raw.close();
-  }
+  });
   for (const { id, status } of checked) {
     const ran = runs.get(id) ?? 0;
     if (NOT_RUN_STATUSES.has(status)) assert.equal(ran, 0, `${id} got ${status} and ran`);
--- a/test/gateway/requests/cold-endpoint.test.ts
+++ b/test/gateway/requests/cold-endpoint.test.ts
@@ -11,7 +11,15 @@
 import { asId } from '../../../src/core/ids/index.js';
 import type { PublishedEndpoint } from '../../../src/core/published/index.js';
 import { until } from '../../fixtures/until.js';
-import { config, endpoint, route, SERVICE, startGateway, type TestGateway } from '../harness.js';
+import {
+  config,
+  endpoint,
+  route,
+  SERVICE,
+  withRawEndpoints,
+  type TestGateway,
+  type RawEndpointsSetup,
+} from '../harness.js';
 
 const MAX_CONNECTIONS = 8;
 
@@ -27,23 +35,15 @@
     listed: readonly PublishedEndpoint[],
   ) => Promise<void>,
 ): Promise<void> {
-  const raw = await Promise.all(answers.map((answer) => startRawEndpoint(answer)));
-  const listed = raw.map(({ address }, i) => endpoint(`e-${i}`, address));
   const coldStart = { durationMs: 3000, perS };
   const service = { id: asId(SERVICE), maxConnections: 100, engine: undefined, coldStart } as const;
   const services = new Map([[service.id, service]]);
-  const gateway = await startGateway(
-    config([route({ targetMs: 2000, timeoutMs: 2000 })], { services } as never),
-    listed,
-    { knownEntries: () => 1 },
-  );
-  gateway.ctx.endpoints.noteListed();
-  try {
-    await run(gateway, raw, listed);
-  } finally {
-    gateway.close();
-    for (const each of raw) each.close();
-  }
+  const cfg = config([route({ targetMs: 2000, timeoutMs: 2000 })], { services } as never);
+  const runListed = ({ entry, raws, listed }: RawEndpointsSetup): Promise<void> => {
+    entry.ctx.endpoints.noteListed();
+    return run(entry, raws, listed);
+  };
+  await withRawEndpoints(answers, cfg, runListed, { knownEntries: () => 1 });
 }
 
 /** Publishes that the first endpoint is cold. */
--- a/test/gateway/requests/early-response.test.ts
+++ b/test/gateway/requests/early-response.test.ts
@@ -3,10 +3,10 @@
  * that the request runs once more, or that its caller hears that it has not run although it has.
  */
 import assert from 'node:assert/strict';
-import { once } from 'node:events';
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { finished } from 'node:stream/promises';
 import { test } from 'node:test';
+import { closeServer, serveLoopback } from '../../../fakes/http/index.js';
 import { config, endpoint, route, startGateway, type TestResponse } from '../harness.js';
 
 /** More than the buffers of a connection hold, bytes. */
@@ -35,17 +35,15 @@
   const runs: string[] = [];
   const respondEarly = early(runs);
   let arrivals = 0;
-  const server: Server = createServer((req, res) => {
+  const { server, port } = await serveLoopback(async (req, res) => {
     req.on('error', () => undefined);
     arrivals += 1;
     if (arrivals === 1) return respondEarly(req, res);
-    req.resume().on('end', () => {
-      runs.push(idOf(req));
-      res.writeHead(200, headOf(req)).end(idOf(req));
-    });
+    await finished(req.resume());
+    runs.push(idOf(req));
+    res.writeHead(200, headOf(req)).end(idOf(req));
   });
-  await once(server.listen(0, '127.0.0.1'), 'listening');
-  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const address = `127.0.0.1:${port}`;
   const limits = { headerBytes: 16_384, bodyBytes: BODY_BYTES, headerMs: 3000, idleMs: 15_000 };
   const cfg = config([route({ kind: 'once', timeoutMs: 4000 })], { limits });
   const entry = await startGateway(cfg, [endpoint('e-0', address), endpoint('e-1', address)]);
@@ -58,8 +56,7 @@
     return { large, next, runs };
   } finally {
     entry.close();
-    server.closeAllConnections();
-    server.close();
+    closeServer(server);
   }
 }
 
--- a/test/gateway/requests/ended-attempt.test.ts
+++ b/test/gateway/requests/ended-attempt.test.ts
@@ -11,7 +11,6 @@
   event,
   okResponse,
   responseHead,
-  startRawEndpoint,
   type RawEndpoint,
   type RawRequest,
   type RawResponder,
@@ -20,12 +19,11 @@
 import type { EngineStatus } from '../../../src/gateway/groups/group-status.js';
 import {
   config,
-  endpoint,
   route,
-  startGateway,
   TEST_SETTINGS,
-  type TestGateway,
+  withRawEndpoints,
   type TestResponse,
+  type RawEndpointsSetup,
 } from '../harness.js';
 
 const EVENTS = 6;
@@ -65,9 +63,7 @@
   setTimeout(() => req.socket.write(chunk(rest) + chunk('')), SILENCE_MS);
 };
 
-interface Setup {
-  readonly entry: TestGateway;
-  readonly raws: readonly RawEndpoint[];
+interface Setup extends RawEndpointsSetup {
   /** Endpoints that are slow from now on. */
   readonly slow: Set<string>;
 }
@@ -87,21 +83,17 @@
   { responders, change, areEngines = true, retryExtra = TEST_SETTINGS.retryExtra }: PlayOptions,
   run: (setup: Setup) => Promise<void>,
 ): Promise<void> {
-  const raws = await Promise.all(responders.map((respond) => startRawEndpoint(respond)));
-  const endpoints = raws.map(({ address }, i) => endpoint(`e-${i}`, address));
   const slow = new Set<string>();
   const statusOf = ({ id }: PublishedEndpoint): EngineStatus | undefined =>
     areEngines
       ? { load: 0, pace: slow.has(id) ? SLOW_PACE : 1, meanLoad: 0, countedAtMs: 0 }
       : undefined;
   const settings = { ...TEST_SETTINGS, retryExtra };
-  const entry = await startGateway(config([route(change)]), endpoints, { statusOf, settings });
-  try {
-    await run({ entry, raws, slow });
-  } finally {
-    entry.close();
-    for (const raw of raws) raw.close();
-  }
+  const cfg = config([route(change)]);
+  await withRawEndpoints(responders, cfg, (setup) => run({ ...setup, slow }), {
+    statusOf,
+    settings,
+  });
 }
 
 const headers = { 'x-deadline-ms': '3000' };
--- a/test/gateway/requests/evacuation.test.ts
+++ b/test/gateway/requests/evacuation.test.ts
@@ -26,8 +26,10 @@
   route,
   SERVICE,
   startGateway,
+  withRawEndpoints,
   type TestGateway,
   type TestGatewayOptions,
+  type RawEndpointsSetup,
 } from '../harness.js';
 
 const EVACUATED = asId<DataCentreId>('a');
@@ -47,24 +49,20 @@
   run: (setup: Setup) => Promise<void>,
   options: TestGatewayOptions & { readonly routes?: readonly Route[] } = {},
 ): Promise<void> {
-  const raw = await Promise.all(answers.map((answer) => startRawEndpoint(answer)));
-  const listed = raw.map(({ address }, i) => ({
+  const recordOf = (address: string, i: number): PublishedEndpoint => ({
     ...endpoint(`e-${i}`, address),
     dataCentre: i === 0 ? EVACUATED : asId<DataCentreId>('b'),
-  }));
+  });
   const { routes = [route({ maxAttempts: 3, targetMs: 2000, timeoutMs: 2000 })], ...rest } =
     options;
-  const gateway = await startGateway(config(routes), listed, rest);
-  const evacuate = (): void => {
-    gateway.state.offerEvacuations({ kind: 'whole', dataCentres: [EVACUATED] });
-    gateway.ctx.endpoints.cancelUnavailable();
+  const runSetUp = ({ entry: gateway, raws: raw, listed }: RawEndpointsSetup): Promise<void> => {
+    const evacuate = (): void => {
+      gateway.state.offerEvacuations({ kind: 'whole', dataCentres: [EVACUATED] });
+      gateway.ctx.endpoints.cancelUnavailable();
+    };
+    return run({ gateway, raw, listed, evacuate });
   };
-  try {
-    await run({ gateway, raw, listed, evacuate });
-  } finally {
-    gateway.close();
-    for (const each of raw) each.close();
-  }
+  await withRawEndpoints(answers, config(routes), runSetUp, { ...rest, recordOf });
 }
 
 const ok: RawResponder = (req) => req.socket.write(okResponse(req, 'fine'));
--- a/test/gateway/requests/paused-entry.test.ts
+++ b/test/gateway/requests/paused-entry.test.ts
@@ -22,8 +22,8 @@
 import { CrashDetector } from '../../../src/gateway/requests/crash-detector.js';
 import { STREAM_IDLE_TIMEOUT_MS } from '../../../src/gateway/consts.js';
 import type { GatewayRequest } from '../../../src/gateway/types.js';
-import { pauseProcess } from '../../pause-process.js';
-import { config, endpoint, route, startGateway } from '../harness.js';
+import { pauseProcess } from '../../fixtures/pause-process.js';
+import { config, endpoint, route, withRawEndpoints } from '../harness.js';
 
 /** Longer than the timeouts of a response and of a probe for a crash, ms. */
 const PAUSE_MS = 500;
@@ -43,16 +43,11 @@
   responder: RawResponder,
   change: Partial<Route>,
 ): Promise<{ body: string; arrivals: number }> {
-  const raws = await Promise.all([startRawEndpoint(responder), startRawEndpoint(responder)]);
-  const endpoints = raws.map(({ address }, i) => endpoint(`e-${i}`, address));
-  const entry = await startGateway(config([route({ timeoutMs: 5000, ...change })]), endpoints);
-  try {
+  const cfg = config([route({ timeoutMs: 5000, ...change })]);
+  return withRawEndpoints([responder, responder], cfg, async ({ entry, raws }) => {
     const { body } = await entry.send('q-1', { headers: { 'x-deadline-ms': '5000' } });
     return { body, arrivals: raws.reduce((sum, { requests }) => sum + requests.length, 0) };
-  } finally {
-    entry.close();
-    for (const raw of raws) raw.close();
-  }
+  });
 }
 
 test('a response that arrived during a pause of the entry is delivered', async () => {
--- a/test/gateway/requests/slow-reader.test.ts
+++ b/test/gateway/requests/slow-reader.test.ts
@@ -13,7 +13,6 @@
   event,
   okResponse,
   responseHead,
-  startRawEndpoint,
   type RawEndpoint,
   type RawRequest,
   type RawResponder,
@@ -28,9 +27,10 @@
   endpoint,
   route,
   SERVICE,
-  startGateway,
   TEST_SETTINGS,
+  withRawEndpoints,
   type TestGateway,
+  type RawEndpointsSetup,
 } from '../harness.js';
 
 /** Data of one large event, and number of events: twice what the system buffers for a connection. */
@@ -80,7 +80,6 @@
   { change, memoryBytes = 256e6, isBlocked = false }: SetupOptions,
   run: (setup: TestSetup) => Promise<void>,
 ): Promise<void> {
-  const endpoints = await Promise.all(answers.map((answer) => startRawEndpoint(answer)));
   const streamRoute = route({
     kind: 'stream',
     resumable: true,
@@ -94,21 +93,15 @@
     services: new Map([[service.id, service]]),
     limits,
   } as never);
-  const under = await startGateway(
-    cfg,
-    endpoints.map((raw, i) => endpoint(`e-${i}`, raw.address)),
-    {
-      groupOf: () => asId<GroupId>('g'),
-      settings: { ...TEST_SETTINGS, keyFreshnessMs: Infinity, memoryBytes },
-    },
-  );
-  if (isBlocked) under.gateway.server.on('connection', blockWrites);
-  try {
-    await run({ under, endpoints });
-  } finally {
-    under.close();
-    for (const raw of endpoints) raw.close();
-  }
+  const options = {
+    groupOf: () => asId<GroupId>('g'),
+    settings: { ...TEST_SETTINGS, keyFreshnessMs: Infinity, memoryBytes },
+  };
+  const runSetUp = ({ entry: under, raws: endpoints }: RawEndpointsSetup): Promise<void> => {
+    if (isBlocked) under.gateway.server.on('connection', blockWrites);
+    return run({ under, endpoints });
+  };
+  await withRawEndpoints(answers, cfg, runSetUp, options);
 }
 
 interface SlowCaller {
--- a/test/gateway/requests/stream.test.ts
+++ b/test/gateway/requests/stream.test.ts
@@ -15,7 +15,14 @@
 import type { PublishedEndpoint } from '../../../src/core/published/index.js';
 import { EventSplitter } from '../../../src/gateway/requests/event-splitter.js';
 import type { EngineStatus } from '../../../src/gateway/groups/group-status.js';
-import { config, endpoint, route, startGateway, type TestGateway } from '../harness.js';
+import {
+  config,
+  endpoint,
+  route,
+  startGateway,
+  withRawEndpoints,
+  type TestGateway,
+} from '../harness.js';
 
 const STREAM_ROUTE = route({
   kind: 'stream',
@@ -46,17 +53,8 @@
   resumable = true,
   maxAttempts = STREAM_ROUTE.maxAttempts,
 ): Promise<void> {
-  const endpoints = await Promise.all(answers.map((answer) => startRawEndpoint(answer)));
-  const testGateway = await startGateway(
-    config([{ ...STREAM_ROUTE, resumable, maxAttempts }]),
-    endpoints.map((raw, i) => endpoint(`e-${i}`, raw.address)),
-  );
-  try {
-    await run(testGateway, endpoints);
-  } finally {
-    testGateway.close();
-    for (const raw of endpoints) raw.close();
-  }
+  const cfg = config([{ ...STREAM_ROUTE, resumable, maxAttempts }]);
+  await withRawEndpoints(answers, cfg, ({ entry, raws }) => run(entry, raws));
 }
 
 const events = (from: number, to: number): string =>
--- a/test/gateway/requests/surplus-response.test.ts
+++ b/test/gateway/requests/surplus-response.test.ts
@@ -11,7 +11,6 @@
   event,
   okResponse,
   responseHead,
-  startRawEndpoint,
   type RawEndpoint,
   type RawRequest,
   type RawResponder,
@@ -19,11 +18,10 @@
 import type { Route } from '../../../src/core/published/index.js';
 import {
   config,
-  endpoint,
   route,
-  startGateway,
   TEST_SETTINGS,
-  type TestGateway,
+  withRawEndpoints,
+  type RawEndpointsSetup,
 } from '../harness.js';
 
 const LENGTH_0 = 'Content-Length: 0';
@@ -54,26 +52,13 @@
   };
 }
 
-interface Setup {
-  readonly entry: TestGateway;
-  readonly raws: readonly RawEndpoint[];
-}
-
 async function withEndpoints(
   responders: readonly RawResponder[],
   change: Partial<Route>,
-  run: (setup: Setup) => Promise<void>,
+  run: (setup: RawEndpointsSetup) => Promise<void>,
   settings = TEST_SETTINGS,
 ): Promise<void> {
-  const raws = await Promise.all(responders.map((respond) => startRawEndpoint(respond)));
-  const endpoints = raws.map(({ address }, i) => endpoint(`e-${i + 1}`, address));
-  const entry = await startGateway(config([route(change)]), endpoints, { settings });
-  try {
-    await run({ entry, raws });
-  } finally {
-    entry.close();
-    for (const raw of raws) raw.close();
-  }
+  await withRawEndpoints(responders, config([route(change)]), run, { settings });
 }
 
 /** Connections that carried a request; a probe for a crash opens one that carries none. */
@@ -198,7 +183,7 @@
   const respond: RawResponder = (req) =>
     void req.socket.write(okResponse(req, 'x'.repeat(LARGE_BYTES)));
   const settings = { ...TEST_SETTINGS, memoryBytes: LARGE_BYTES };
-  const run = async ({ entry, raws }: Setup): Promise<void> => {
+  const run = async ({ entry, raws }: RawEndpointsSetup): Promise<void> => {
     for (let i = 1; i <= 3; i += 1) assert.equal((await entry.send(`q-${i}`)).status, 502);
     assert.equal(connectionsOf(raws[0]), 3);
   };
--- a/test/runtime/read-body.test.ts
+++ b/test/runtime/read-body.test.ts
@@ -4,22 +4,22 @@
  */
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { createServer } from 'node:http';
-import { connect, type AddressInfo } from 'node:net';
+import type { IncomingMessage } from 'node:http';
+import { connect } from 'node:net';
 import { test } from 'node:test';
+import { closeServer, serveLoopback } from '../../fakes/http/index.js';
 import { readBody } from '../../src/runtime/read-body.js';
-import { pauseProcess } from '../pause-process.js';
+import { pauseProcess } from '../fixtures/pause-process.js';
 
 const TIMEOUT_MS = 50;
 const MAX_BYTES = 100;
 
 test('a body that arrived during a pause of the process is read', async () => {
-  const server = createServer();
-  await once(server.listen(0, '127.0.0.1'), 'listening');
-  const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  const { server, port } = await serveLoopback(() => Promise.resolve());
+  const caller = connect(port, '127.0.0.1');
   try {
     caller.write('POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nab');
-    const [req] = await once(server, 'request');
+    const [req] = (await once(server, 'request')) as [IncomingMessage];
     const body = readBody(req, MAX_BYTES, TIMEOUT_MS);
     // Timers run next after immediates, before I/O.
     setImmediate(() => {
@@ -29,7 +29,6 @@
     assert.equal((await body).unwrap().toString(), 'abcd');
   } finally {
     caller.destroy();
-    server.closeAllConnections();
-    server.close();
+    closeServer(server);
   }
 });
