Log which response a refusal rests on, and keep lines about failures when lines are dropped

Operators could not get from the id of a refused request to the reason: attempt.fault named neither the status of the response that was believed, nor whose id it carried, nor the connection; and at 500 lines a second the lines of answered requests crowded out those of failed ones.

attempt.fault now has sent, status, answers (the id that the response carries), connectionMs and connectionRequests. Of the 500 lines a second 200 are kept for failed attempts, requests that were not answered, warnings and errors. No decision changes: whether a connection is fresh is read from the same count that the log shows.

--- a/src/caller-api/decisions.ts
+++ b/src/caller-api/decisions.ts
@@ -17,12 +17,16 @@
    * @example const log = decisions.recordFrom(createLog('info', {}));
    */
   recordFrom(log: Log): Log {
+    const recordEnd =
+      (write: Log['info']): Log['info'] =>
+      (event, fields = {}) => {
+        if (event === REQUEST_END_EVENT) this.record(fields);
+        write(event, fields);
+      };
     return {
       debug: (event, fields) => log.debug(event, fields),
-      info: (event, fields = {}) => {
-        if (event === REQUEST_END_EVENT) this.record(fields);
-        log.info(event, fields);
-      },
+      info: recordEnd(log.info),
+      evidence: recordEnd(log.evidence),
       warn: (event, fields) => log.warn(event, fields),
       error: (event, fields) => log.error(event, fields),
     };
--- a/src/core/logging/log.ts
+++ b/src/core/logging/log.ts
@@ -14,6 +14,8 @@
 export interface Log {
   debug(event: string, fields?: LogFields): void;
   info(event: string, fields?: LogFields): void;
+  /** Like `info`, for lines without which a failed request cannot be explained: dropped last. */
+  evidence(event: string, fields?: LogFields): void;
   warn(event: string, fields?: LogFields): void;
   error(event: string, fields?: LogFields): void;
 }
@@ -38,6 +40,8 @@
 const MAX_PENDING_BYTES = 256 * 1024;
 /** Maximum lines per second: a few for each request that one instance can serve. */
 const MAX_LINES_PER_SECOND = 500;
+/** The part of them that only evidence, warnings and errors may use. */
+const RESERVED_LINES_PER_SECOND = 200;
 
 /** Destination of log lines; `writableLength` is the number of buffered bytes. */
 export interface LineSink {
@@ -57,17 +61,18 @@
   constructor(private readonly sink: LineSink) {}
 
   /**
-   * Writes a line, or drops it when a limit is reached.
+   * Writes a line, or drops it when a limit is reached; routine lines leave a reserve for the others.
    * @example new BoundedLineWriter(process.stdout).write('event=start', Date.now());
    */
-  write(line: string, wallMs: number): void {
+  write(line: string, wallMs: number, isRoutine = false): void {
     const second = Math.floor(wallMs / 1000);
     if (second !== this.second) [this.second, this.lines] = [second, 0];
-    this.lines += 1;
-    if (this.lines > MAX_LINES_PER_SECOND || this.sink.writableLength > MAX_PENDING_BYTES) {
+    const maxLines = MAX_LINES_PER_SECOND - (isRoutine ? RESERVED_LINES_PER_SECOND : 0);
+    if (this.lines >= maxLines || this.sink.writableLength > MAX_PENDING_BYTES) {
       this.dropped += 1;
       return;
     }
+    this.lines += 1;
     if (this.dropped > 0) this.sink.write(`event=log.dropped level=warn lines=${this.dropped}\n`);
     this.dropped = 0;
     this.sink.write(`${line}\n`);
@@ -78,8 +83,10 @@
 
 function writeRoarr(message: string): void {
   const parsed = JSON.parse(message) as { context: LogFields; message: string; time: number };
+  const { isRoutine, ...fields } = parsed.context;
   const time = new Date(parsed.time).toISOString();
-  stdoutWriter.write(formatLine({ time, event: parsed.message, ...parsed.context }), parsed.time);
+  const line = formatLine({ time, event: parsed.message, ...fields });
+  stdoutWriter.write(line, parsed.time, isRoutine === true);
 }
 
 /**
@@ -90,18 +97,25 @@
   ROARR.write = writeRoarr;
   const minIndex = LOG_LEVELS.indexOf(minLevel);
   const logAt =
-    (level: LogLevel) =>
+    (level: LogLevel, isRoutine: boolean) =>
     (event: string, fields: LogFields = {}) => {
       if (LOG_LEVELS.indexOf(level) < minIndex) return;
-      Roarr({ level, ...commonFields, ...fields } as never, event);
+      Roarr({ level, ...commonFields, ...fields, isRoutine } as never, event);
     };
-  return { debug: logAt('debug'), info: logAt('info'), warn: logAt('warn'), error: logAt('error') };
+  return {
+    debug: logAt('debug', true),
+    info: logAt('info', true),
+    evidence: logAt('info', false),
+    warn: logAt('warn', false),
+    error: logAt('error', false),
+  };
 }
 
 /** A log that drops everything, for tests and benchmarks. */
 export const silentLog: Log = {
   debug: () => undefined,
   info: () => undefined,
+  evidence: () => undefined,
   warn: () => undefined,
   error: () => undefined,
 };
--- a/src/gateway/endpoints/exchange.ts
+++ b/src/gateway/endpoints/exchange.ts
@@ -5,11 +5,14 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Socket } from 'node:net';
 import { Client, type buildConnector, type Dispatcher, type Pool } from 'undici';
+import { systemClock } from '../../core/clock/index.js';
 import type { Result } from '../../core/result/index.js';
 
 /** Lowest status of a final response; those below are informational. */
 const MIN_FINAL_STATUS = 200;
 const CANCELLED = 'the request was cancelled before it was sent';
+/** Of a dispatcher without `createEndpointClient`: its connection may have carried other requests. */
+const UNKNOWN_CONNECTION: ConnectionState = { ageMs: 0, requests: Number.POSITIVE_INFINITY };
 
 /** Hooks into one exchange; `Head` is what the caller reads from the response headers. */
 export interface ExchangeHooks<Head> {
@@ -26,8 +29,15 @@
 export interface RawHead {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
-  /** Whether the connection has carried no other request, so that the response can belong to no other. */
-  readonly isFirstOnConnection: boolean;
+  readonly connection: ConnectionState;
+}
+
+/** A connection at the moment at which it brings the headers of a response. */
+export interface ConnectionState {
+  /** Time since it was opened, ms. */
+  readonly ageMs: number;
+  /** Requests written to it, the one that waits for the response included. */
+  readonly requests: number;
 }
 
 /** A response whose headers were accepted. */
@@ -56,14 +66,14 @@
   client: EndpointClient | undefined;
   isStarted = false;
   isCancelled = false;
-  isFirst = false;
 }
 
 /** The client of one connection of a pool; knows which exchange was the last one on it. */
 class EndpointClient extends Client {
   private socket: Socket | null = null;
   private newest: ConnectionUse | undefined;
-  private isFresh = true;
+  private openedAtMs = 0;
+  private requests = 0;
 
   constructor(origin: URL, { connect, ...options }: PoolClientOptions) {
     super(origin, {
@@ -71,7 +81,8 @@
       connect: (target, callback) =>
         connect(target, (...result) => {
           this.socket = result[1];
-          this.isFresh = true;
+          this.openedAtMs = systemClock.nowMs();
+          this.requests = 0;
           callback(...result);
         }),
     });
@@ -88,8 +99,12 @@
   /** Notes that the request of an exchange is written to the connection. */
   noteStarted(use: ConnectionUse): void {
     this.newest = use;
-    use.isFirst = this.isFresh;
-    this.isFresh = false;
+    this.requests += 1;
+  }
+
+  /** Describes the connection now. */
+  connectionState(): ConnectionState {
+    return { ageMs: systemClock.nowMs() - this.openedAtMs, requests: this.requests };
   }
 
   /** Closes the connection if no other exchange has started on it since. */
@@ -124,7 +139,8 @@
     },
     onResponseStart: (controller, status, headers, message) => {
       if (status >= MIN_FINAL_STATUS) {
-        const head = hooks.readHead({ status, headers, isFirstOnConnection: use.isFirst });
+        const connection = use.client?.connectionState() ?? UNKNOWN_CONNECTION;
+        const head = hooks.readHead({ status, headers, connection });
         if (head.err) return controller.abort(head.val);
         onHead(head.val);
       }
--- a/src/gateway/requests/active-request.ts
+++ b/src/gateway/requests/active-request.ts
@@ -1,6 +1,7 @@
 /** State of a request in flight: its attempts so far, and whether another one is allowed. */
 import type { Opening } from '../../core/backpressure/index.js';
 import type { EndpointId } from '../../core/ids/index.js';
+import type { LogFields } from '../../core/logging/index.js';
 import {
   BUSY_RETRY_S,
   FINAL_RESPONSE_MARGIN_MS,
@@ -158,6 +159,17 @@
   return active.mayHaveRun ? failureOutcome(active) : { kind: 'refused', refusal };
 }
 
+/** Log fields of the response on which a fault rests. */
+function evidenceFields({ evidence }: AttemptFault): LogFields {
+  if (!evidence) return {};
+  return {
+    status: evidence.status,
+    answers: evidence.responseId ?? 'none',
+    connectionMs: evidence.connectionMs,
+    connectionRequests: evidence.connectionRequests,
+  };
+}
+
 /** Records an attempt that produced no response. */
 export function recordFault(
   active: ActiveRequest,
@@ -187,11 +199,13 @@
       service: active.service.id,
       reason: fault.rejected,
     });
-  active.ctx.log.info('attempt.fault', {
+  active.ctx.log.evidence('attempt.fault', {
     request: active.request.id,
     endpoint: target.endpoint.id,
     kind: fault.kind,
     detail: fault.detail,
     running: target.running,
+    sent: !('isUnsent' in fault && fault.isUnsent),
+    ...evidenceFields(fault),
   });
 }
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -10,6 +10,7 @@
 import type {
   ResponseHead,
   AttemptFault,
+  FaultEvidence,
   GatewayRequest,
   CallerApi,
   RejectReason,
@@ -50,7 +51,10 @@
 
 /** A response that must not be used, whatever its status says. */
 class RejectedResponse extends Error {
-  constructor(readonly reason: RejectReason) {
+  constructor(
+    readonly reason: RejectReason,
+    readonly evidence: FaultEvidence,
+  ) {
     super(REJECTED_TEXTS[reason]);
   }
 }
@@ -73,11 +77,14 @@
 }
 
 /** The fault of an endpoint that states that it has not run the request. */
-function notRunFault({ isNotRun, status, asks }: ResponseHead): AttemptFault | undefined {
+function notRunFault(
+  { isNotRun, status, asks }: ResponseHead,
+  evidence: FaultEvidence,
+): AttemptFault | undefined {
   if (!isNotRun) return undefined;
   const detail = `endpoint answered ${status}`;
-  if (asks.backoffMs === undefined) return { kind: 'not-run', detail };
-  return { kind: 'resting', detail: `${detail}, backoff of ${asks.backoffMs} ms` };
+  if (asks.backoffMs === undefined) return { kind: 'not-run', detail, evidence };
+  return { kind: 'resting', detail: `${detail}, backoff of ${asks.backoffMs} ms`, evidence };
 }
 
 function upstreamPathOf(callerApi: CallerApi, request: GatewayRequest): string {
@@ -85,14 +92,28 @@
   return callerApi.upstreamPath?.(url) ?? url;
 }
 
+/** Headers of the response to a request, and the evidence that they give. */
+interface CheckedHead {
+  readonly head: ResponseHead;
+  readonly evidence: FaultEvidence;
+}
+
 /** Reads the headers of a response, and checks that it is the one to this request. */
 function readHead(
   { callers, request }: AttemptOptions,
-  { status, headers, isFirstOnConnection }: RawHead,
-): Result<ResponseHead, RejectedResponse> {
+  { status, headers, connection }: RawHead,
+): Result<CheckedHead, RejectedResponse> {
   const head = callers.readResponse(status, headers);
-  const reason = rejectedHead(head, request, isFirstOnConnection);
-  return reason === undefined ? Ok(head) : Err(new RejectedResponse(reason));
+  const evidence: FaultEvidence = {
+    status,
+    responseId: head.requestId,
+    connectionMs: Math.round(connection.ageMs),
+    connectionRequests: connection.requests,
+  };
+  const reason = rejectedHead(head, request, connection.requests === 1);
+  return reason === undefined
+    ? Ok({ head, evidence })
+    : Err(new RejectedResponse(reason, evidence));
 }
 
 /** Starts the exchange of an attempt; `onStart` is called when its request is about to be written. */
@@ -100,7 +121,7 @@
   options: AttemptOptions,
   pool: Pool,
   onStart: () => void,
-): Exchange<ResponseHead> {
+): Exchange<CheckedHead> {
   const { callers, request, target } = options;
   const call: Dispatcher.RequestOptions = {
     method: request.req.method as Dispatcher.HttpMethod,
@@ -127,7 +148,8 @@
 /** The fault of an attempt whose exchange failed by itself. */
 function faultOf(err: unknown, wasStarted: boolean): AttemptFault {
   const detail = errorText(err);
-  if (err instanceof RejectedResponse) return { kind: 'broke', detail, rejected: err.reason };
+  if (err instanceof RejectedResponse)
+    return { kind: 'broke', detail, rejected: err.reason, evidence: err.evidence };
   if (!wasStarted && wasNotSent(err))
     return { kind: 'not-run', detail, isUnreachable: true, isUnsent: true };
   return { kind: 'broke', detail };
@@ -173,11 +195,12 @@
   });
   timeout.restart();
   try {
-    const { head, body } = await exchange.response;
+    const { head: checked, body } = await exchange.response;
+    const { head, evidence } = checked;
     // An unhandled error of an unread body would end the process.
     body.on('error', () => undefined);
     options.onHead(head);
-    const notRun = notRunFault(head);
+    const notRun = notRunFault(head, evidence);
     if (!notRun) return Ok({ head, body, close, noteSilence });
     await body.dump().catch(() => close());
     return Err(notRun);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -180,8 +180,20 @@
 /** Why the headers of a response show that it must not be used; label `reason` of `responses_rejected_total`. */
 export type RejectReason = 'other-request' | 'no-request-id' | 'unsigned' | 'encoded';
 
+/** The response on which a fault rests, for the log. */
+export interface FaultEvidence {
+  readonly status: number;
+  /** Id of the request that the response names; undefined if it names none. */
+  readonly responseId: string | undefined;
+  /** Age of its connection, ms, and the requests written to it. */
+  readonly connectionMs: number;
+  readonly connectionRequests: number;
+}
+
 /** Why an attempt produced no response. */
-export type AttemptFault =
+export type AttemptFault = AttemptFaultKind & { readonly evidence?: FaultEvidence };
+
+type AttemptFaultKind =
   /** The request has not run: the endpoint states so, or the connection failed. */
   | {
       readonly kind: 'not-run';
--- a/test/core/logging/log.test.ts
+++ b/test/core/logging/log.test.ts
@@ -24,6 +24,14 @@
   assert.equal(out.lines.at(-1), 'n=later\n');
 });
 
+test('the lines that explain failed requests are not dropped because of routine lines', () => {
+  const out = createSink();
+  const lines = new BoundedLineWriter(out);
+  for (let i = 0; i < 2000; i += 1) lines.write(`n=${i}`, 5000, true);
+  lines.write('event=attempt.fault', 5000, false);
+  assert.equal(out.lines.at(-1), 'event=attempt.fault\n');
+});
+
 test('a stalled reader costs bounded memory', () => {
   const out = createSink();
   const lines = new BoundedLineWriter(out);
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -138,7 +138,7 @@
 function createRecordingLog(lines: TestGateway['logLines']): Log {
   const record = (event: string, fields: LogFields = {}): void =>
     void lines.push({ event, fields });
-  return { ...silentLog, info: record, warn: record, error: record };
+  return { ...silentLog, info: record, evidence: record, warn: record, error: record };
 }
 
 /** Dependencies that a test may replace. */
--- a/test/gateway/requests/surplus-response.test.ts
+++ b/test/gateway/requests/surplus-response.test.ts
@@ -199,3 +199,18 @@
       for (let i = 1; i <= 3; i += 1) assert.deepEqual((await entry.send(`q-${i}`)).body, 'own');
     });
 });
+
+test('the log tells which response a refusal rests on, and which one was not used', async () => {
+  await withEndpoints([repeatLate(turnedAway)], ONCE, async ({ entry }) => {
+    await entry.send('q-1');
+    await entry.send('q-2');
+    const faults = entry.logLines.filter(({ event: name }) => name === 'attempt.fault');
+    const evidence = faults.map(({ fields }) =>
+      ['request', 'kind', 'sent', 'status', 'answers', 'connectionRequests'].map((k) => fields[k]),
+    );
+    assert.deepEqual(evidence, [
+      ['q-1', 'not-run', true, 503, 'q-1', 1],
+      ['q-2', 'broke', true, 503, 'q-1', 2],
+    ]);
+  });
+});
