Believe no response without a request id

Callers of once-only requests were told 503, "not run", and their requests ran; with a second attempt allowed they ran twice. An endpoint that speaks first, on accepting a connection and before it has received anything, did it: undici writes the first request of a connection in the turn in which it is open, and takes what is there by then for its response. Such a response has no id, and one without an id was believed on the first request of a connection, as if nothing else could have caused it. A 404 sent so was passed on as the response to the request.

That a connection has carried no other request proves nothing of what caused the bytes on it. Endpoints send the id of a request back with each response to it, so a response without one is now no request's, whatever its status and wherever it stands; whether the connection was used before is no longer asked. The attempt counts as one that may have run.

The test of a "not run" without an id in surplus-response.test took the first one on a connection for proof, which is the fault; it now asserts that none is believed and that each such connection is closed (502 four times on four connections, where it asserted 503, 502, 503, 502 on two).

The three tests of retries after a "not run" in buffered-response.test wrote it without the id that endpoints send back, and relied on the first request of a connection; they now write it as an endpoint does, and assert what they did.

--- a/fakes/raw-endpoint/raw-endpoint.ts
+++ b/fakes/raw-endpoint/raw-endpoint.ts
@@ -21,6 +21,8 @@
   /** Number of connections accepted. */
   connections: number;
   respond: RawResponder;
+  /** Called with each accepted connection, before any request on it. */
+  greet: (socket: Socket) => void;
   close(): void;
 }
 
@@ -47,6 +49,7 @@
     sockets.add(socket);
     socket.on('error', () => undefined);
     socket.on('close', () => sockets.delete(socket));
+    fake.greet(socket);
     let text = '';
     socket.on('data', (bytes) => {
       text += bytes.toString('latin1');
@@ -68,6 +71,7 @@
     requests: [],
     connections: 0,
     respond,
+    greet: () => undefined,
     close: () => {
       server.close();
       for (const socket of sockets) socket.destroy();
--- a/src/gateway/endpoints/exchange.ts
+++ b/src/gateway/endpoints/exchange.ts
@@ -11,8 +11,8 @@
 /** Lowest status of a final response; those below are informational. */
 const MIN_FINAL_STATUS = 200;
 const CANCELLED = 'the request was cancelled before it was sent';
-/** Of a dispatcher without `createEndpointClient`: its connection may have carried other requests. */
-const UNKNOWN_CONNECTION: ConnectionState = { ageMs: 0, requests: Number.POSITIVE_INFINITY };
+/** Of a dispatcher without `createEndpointClient`. */
+const UNKNOWN_CONNECTION: ConnectionState = { ageMs: 0, requests: 0 };
 
 /** Hooks into one exchange; `Head` is what the caller reads from the response headers. */
 export interface ExchangeHooks<Head> {
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -60,18 +60,13 @@
 }
 
 /**
- * Why a response cannot be used. Whose response it is comes before anything that it says: after a surplus
- * response on its connection, a "not run" may belong to an earlier request.
+ * Why a response cannot be used. Whose response it is comes before anything that it says, and only its id tells:
+ * a "not run" may belong to an earlier request on its connection, or to none if the endpoint spoke first.
  */
-function rejectedHead(
-  head: ResponseHead,
-  request: GatewayRequest,
-  isFirstOnConnection: boolean,
-): RejectReason | undefined {
-  const isSuccess = head.status >= 200 && head.status < 300;
-  if (head.requestId === undefined && (isSuccess || !isFirstOnConnection)) return 'no-request-id';
-  if (head.requestId !== undefined && head.requestId !== request.id) return 'other-request';
-  if (!isSuccess) return undefined;
+function rejectedHead(head: ResponseHead, request: GatewayRequest): RejectReason | undefined {
+  if (head.requestId === undefined) return 'no-request-id';
+  if (head.requestId !== request.id) return 'other-request';
+  if (head.status < 200 || head.status >= 300) return undefined;
   if (!head.isSigned) return 'unsigned';
   return head.isEncoded ? 'encoded' : undefined;
 }
@@ -110,7 +105,7 @@
     connectionMs: Math.round(connection.ageMs),
     connectionRequests: connection.requests,
   };
-  const reason = rejectedHead(head, request, connection.requests === 1);
+  const reason = rejectedHead(head, request);
   return reason === undefined
     ? Ok({ head, evidence })
     : Err(new RejectedResponse(reason, evidence));
--- a/test/gateway/requests/buffered-response.test.ts
+++ b/test/gateway/requests/buffered-response.test.ts
@@ -200,7 +200,7 @@
 for (const [status, proof] of notRunResponses) {
   test(`${status} that proves "not run" is retried once on another endpoint`, async () => {
     const refuseAsNotRun: RawResponder = (req) =>
-      req.socket.write(`HTTP/1.1 ${status}\r\n${proof}\r\nContent-Length: 0\r\n\r\n`);
+      req.socket.write(responseHead(req, status, [proof, 'Content-Length: 0']));
     await withEndpoints(
       [refuseAsNotRun, respondOk],
       { kind: 'once', maxAttempts: 2 },
--- a/test/gateway/requests/surplus-response.test.ts
+++ b/test/gateway/requests/surplus-response.test.ts
@@ -125,14 +125,14 @@
   });
 });
 
-test('a "not run" without a request id is believed only if no other request used the connection', async () => {
+test('a "not run" without a request id is never believed', async () => {
   const nameless: RawResponder = ({ socket }) =>
     void socket.write(`HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n${LENGTH_0}\r\n\r\n`);
   await withEndpoints([nameless], ONCE, async ({ entry, raws }) => {
     const statuses = [];
     for (let i = 1; i <= 4; i += 1) statuses.push((await entry.send(`q-${i}`)).status);
-    assert.deepEqual(statuses, [503, 502, 503, 502]);
-    assert.equal(connectionsOf(raws[0]), 2);
+    assert.deepEqual(statuses, [502, 502, 502, 502]);
+    assert.equal(connectionsOf(raws[0]), 4);
   });
 });
 
