Believe a "not run" as soon as its head is checked

Callers saw: an endpoint that turned a request away with a body that trickled held the request until its deadline, though the outcome was known at the head; a second endpoint was tried too late or never. A body without end was read at full speed meanwhile.

Cause: the attempt waited until the body had been read. The body is now read in the background, within 64 KB and 100 ms, which keeps a sound connection; past either limit the connection is closed. The caller leaving no longer closes the connection of a complete exchange.

--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -30,6 +30,10 @@
 export const STALLED_CONNECTION_MS = 250;
 /** Maximum size of a response that is not streamed, bytes. */
 export const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+/** Maximum size of a response body that is read only to keep its connection, bytes. */
+export const MAX_DISCARDED_BYTES = 64 * 1024;
+/** Timeout of reading such a body, ms. */
+export const MAX_DISCARD_MS = 100;
 
 /**
  * Safety margin of the time for which keys are accepted without a new freshness check, ms: covers a
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -6,6 +6,7 @@
 import { startExchange, type Exchange, type RawHead } from '../endpoints/exchange.js';
 import { MIN_ATTEMPT_TIME_MS, STALLED_CONNECTION_MS } from '../consts.js';
 import type { EndpointState } from '../endpoints/endpoint-state.js';
+import { discardBody } from './discard-body.js';
 import { SilenceTimeout } from './silence-timeout.js';
 import type {
   ResponseHead,
@@ -197,7 +198,9 @@
     options.onHead(head);
     const notRun = notRunFault(head, evidence);
     if (!notRun) return Ok({ head, body, close, noteSilence });
-    await body.dump().catch(() => close());
+    // The response is complete for the caller, whose leaving must not close a sound connection.
+    request.gone.removeEventListener('abort', exchange.cancel);
+    discardBody(body, close);
     return Err(notRun);
   } catch (err) {
     return Err(ownFault ?? faultOf(err, wasStarted));
