Write no response out of turn on a caller's connection

What callers saw: a 408, 431, 413 or 400 without a body in the place of the response to a request that was running. A 408 promises that the request has not run; a once-only request that ran for 45 s with an incomplete head behind it read one after 30.0 s.

Cause: on bytes that are no request, or a head that is late, Node's HTTP server writes its own response straight to the socket unless a part of the response in front has been sent. The caller takes it for the response in front. A body that broke after an early refusal got a second response in the same way.

Now the entry handles the parser's errors itself. Responses that are due are sent in order, the last one with Connection: close; a request whose body is malformed is refused in turn (400, 413, 431); Node's status lines are written only if no request is due. Then the connection is closed for writing, and read for 150 ms more, as bytes left unread would reset it before the caller had read the response. Heads are checked each 100 ms in place of 30 s, against the time for a head alone; a connection without a byte on it keeps its idle time and gets no status.

Ruled out: the records of refused requests show 503, which Node's server never writes by itself.

--- a/src/core/errors/kinds.ts
+++ b/src/core/errors/kinds.ts
@@ -133,6 +133,18 @@
     (f) => f,
     'Send the body within the time limit.',
   ),
+  'body-malformed': kind(
+    400,
+    'Body violates HTTP',
+    (f) => f,
+    'Send a body with valid chunks or a Content-Length.',
+  ),
+  'trailers-large': kind(
+    431,
+    'Trailers are too large',
+    (f) => f,
+    'Send smaller trailers, or none.',
+  ),
   'body-large': kind(413, 'Body is too large', (f) => f, 'Send a smaller body.'),
   'header-invalid': kind(400, 'Header is not valid', (f) => f, 'Correct the named header.'),
   'streams-exceeded': kind(
--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -69,3 +69,10 @@
 export const STOP_ABORT_MS = 700;
 /** Polling period of a stopping entry, ms. */
 export const STOP_POLL_MS = 50;
+
+/** Time for which a connection that the entry closes is still read, ms, so that the caller reads the last response. */
+export const LINGER_MS = 150;
+/** Bytes that are discarded behind a malformed request while responses are due before the connection is closed. */
+export const MAX_MALFORMED_BYTES = 256 * 1024;
+/** Interval at which timeouts of callers' heads are checked, ms. */
+export const HEAD_CHECK_INTERVAL_MS = 100;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,6 @@
 /** HTTP server of an entry: accepts and validates requests, and ends each with exactly one final response. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { BodyReservation } from '../core/buffering/index.js';
 import { errorText, type HarriergladeError } from '../core/errors/index.js';
 import {
@@ -14,9 +15,11 @@
   DEFAULT_DEADLINE_MS,
   OTHER_ENTRY_RETRY_S,
   FINAL_RESPONSE_MARGIN_MS,
+  HEAD_CHECK_INTERVAL_MS,
   STOP_SERVING_MS,
 } from './consts.js';
 import type { GatewayContext } from './context.js';
+import { CallerConnections } from './requests/caller-connections.js';
 import { cutResponse } from './requests/cut-response.js';
 import { readRequestBody } from './requests/read-request-body.js';
 import { sendRefusal, type Refusal } from './requests/refuse.js';
@@ -185,6 +188,8 @@
       longestPauseMs: undefined,
       events: 0,
     };
+    // Its response could not be sent: it is not run, and its caller reads the end of the connection.
+    if (!connections.add(req, res, id)) return;
     if (isStopping()) res.setHeader('connection', 'close');
     if (callers.requestIdHeader) res.setHeader(callers.requestIdHeader, id);
     const admitted = checkHead(head, req);
@@ -281,8 +286,17 @@
   }
 
   const waiting = new WaitingResponses();
+  const connections = new CallerConnections({
+    log,
+    metrics,
+    firstHeadExtraMs: () => server.keepAliveTimeout,
+  });
   const server = createServer(
-    { maxHeaderSize: settings.parserHeaderBytes, requestTimeout: 0 },
+    {
+      maxHeaderSize: settings.parserHeaderBytes,
+      requestTimeout: 0,
+      connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
+    },
     (req, res) => {
       inFlight += 1;
       req.on('error', () => undefined);
@@ -294,6 +308,14 @@
     },
   );
 
+  server.on('connection', (socket) => {
+    applyLimits();
+    connections.onConnection(socket);
+  });
+  server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
+    connections.onClientError(err, socket as Socket),
+  );
+
   /** Reports an unexpected error to the caller, whose request may have run. */
   function answerFailure(res: ServerResponse, err: unknown): void {
     const detail = errorText(err);
@@ -310,7 +332,7 @@
     const limits = state.config?.limits;
     if (!limits) return;
     server.keepAliveTimeout = limits.idleMs;
-    server.headersTimeout = limits.headerMs + limits.idleMs;
+    server.headersTimeout = limits.headerMs;
   }
 
   return {
--- /dev/null
+++ b/src/gateway/requests/caller-connections.ts
@@ -0,0 +1,187 @@
+/**
+ * Connections of callers: which responses are due on each, and how it is closed. Nothing is written out of turn: what
+ * ends a connection is told after the responses that are due, or not at all.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Log } from '../../core/logging/index.js';
+import type { Metrics } from '../../core/metrics/index.js';
+import { LINGER_MS, MAX_MALFORMED_BYTES } from '../consts.js';
+
+/** Statuses for bytes that are no request, by the code of the parser's error; 400 for all others. */
+const STATUS_LINES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+const OTHER_STATUS_LINE = '400 Bad Request';
+
+const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** The caller closed its side inside a request. */
+const CLOSED_EARLY = 'HPE_INVALID_EOF_STATE';
+
+/** Dependencies of `CallerConnections`. */
+export interface CallerConnectionsDeps {
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Timeout of a connection on which no request was sent yet, ms, beyond that of a head. */
+  readonly firstHeadExtraMs: () => number;
+}
+
+interface DueResponse {
+  readonly res: ServerResponse;
+  readonly id: string;
+}
+
+interface Connection {
+  readonly socket: Socket;
+  /** Responses that are not complete yet, in order. */
+  readonly due: Set<DueResponse>;
+  newest: IncomingMessage | undefined;
+  /** Number of requests on the connection. */
+  requests: number;
+  /** Whether it closes after the responses that are due. */
+  isEnding: boolean;
+  /** Bytes read when it could no longer be parsed. */
+  malformedAtBytes: number | undefined;
+  isLingering: boolean;
+}
+
+function codeOf(err: NodeJS.ErrnoException): string {
+  return err.code ?? 'unknown';
+}
+
+/** Whether the error was found by the server, in bytes that it read or for want of them. */
+function isCallersFault(code: string): boolean {
+  return code.startsWith('HPE_') || code === HEAD_TIMEOUT;
+}
+
+/** The connections of one server. */
+export class CallerConnections {
+  private readonly bySocket = new WeakMap<Socket, Connection>();
+
+  constructor(private readonly deps: CallerConnectionsDeps) {}
+
+  /** Follows a new connection. */
+  readonly onConnection = (socket: Socket): void => {
+    const connection = this.of(socket);
+    // The server calls it after the last response. Closed at once, unread bytes would reset the connection, and
+    // the caller might lose the response (RFC 9112, 9.6).
+    socket.destroySoon = () => linger(connection);
+  };
+
+  /**
+   * Adds a request; false if it must be ignored, as its connection ends before its response.
+   * @example if (!connections.add(req, res, id)) return;
+   */
+  add(req: IncomingMessage, res: ServerResponse, id: string): boolean {
+    const connection = this.of(req.socket);
+    const last = [...connection.due].at(-1);
+    if (connection.isLingering || connection.malformedAtBytes !== undefined) return false;
+    if (connection.isEnding && (!last || last.res.headersSent)) return false;
+    const due: DueResponse = { res, id };
+    connection.due.add(due);
+    connection.newest = req;
+    connection.requests += 1;
+    if (connection.isEnding) this.endAfterLast(connection);
+    res.once('close', () => {
+      connection.due.delete(due);
+      if (connection.isEnding && connection.due.size === 0) linger(connection);
+    });
+    return true;
+  }
+
+  /** Ends a connection on which the caller sent bytes that are no request, or too few of them in time. */
+  readonly onClientError = (err: NodeJS.ErrnoException, socket: Socket): void => {
+    const code = codeOf(err);
+    const connection = this.of(socket);
+    const hasLeft = code === CLOSED_EARLY || socket.readableEnded || !socket.writable;
+    if (connection.isLingering && !hasLeft) return;
+    if (hasLeft || !isCallersFault(code)) {
+      socket.destroy();
+      return;
+    }
+    // The parser reports each further chunk.
+    if (connection.malformedAtBytes !== undefined) return limitDiscarded(connection);
+    if (code === HEAD_TIMEOUT) return this.onHeadTimeout(err, connection);
+    this.onMalformed(err, connection);
+  };
+
+  private onHeadTimeout(err: NodeJS.ErrnoException, connection: Connection): void {
+    const { socket, requests } = connection;
+    if (socket.bytesRead === 0) {
+      const closeIfUnused = (): void => void (socket.bytesRead === 0 && linger(connection));
+      setTimeout(closeIfUnused, this.deps.firstHeadExtraMs()).unref();
+      return;
+    }
+    // After a pause of the process the head may have arrived: timers run before I/O, I/O before immediates.
+    setImmediate(() => {
+      if (connection.requests === requests && !socket.destroyed) this.onMalformed(err, connection);
+    });
+  }
+
+  private onMalformed(err: NodeJS.ErrnoException, connection: Connection): void {
+    const code = codeOf(err);
+    const { socket, newest, due } = connection;
+    connection.malformedAtBytes = socket.bytesRead;
+    this.deps.metrics.count('caller_errors_total', { code });
+    this.deps.log.warn('caller.malformed', {
+      code,
+      detail: err.message,
+      requests: [...due].map(({ id }) => id).join() || undefined,
+      earlier: connection.requests - due.size,
+    });
+    const isInBody = newest !== undefined && !newest.complete;
+    this.endAfterLast(connection);
+    // Whoever reads the body refuses the request in turn, unless it has been refused already.
+    if (isInBody) newest.emit('error', err);
+    if (due.size > 0) return;
+    if (!isInBody) socket.write(errorResponse(code));
+    linger(connection);
+  }
+
+  private endAfterLast(connection: Connection): void {
+    connection.isEnding = true;
+    const responses = [...connection.due].map(({ res }) => res);
+    const last = responses.pop();
+    for (const res of responses) if (!res.headersSent) res.removeHeader('connection');
+    if (last && !last.headersSent) last.setHeader('connection', 'close');
+  }
+
+  private of(socket: Socket): Connection {
+    const known = this.bySocket.get(socket);
+    if (known) return known;
+    const created: Connection = {
+      socket,
+      due: new Set(),
+      newest: undefined,
+      requests: 0,
+      isEnding: false,
+      malformedAtBytes: undefined,
+      isLingering: false,
+    };
+    this.bySocket.set(socket, created);
+    return created;
+  }
+}
+
+/** Leaves further bytes unread until the responses that are due have been sent. */
+function limitDiscarded({ socket, malformedAtBytes = 0 }: Connection): void {
+  if (socket.bytesRead - malformedAtBytes > MAX_MALFORMED_BYTES) socket.pause();
+}
+
+function errorResponse(code: string): string {
+  return `HTTP/1.1 ${STATUS_LINES[code] ?? OTHER_STATUS_LINE}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+}
+
+/** Closes a connection for writing, and for reading once the caller has had time to read the last response. */
+function linger(connection: Connection): void {
+  const { socket } = connection;
+  if (connection.isLingering) return;
+  connection.isLingering = true;
+  socket.resume();
+  socket.end(() => {
+    const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+    socket.once('close', () => clearTimeout(timer));
+  });
+}
--- a/src/runtime/read-body.ts
+++ b/src/runtime/read-body.ts
@@ -4,6 +4,13 @@
 import { Err, Ok, type Result } from '../core/result/index.js';
 import { notRun, type HarriergladeError } from '../core/errors/index.js';
 
+/** The body violates HTTP: what is left of it cannot be told from the next request. */
+function malformedBody({ code, message }: NodeJS.ErrnoException): HarriergladeError {
+  const detail = `The body violates HTTP: ${code} ${message}.`;
+  if (code === 'HPE_CHUNK_EXTENSIONS_OVERFLOW') return notRun('body-large', detail);
+  return notRun(code === 'HPE_HEADER_OVERFLOW' ? 'trailers-large' : 'body-malformed', detail);
+}
+
 /**
  * Resolves to the complete body, or to the error that ended it. `hasRoom` is called with the number of
  * bytes received so far, and returns false if they cannot be buffered.
@@ -20,16 +27,14 @@
     let size = 0;
     const settle = (result: () => Result<Buffer, HarriergladeError>): void => {
       timeout.stop();
-      req
-        .off('data', onData)
-        .off('end', onEnd)
-        .off('error', onEarlyClose)
-        .off('close', onEarlyClose);
+      req.off('data', onData).off('end', onEnd).off('error', onError).off('close', onEarlyClose);
       resolve(result());
     };
     const onEnd = (): void => settle(() => Ok(Buffer.concat(chunks)));
     // Every request emits close, so the error is created only if the body is incomplete by then.
     const onEarlyClose = (): void => settle(() => Err(notRun('body-cut')));
+    const onError = (err: NodeJS.ErrnoException): void =>
+      err.code?.startsWith('HPE_') ? settle(() => Err(malformedBody(err))) : onEarlyClose();
     const onData = (chunk: Buffer): void => {
       size += chunk.length;
       chunks.push(chunk);
@@ -45,6 +50,6 @@
     // Without a listener, a later error on the connection would end the process.
     req.on('error', () => undefined);
     req.on('data', onData);
-    req.once('end', onEnd).once('error', onEarlyClose).once('close', onEarlyClose);
+    req.once('end', onEnd).once('error', onError).once('close', onEarlyClose);
   });
 }
