Close a caller's connection after the last response that is due on it

What callers saw: a caller that sends requests ahead lost the responses behind the first one that carried Connection: close. On a stopping entry that was the first request after SIGTERM; the requests behind it ran, and their connection closed without a response.

Cause: the header was set on each response by itself, whatever was due behind it. Now it moves to the last response that is due on the connection, also for refusals that close it, and requests that come after that response was begun are not run.

Test: pipelining-caller.test; before the fix "requests that were sent ahead of a stop are all answered" failed (q-3 without a response), the other five passed and stay as guards: order, an early refusal, a large body, a cut, a timeout.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -170,11 +170,17 @@
       detail:
         end.kind === 'refused' ? end.refusal.detail : end.kind === 'cut' ? end.detail : undefined,
     });
-    if (end.kind === 'refused') sendRefusal(res, metrics, end.refusal);
+    if (end.kind === 'refused') refuse(res, end.refusal);
     if (end.kind === 'cut') cutResponse(res);
     if (end.kind === 'gone') res.destroy();
   }
 
+  /** Writes a refusal; the connection closes after the last response that is due on it. */
+  function refuse(res: ServerResponse, refused: Refusal): void {
+    if (refused.close) connections.end(res.req);
+    sendRefusal(res, metrics, { ...refused, close: false });
+  }
+
   async function serveCaller(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedAtMs = clock.nowMs();
     const head = callers.readRequest(req.headers);
@@ -190,7 +196,7 @@
     };
     // Its response could not be sent: it is not run, and its caller reads the end of the connection.
     if (!connections.add(req, res, id)) return;
-    if (isStopping()) res.setHeader('connection', 'close');
+    if (isStopping()) connections.end(req);
     if (callers.requestIdHeader) res.setHeader(callers.requestIdHeader, id);
     const admitted = checkHead(head, req);
     if (admitted.err) {
@@ -320,7 +326,7 @@
   function answerFailure(res: ServerResponse, err: unknown): void {
     const detail = errorText(err);
     log.error('caller.failed', { err: detail });
-    sendRefusal(res, metrics, {
+    refuse(res, {
       reason: 'answer-lost',
       detail: `this entry failed: ${detail}`,
       close: true,
--- a/src/gateway/requests/caller-connections.ts
+++ b/src/gateway/requests/caller-connections.ts
@@ -91,6 +91,14 @@
     return true;
   }
 
+  /**
+   * Closes the connection of a request after the last response that is due on it.
+   * @example if (isStopping()) connections.end(req);
+   */
+  end({ socket }: IncomingMessage): void {
+    this.endAfterLast(this.of(socket));
+  }
+
   /** Ends a connection on which the caller sent bytes that are no request, or too few of them in time. */
   readonly onClientError = (err: NodeJS.ErrnoException, socket: Socket): void => {
     const code = codeOf(err);
@@ -144,7 +152,8 @@
     connection.isEnding = true;
     const responses = [...connection.due].map(({ res }) => res);
     const last = responses.pop();
-    for (const res of responses) if (!res.headersSent) res.removeHeader('connection');
+    for (const res of responses)
+      if (!res.headersSent && res.hasHeader('connection')) res.removeHeader('connection');
     if (last && !last.headersSent) last.setHeader('connection', 'close');
   }
 
