--- a/fakes/raw-endpoint/raw-endpoint.ts
+++ b/fakes/raw-endpoint/raw-endpoint.ts
@@ -23,6 +23,10 @@
   respond: RawResponder;
   /** Called with each accepted connection, before any request on it. */
   greet: (socket: Socket) => void;
+  /** Called when the head of a request is in and its body is not. */
+  onHead: RawResponder;
+  /** Refuses further connections. */
+  refuse(): void;
   close(): void;
 }
 
@@ -51,13 +55,19 @@
     socket.on('close', () => sockets.delete(socket));
     fake.greet(socket);
     let text = '';
+    let isHeadSeen = false;
     socket.on('data', (bytes) => {
       text += bytes.toString('latin1');
       for (let end = text.indexOf(HEAD_END); end >= 0; end = text.indexOf(HEAD_END)) {
         const { line, headers } = parseHead(text.slice(0, end));
         const length = Number(headers['content-length'] ?? 0);
         const bodyStart = end + HEAD_END.length;
-        if (text.length < bodyStart + length) return;
+        if (text.length < bodyStart + length) {
+          if (!isHeadSeen) fake.onHead({ line, headers, body: '', socket });
+          isHeadSeen = true;
+          return;
+        }
+        isHeadSeen = false;
         const req = { line, headers, body: text.slice(bodyStart, bodyStart + length), socket };
         text = text.slice(bodyStart + length);
         fake.requests.push(req);
@@ -72,6 +82,8 @@
     connections: 0,
     respond,
     greet: () => undefined,
+    onHead: () => undefined,
+    refuse: () => void server.close(),
     close: () => {
       server.close();
       for (const socket of sockets) socket.destroy();
