Write each request to at most one connection

undici puts a request back into its queue, and writes it again, if its connection ends with an error of undici's own (UND_ERR_INFO) while the request is in flight. The second write would make a once-only request run twice, under the deadline header of the first. By reading undici 7.30 no such end meets a request in flight today (idle timeout, end of a response, abort of the request itself), so no caller has seen it; nothing here kept it so. An exchange whose request was written now fails as it is about to be written again.

exchange.test, 10 tests of requests whose connection is being opened, lost or replaced: the one with that error failed before, as the request was written twice and answered 200. The others are the paths on which a request might be written after it was counted as unsent, and held before as now: cancelled or closed while its connection is opened or while it waits behind another one; waiting in a pool that was replaced; connection closed before it was written; UND_ERR_SOCKET, ECONNRESET and EHOSTUNREACH after it.

--- a/src/gateway/endpoints/exchange.ts
+++ b/src/gateway/endpoints/exchange.ts
@@ -11,6 +11,7 @@
 /** Lowest status of a final response; those below are informational. */
 const MIN_FINAL_STATUS = 200;
 const CANCELLED = 'the request was cancelled before it was sent';
+const WRITTEN_ONCE = 'the connection ended after the request was written';
 /** Of a dispatcher without `createEndpointClient`. */
 const UNKNOWN_CONNECTION: ConnectionState = { ageMs: 0, requests: 0 };
 
@@ -132,6 +133,8 @@
     onRequestStart: (controller, context) => {
       // Aborting here would close the connection, which is sound.
       if (use.isCancelled) throw new Error(CANCELLED);
+      // undici writes a request again whose connection it ended itself.
+      if (use.isStarted) throw new Error(WRITTEN_ONCE);
       use.isStarted = true;
       use.client?.noteStarted(use);
       hooks.onStart();
