Bound heads, interim responses, chunk framing and trailers of endpoints

Operators saw: an endpoint that sent trailers or many headers without end held the event loop of an entry; a sound service beside it was served a fraction of its requests, callers of the faulty one got 504.

Cause: the HTTP parser notes that its header limit is exceeded, but goes on through the chunk in hand and creates an error with a stack for each header behind the limit. A profile of 3 s of trailers with one caller has 1,804 ms in the constructor of that error. Interim responses and chunk extensions had no limit at all. Quadratic joining was ruled out by the same profile.

Each connection now has a meter between socket and parser: it hands out at most as many bytes as the expected part of the response may still have, and closes the connection at the limit, before the limit of the parser. It also closes a connection on which bytes arrive while no request is in flight, which counts as a failure of the endpoint. Counter and log line name the kind.

--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -30,6 +30,12 @@
 export const STALLED_CONNECTION_MS = 250;
 /** Maximum size of a response that is not streamed, bytes. */
 export const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+/** Maximum size of the head of a response and the interim responses before it, bytes. */
+export const MAX_RESPONSE_HEAD_BYTES = 16 * 1024;
+/** Maximum size of chunk headers and trailers without a part of the body between them, bytes. */
+export const MAX_FRAMING_BYTES = 32 * 1024;
+/** Maximum number of bytes of chunk headers for each byte of a body: a chunk of one byte has five. */
+export const MAX_FRAMING_PER_BODY_BYTE = 8;
 /** Maximum size of a response body that is read only to keep its connection, bytes. */
 export const MAX_DISCARDED_BYTES = 64 * 1024;
 /** Timeout of reading such a body, ms. */
--- a/src/gateway/endpoints/endpoints.ts
+++ b/src/gateway/endpoints/endpoints.ts
@@ -20,7 +20,7 @@
 import { EndpointHealth, chooseRank } from '../../core/routing/index.js';
 import { ReplaceablePool } from '../../runtime/replaceable-pool.js';
 import { createEndpointConnector } from './connect.js';
-import { createEndpointClient } from './exchange.js';
+import { endpointClientFactory } from './exchange.js';
 import { failurePenalty, type EndpointState } from './endpoint-state.js';
 import {
   UNKNOWN_PASS,
@@ -30,6 +30,7 @@
   type RankOption,
 } from './rank-option.js';
 import type { EngineStatus } from '../groups/group-status.js';
+import type { EndpointMisbehaviour } from '../types.js';
 import {
   ASSUMED_CONNECTION_PEERS,
   IDLE_CONNECTION_TIMEOUT_MS,
@@ -235,7 +236,9 @@
         connections: Math.max(2, Math.min(MAX_CONNECTIONS, share)),
         pipelining: 1,
         connect: createEndpointConnector(),
-        factory: createEndpointClient,
+        factory: endpointClientFactory((kind, detail) =>
+          this.noteMisbehaviour(created, kind, detail),
+        ),
         keepAliveTimeout: IDLE_CONNECTION_TIMEOUT_MS,
         headersTimeout: 0,
         bodyTimeout: 0,
@@ -380,6 +383,14 @@
         : state.meanResponseMs + RESPONSE_TIME_EWMA_WEIGHT * (tookMs - state.meanResponseMs);
   }
 
+  /** Records bytes without end, or that nobody requested; an attempt that they end is counted by itself. */
+  noteMisbehaviour(state: EndpointState, kind: EndpointMisbehaviour, detail: string): void {
+    const { id, service } = state.endpoint;
+    this.deps.metrics.count('endpoint_misbehaviour_total', { service, kind });
+    this.deps.log.warn('endpoint.misbehaved', { endpoint: id, service, kind, detail });
+    if (kind === 'unsolicited') this.noteFailure(state, detail);
+  }
+
   /** Records a failure caused by the endpoint, and ejects it after too many in a row. */
   noteFailure(state: EndpointState, detail: string): void {
     state.failureShare += FAILURE_EWMA_WEIGHT * (1 - state.failureShare);
--- a/src/gateway/endpoints/exchange.ts
+++ b/src/gateway/endpoints/exchange.ts
@@ -7,12 +7,14 @@
 import { Client, type buildConnector, type Dispatcher, type Pool } from 'undici';
 import { systemClock } from '../../core/clock/index.js';
 import type { Result } from '../../core/result/index.js';
+import { MAX_FRAMING_BYTES } from '../consts.js';
+import { ResponseMeter, type ReportMisbehaviour } from './response-meter.js';
 
 /** Lowest status of a final response; those below are informational. */
 const MIN_FINAL_STATUS = 200;
 const CANCELLED = 'the request was cancelled before it was sent';
 const WRITTEN_ONCE = 'the connection ended after the request was written';
-/** Of a dispatcher without `createEndpointClient`. */
+/** Of a dispatcher without `endpointClientFactory`. */
 const UNKNOWN_CONNECTION: ConnectionState = { ageMs: 0, requests: 0 };
 
 /** Hooks into one exchange; `Head` is what the caller reads from the response headers. */
@@ -71,19 +73,24 @@
 
 /** The client of one connection of a pool; knows which exchange was the last one on it. */
 class EndpointClient extends Client {
+  /** Meters the responses on the current connection. */
+  meter: ResponseMeter | undefined;
   private socket: Socket | null = null;
   private newest: ConnectionUse | undefined;
   private openedAtMs = 0;
   private requests = 0;
 
-  constructor(origin: URL, { connect, ...options }: PoolClientOptions) {
+  constructor(origin: URL, { connect, ...options }: PoolClientOptions, report: ReportMisbehaviour) {
     super(origin, {
       ...options,
+      // Never reached, since the meter has the lower limits.
+      maxHeaderSize: 2 * MAX_FRAMING_BYTES,
       connect: (target, callback) =>
         connect(target, (...result) => {
           this.socket = result[1];
           this.openedAtMs = systemClock.nowMs();
           this.requests = 0;
+          this.meter = result[1] ? new ResponseMeter(result[1], report) : undefined;
           callback(...result);
         }),
     });
@@ -101,6 +108,7 @@
   noteStarted(use: ConnectionUse): void {
     this.newest = use;
     this.requests += 1;
+    this.meter?.startResponse();
   }
 
   /** Describes the connection now. */
@@ -115,11 +123,13 @@
 }
 
 /**
- * Creates the client of one connection of a pool of endpoint connections.
- * @example new Pool(origin, { factory: createEndpointClient, connect: createEndpointConnector() })
+ * Returns a factory of the clients of a pool of endpoint connections; `report` is called with violations.
+ * @example new Pool(origin, { factory: endpointClientFactory(report), connect: createEndpointConnector() })
  */
-export function createEndpointClient(origin: URL, options: object): Dispatcher {
-  return new EndpointClient(origin, options as PoolClientOptions);
+export function endpointClientFactory(
+  report: ReportMisbehaviour,
+): (origin: URL, options: object) => Dispatcher {
+  return (origin, options) => new EndpointClient(origin, options as PoolClientOptions, report);
 }
 
 /** Wraps a handler with the hooks of one exchange. */
@@ -146,18 +156,25 @@
         const head = hooks.readHead({ status, headers, connection });
         if (head.err) return controller.abort(head.val);
         onHead(head.val);
-      }
+        use.client?.meter?.startBody();
+      } else use.client?.meter?.noteInterim();
       next.onResponseStart?.(controller, status, headers, message);
     },
     onRequestUpgrade: (...args) => next.onRequestUpgrade?.(...args),
-    onResponseData: (...args) => next.onResponseData?.(...args),
-    onResponseEnd: (...args) => next.onResponseEnd?.(...args),
+    onResponseData: (controller, bytes) => {
+      use.client?.meter?.noteBody(bytes.length);
+      next.onResponseData?.(controller, bytes);
+    },
+    onResponseEnd: (...args) => {
+      use.client?.meter?.endResponse();
+      next.onResponseEnd?.(...args);
+    },
     onResponseError: (...args) => next.onResponseError?.(...args),
   };
 }
 
 /**
- * Sends a request on a connection of a pool of `createEndpointClient`.
+ * Sends a request on a connection of a pool of `endpointClientFactory`.
  * @example const exchange = startExchange(pool, { method: 'GET', path: '/x' }, hooks);
  */
 export function startExchange<Head>(
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -190,6 +190,16 @@
   readonly connectionRequests: number;
 }
 
+/** How an endpoint sent bytes without end, or that nobody requested; label `kind` of `endpoint_misbehaviour_total`. */
+export type EndpointMisbehaviour =
+  /** The head of a response, or interim responses before it, exceed their limit. */
+  | 'head-limit'
+  | 'interim-limit'
+  /** Chunk headers, chunk extensions or trailers exceed their limit. */
+  | 'framing-limit'
+  /** Bytes arrived while no request was in flight on their connection. */
+  | 'unsolicited';
+
 /** Why an attempt produced no response. */
 export type AttemptFault = AttemptFaultKind & { readonly evidence?: FaultEvidence };
 
--- a/test/gateway/endpoints/exchange.test.ts
+++ b/test/gateway/endpoints/exchange.test.ts
@@ -16,7 +16,7 @@
 import { Ok } from '../../../src/core/result/index.js';
 import { createEndpointConnector } from '../../../src/gateway/endpoints/connect.js';
 import {
-  createEndpointClient,
+  endpointClientFactory,
   startExchange,
   type Exchange,
 } from '../../../src/gateway/endpoints/exchange.js';
@@ -57,7 +57,7 @@
     connections,
     pipelining: 1,
     connect: slowly,
-    factory: createEndpointClient,
+    factory: endpointClientFactory(() => undefined),
     headersTimeout: 0,
     bodyTimeout: 0,
   });
