Soak: many callers of a service whose endpoints fail in every way at once

`--play overloaded-service`: 250 callers, each of which sends its next request after a response, three plain endpoints that reject, fail, reset, garble, ignore, rate-limit and repeat responses late in spells, and two of seven entries killed, stopped or suspended at any time. Requests are mostly once-only, on routes with one attempt and with two.

- Callers run in two threads, and their requests reach endpoints without the proxy: in one process with all else a request needed seconds.
- Programs write their logs to their files by themselves.
- A seed with violations keeps `record.json`: what callers and endpoints saw, and each surplus response with the request in whose place it was sent.
- A request has the deadline its caller sent.
Waiting for the last responses and the check of abandoned work use it; both stay as they were in all other plays (3,000 ms).
- Tests: the records of the checker's tests gain the new fields.
A short run stands beside the rejecting endpoints, in whose time it fits.

--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -4,13 +4,21 @@
  */
 import http from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { entryAddress, KEYS, type Deployment, type SoakInstance } from './deployment.js';
+import {
+  entryAddress,
+  KEYS,
+  type CalledEntry,
+  type Deployment,
+  type SoakConfig,
+} from './deployment.js';
 import { pick } from './faults.js';
-import { DEADLINE_MS, type CallerRequest, type RequestKind } from './record.js';
+import type { CallerRequest, RequestKind } from './record.js';
 import { LARGE_SUFFIX, withoutPadding } from '../../fakes/platform-engine/index.js';
 
 /** Mean interval between requests, ms. */
 const REQUEST_INTERVAL_MS = 25;
+/** Longest pause of a closed-loop caller before its next request, ms. */
+const MAX_PAUSE_MS = 600;
 /** Interval of readiness probes, ms; the platform documents one per second. */
 const READINESS_POLL_MS = 1000;
 const READINESS_TIMEOUT_MS = 800;
@@ -25,12 +33,13 @@
 
 const PREFIX: Readonly<Record<RequestKind, string>> = {
   once: '/once/',
+  'single-attempt': '/single-attempt/',
   repeatable: '/again/',
   stream: '/stream/',
   'single-stream': '/single-stream/',
 };
 
-function isReady(entry: SoakInstance): Promise<boolean> {
+function isReady(entry: CalledEntry): Promise<boolean> {
   const { host, port } = entryAddress(entry).ready;
   return new Promise((resolve) => {
     const req = http.get(
@@ -52,6 +61,23 @@
   return ['shared', pathPart, ...topic, `own-${id}`].map((part) => `${part}:40`).join();
 }
 
+/** What callers need of a deployment. */
+export type CallersDeployment = Pick<
+  Deployment,
+  | 'requests'
+  | 'crashingPaths'
+  | 'promptTopics'
+  | 'kinds'
+  | 'callers'
+  | 'deadlineMs'
+  | 'areCallersPaused'
+  | 'slowReaders'
+  | 'nowMs'
+> & {
+  readonly entries: readonly CalledEntry[];
+  readonly config: Pick<SoakConfig, 'extraRoutes' | 'removedRoutes'>;
+};
+
 /** Options of sending one request. */
 interface SendOptions {
   /** Connections to use; a new one if undefined. */
@@ -64,18 +90,25 @@
 /** Sends requests to the entries of one deployment and records their outcomes. */
 export class Callers {
   private readonly agents = new Map<string, http.Agent>();
-  private ready: SoakInstance[] = [];
+  private ready: CalledEntry[] = [];
   private sequence = 0;
   private isStopped = false;
 
   constructor(
-    private readonly deployment: Deployment,
+    private readonly deployment: CallersDeployment,
     private readonly random: () => number,
+    /** Beginning of the IDs of the requests. */
+    private readonly idPrefix = 'q-',
   ) {}
 
   /** Sends requests until `stop`. */
   async run(): Promise<void> {
-    await Promise.all([this.pollReadiness(), this.sendRequests()]);
+    const { callers } = this.deployment;
+    const sending =
+      callers > 0
+        ? Array.from({ length: callers }, () => this.runClosedLoop())
+        : [this.sendRequests()];
+    await Promise.all([this.pollReadiness(), ...sending]);
   }
 
   /** Closes all connections; pending requests get no response. */
@@ -109,10 +142,18 @@
     }
   }
 
+  /** Sends one request after another. */
+  private async runClosedLoop(): Promise<void> {
+    while (!this.isStopped) {
+      await sleep(MAX_PAUSE_MS * this.random());
+      if (this.ready.length > 0) await this.send(pick(this.ready, this.random));
+    }
+  }
+
   private async sendRequests(): Promise<void> {
     while (!this.isStopped) {
       if (this.ready.length > 0 && !this.deployment.areCallersPaused)
-        this.send(pick(this.ready, this.random));
+        void this.send(pick(this.ready, this.random));
       if (this.ready.length > 0) this.sendSlowReaders();
       const pauseMs = REQUEST_INTERVAL_MS * (0.5 + this.random());
       await sleep(pauseMs);
@@ -123,7 +164,7 @@
   private sendSlowReaders(): void {
     for (const { readAfterMs } of this.deployment.slowReaders.splice(0)) {
       this.sequence += 1;
-      const entry = this.ready[this.sequence % this.ready.length] as SoakInstance;
+      const entry = this.ready[this.sequence % this.ready.length] as CalledEntry;
       const id = `q-${this.sequence}${LARGE_SUFFIX}`;
       const request: CallerRequest = {
         id,
@@ -133,9 +174,10 @@
         key: KEYS[0] ?? '',
         entry: entry.name,
         sentAtMs: this.deployment.nowMs(),
+        deadlineMs: this.deployment.deadlineMs,
         outcome: undefined,
       };
-      this.sendRequest(entry, request, {
+      void this.sendRequest(entry, request, {
         onResponse: (res) => {
           res.pause();
           if (readAfterMs !== undefined) setTimeout(() => res.resume(), readAfterMs);
@@ -144,9 +186,9 @@
     }
   }
 
-  private nextRequest(entry: SoakInstance): CallerRequest {
+  private nextRequest(entry: CalledEntry): CallerRequest {
     this.sequence += 1;
-    const id = `q-${this.sequence}`;
+    const id = `${this.idPrefix}${this.sequence}`;
     const { crashingPaths, config } = this.deployment;
     if (crashingPaths.length > 0 && this.random() < CRASHING_SHARE)
       return this.crashingRequest(entry, id, pick(crashingPaths, this.random));
@@ -164,6 +206,7 @@
       key: isKnown ? pick(KEYS, this.random) : 'k-never',
       entry: entry.name,
       sentAtMs: this.deployment.nowMs(),
+      deadlineMs: this.deployment.deadlineMs,
       outcome: undefined,
     };
   }
@@ -172,7 +215,7 @@
    * A request that crashes endpoints; all of one path are identical except for their IDs, those
    * below a prefix have only a part of their prompt in common.
    */
-  private crashingRequest(entry: SoakInstance, id: string, crashing: string): CallerRequest {
+  private crashingRequest(entry: CalledEntry, id: string, crashing: string): CallerRequest {
     const sentAtMs = this.deployment.nowMs();
     const key = KEYS[0] ?? '';
     const path = crashing.endsWith('/') ? `${crashing}${id}` : crashing;
@@ -184,30 +227,33 @@
       key,
       entry: entry.name,
       sentAtMs,
+      deadlineMs: this.deployment.deadlineMs,
       outcome: undefined,
     };
   }
 
-  private agentOf(entry: SoakInstance): http.Agent {
+  private agentOf(entry: CalledEntry): http.Agent {
     const known = this.agents.get(entry.name);
     if (known) return known;
-    const agent = new http.Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS_PER_ENTRY });
+    const maxSockets = Math.max(MAX_CONNECTIONS_PER_ENTRY, this.deployment.callers);
+    const agent = new http.Agent({ keepAlive: true, maxSockets });
     this.agents.set(entry.name, agent);
     return agent;
   }
 
-  private send(entry: SoakInstance): void {
+  private send(entry: CalledEntry): Promise<void> {
     const request = this.nextRequest(entry);
     const willDisconnect = this.random() < DISCONNECT_SHARE;
     const disconnectAfterMs = willDisconnect ? 100 * this.random() : undefined;
-    this.sendRequest(entry, request, { agent: this.agentOf(entry), disconnectAfterMs });
+    return this.sendRequest(entry, request, { agent: this.agentOf(entry), disconnectAfterMs });
   }
 
+  /** Sends a request; resolves when it is over. */
   private sendRequest(
-    entry: SoakInstance,
+    entry: CalledEntry,
     request: CallerRequest,
     { agent, disconnectAfterMs, onResponse }: SendOptions,
-  ): void {
+  ): Promise<void> {
     this.deployment.requests.push(request);
     const { host, port } = entryAddress(entry).callers;
     let body = '';
@@ -233,7 +279,7 @@
         headers: {
           host: 'soak.example',
           'x-request-id': request.id,
-          'x-deadline-ms': String(DEADLINE_MS),
+          'x-deadline-ms': String(request.deadlineMs),
           authorization: `Bearer ${request.key}`,
           'x-prompt-prefix': promptOf(request, this.deployment.promptTopics),
         },
@@ -248,8 +294,9 @@
     );
     req.on('error', recordOutcome);
     req.on('close', recordOutcome);
-    req.setTimeout(2 * DEADLINE_MS, () => req.destroy());
+    req.setTimeout(2 * request.deadlineMs, () => req.destroy());
     req.end(request.body);
     if (disconnectAfterMs !== undefined) setTimeout(() => req.destroy(), disconnectAfterMs);
+    return new Promise((resolve) => req.once('close', resolve));
   }
 }
--- a/bench/soak/check.ts
+++ b/bench/soak/check.ts
@@ -5,16 +5,10 @@
 import { checkBackpressure } from './backpressure-check.js';
 import { eventData, completeAnswer, STREAM_EVENTS } from '../../fakes/platform-engine/index.js';
 import { checkAnswersAreRead, isSlowReader } from './slow-readers.js';
-import {
-  DEADLINE_MS,
-  isCausedBy,
-  type CallerRequest,
-  type Disturbance,
-  type SoakRecord,
-} from './record.js';
+import { isCausedBy, type CallerRequest, type Disturbance, type SoakRecord } from './record.js';
 
 /** Statuses that guarantee that a request has not run and never will. */
-const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+export const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 const ROUTE_UNKNOWN_STATUS = 404;
 /** Time after which requests with a removed key must not run, ms; `revoke-ms` of the boot file. */
 export const REVOKE_MS = 5000;
@@ -96,7 +90,8 @@
 }
 
 /** Whether a request may run at most once. */
-const isOnce = ({ kind }: CallerRequest): boolean => kind === 'once' || kind === 'single-stream';
+const isOnce = ({ kind }: CallerRequest): boolean =>
+  kind === 'once' || kind === 'single-attempt' || kind === 'single-stream';
 
 const onceRequestsRunOnce: Guarantee = (record) => {
   const counts = runsById(record);
@@ -122,7 +117,7 @@
   return record.abandoned.flatMap(({ endpoint, requestId, atMs }) => {
     const request = requests.get(requestId);
     if (!request?.outcome || !isOnce(request)) return [];
-    if (atMs > request.sentAtMs + DEADLINE_MS - END_MARGIN_MS) return [];
+    if (atMs > request.sentAtMs + request.deadlineMs - END_MARGIN_MS) return [];
     if (isDisturbed(record, [request.entry, endpoint], request.sentAtMs - CONTACT_MS, atMs))
       return [];
     return [`${requestId}: ended by ${request.entry} while ${endpoint} was at work`];
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -18,6 +18,7 @@
 import { LoopbackProxy, type Address } from './proxy.js';
 import { Program } from './program.js';
 import {
+  DEADLINE_MS,
   isCausedBy,
   type AddedRoute,
   type CallerRequest,
@@ -62,6 +63,8 @@
   readonly entries: number;
   readonly ranks: number;
   readonly plain: number;
+  /** Callers that each send their next request after a response; by default requests are sent at a rate. */
+  readonly callers?: number;
 }
 
 /** An endpoint and the proxy in front of it. */
@@ -73,14 +76,20 @@
   readonly proxy: LoopbackProxy;
   /** Faults for its next requests, in order. */
   readonly faults: EndpointFault[];
+  /** Fault of a request for which none is queued. */
+  drawFault: () => EndpointFault | undefined;
   /** Backpressure signals in its responses. */
   signals: EndpointBackpressure;
 }
 
-/** A program and its link to the store. */
-export interface SoakInstance {
+/** An entry as its callers see it. */
+export interface CalledEntry {
   readonly name: string;
   readonly host: string;
+}
+
+/** A program and its link to the store. */
+export interface SoakInstance extends CalledEntry {
   readonly program: Program;
   readonly storeLink: LoopbackProxy;
 }
@@ -107,6 +116,9 @@
   promptTopics: number;
   /** Kinds of the requests that callers send; one is as frequent as it is listed. */
   readonly kinds: RequestKind[];
+  /** Callers that each send their next request after a response; 0 if requests are sent at a rate. */
+  readonly callers: number;
+  deadlineMs: number;
   areCallersPaused: boolean;
   /** Slow readers to start, with the time after which each begins to read; undefined for never. */
   readonly slowReaders: { readonly readAfterMs: number | undefined }[];
@@ -196,6 +208,7 @@
   });
   return [
     route('once', 'non_idempotent', 'plain'),
+    route('single-attempt', 'non_idempotent', 'plain', { 'max-attempts': 1 }),
     route('again', 'idempotent', 'plain'),
     route('stream', 'stream', 'model', { 'stream-resume': true, 'gap-aim-ms': 120 }),
     route('single-stream', 'stream', 'model', { 'gap-aim-ms': 120 }),
@@ -239,6 +252,7 @@
   const folder = mkdtempSync(join(tmpdir(), 'harrierglade-soak-'));
   const host = allocateSubnet();
   const time = new WallTime();
+  const { callers = 0 } = size;
   const store = await startStore(STORE_IDLE_MS);
   const group = new RankGroup(time, random, {
     ranks: size.ranks,
@@ -276,23 +290,29 @@
       void proxy.simulateCrash(CRASH_DOWNTIME_MS);
       return true;
     };
-    const signalState: { signals: EndpointBackpressure } = { signals: NO_BACKPRESSURE };
+    const state: Pick<SoakEndpoint, 'signals' | 'drawFault'> = {
+      signals: NO_BACKPRESSURE,
+      drawFault: () => undefined,
+    };
+    // One process relays the traffic of many callers too slowly.
+    const ports = callers > 0 ? [PORT.engine, PORT.app] : [PORT.app, PORT.engine];
+    const [proxyPort = 0, enginePort = 0] = ports;
     const engine = await startPlatformEngine({
       id,
       host: at,
-      port: PORT.engine,
+      port: enginePort,
       workMs: PLAIN_WORK_MS,
       rank,
       step: () => group.step,
       crashesOn,
-      nextFault: () => faults.shift(),
-      backpressure: () => signalState.signals,
+      nextFault: () => faults.shift() ?? state.drawFault(),
+      backpressure: () => state.signals,
       random,
       nowMs,
     });
     const proxy = await LoopbackProxy.start(
-      { host: at, port: PORT.app },
-      { host: at, port: PORT.engine },
+      { host: at, port: proxyPort },
+      { host: at, port: enginePort },
     );
     proxy.onUnread = (unreadMs) => {
       const atMs = nowMs();
@@ -305,7 +325,7 @@
       slots: 8,
       state: 'ready',
     });
-    return Object.assign(signalState, { id, service, host: at, engine, proxy, faults });
+    return Object.assign(state, { id, service, host: at, engine, proxy, faults });
   }
 
   const relayHosts = Array.from({ length: Math.ceil(size.entries / ENTRIES_PER_RELAY) }, (_, i) =>
@@ -372,6 +392,8 @@
     crashingPaths,
     promptTopics: 0,
     kinds: ['once', 'repeatable', 'stream', 'stream'],
+    callers,
+    deadlineMs: DEADLINE_MS,
     areCallersPaused: false,
     slowReaders: [],
     unreadAnswers,
@@ -397,7 +419,7 @@
 }
 
 /** Addresses at which callers and the platform reach an entry. */
-export const entryAddress = (entry: SoakInstance): { callers: Address; ready: Address } => ({
+export const entryAddress = (entry: CalledEntry): { callers: Address; ready: Address } => ({
   callers: { host: entry.host, port: PORT.callers },
   ready: { host: entry.host, port: PORT.ready },
 });
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -291,6 +291,15 @@
   return pick(ENTRY_FAULTS, random)({ deployment, random, among: deployment.entries });
 }
 
+/**
+ * Kills, stops or suspends a random entry.
+ * @example await interruptEntry(deployment, random);
+ */
+export function interruptEntry(deployment: Deployment, random: () => number): Promise<void> {
+  const interrupt = pick([kill, stop, suspend], random);
+  return interrupt({ deployment, random, among: deployment.entries });
+}
+
 /**
  * Injects one fault into a random relay.
  * @example await disturbRelay(deployment, random);
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -3,16 +3,17 @@
 import { rmSync } from 'node:fs';
 import { Command, InvalidArgumentError, Option } from 'commander';
 import type { SoakResult } from './result.js';
-import { DEFAULT_SIZE, PLAYS, type Play } from './run.js';
+import { DEFAULT_SIZE, PLAYS, SCENARIO_SIZES, type Play } from './run.js';
 import type { SoakSize } from './deployment.js';
 
 interface Options {
   readonly seeds: readonly number[];
   readonly seconds: number;
   readonly jobs: number;
-  readonly entries: number;
-  readonly ranks: number;
-  readonly plain: number;
+  readonly entries?: number;
+  readonly ranks?: number;
+  readonly plain?: number;
+  readonly callers?: number;
   readonly play: string;
 }
 
@@ -35,10 +36,13 @@
 function report(result: SoakResult): void {
   const { seed, requests, answered, disturbances, violations, longestStallMs, folder } = result;
   const verdict = violations.length === 0 ? 'clean' : `${violations.length} violations, ${folder}`;
+  const surplus = result.surplus
+    ? `, ${result.refused} refused, ${result.surplus} surplus responses (${result.surplus503} of 503)`
+    : '';
   const stall =
     longestStallMs === undefined ? '' : `, longest event loop stall ${longestStallMs} ms`;
   process.stdout.write(
-    `seed ${seed}: ${requests} requests, ${answered} answered, ${disturbances} disturbances${stall}: ${verdict}\n`,
+    `seed ${seed}: ${requests} requests, ${answered} answered, ${disturbances} disturbances${surplus}${stall}: ${verdict}\n`,
   );
   for (const violation of violations) process.stdout.write(`  ${violation}\n`);
   if (violations.length === 0) rmSync(folder, { recursive: true });
@@ -50,21 +54,21 @@
     .option('--seeds <range>', 'one seed or a range FIRST-LAST', parseSeeds, [1, 2, 3])
     .option('--seconds <n>', 'seconds of disturbances per seed', parseCount, 10)
     .option('--jobs <n>', 'seeds to run in parallel', parseCount, 2)
-    .option('--entries <n>', 'number of entries', parseCount, DEFAULT_SIZE.entries)
-    .option(
-      '--ranks <n>',
-      'number of model engines, each with an agent',
-      parseCount,
-      DEFAULT_SIZE.ranks,
-    )
-    .option('--plain <n>', 'number of plain endpoints', parseCount, DEFAULT_SIZE.plain)
+    .option('--entries <n>', 'number of entries', parseCount)
+    .option('--ranks <n>', 'number of model engines, each with an agent', parseCount)
+    .option('--plain <n>', 'number of plain endpoints', parseCount)
+    .option('--callers <n>', 'callers that each send one request after another', parseCount)
     .addOption(
       new Option('--play <name>', 'scenario to run').choices(Object.keys(PLAYS)).default('faults'),
     );
   program.parse();
   const options = program.opts<Options>();
-  const { entries, ranks, plain } = options;
-  const size: SoakSize = { entries, ranks, plain };
+  const { entries, ranks, plain, callers } = options;
+  const given = Object.entries({ entries, ranks, plain, callers }).filter(([, n]) => n);
+  const size: SoakSize = {
+    ...(SCENARIO_SIZES[options.play] ?? DEFAULT_SIZE),
+    ...Object.fromEntries(given),
+  };
   const play = PLAYS[options.play] as Play;
   const remaining = [...options.seeds];
   let failed = 0;
--- a/bench/soak/program.ts
+++ b/bench/soak/program.ts
@@ -1,6 +1,6 @@
 /** Runs the programs as separate processes; only processes started here are ever signalled. */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
+import { closeSync, mkdirSync, openSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
@@ -47,13 +47,12 @@
   /** Starts it; its output goes to its log file. */
   start(): void {
     const { name, role, folder } = this.options;
-    const log = createWriteStream(join(folder, `${name}.log`), { flags: 'a' });
+    const log = openSync(join(folder, `${name}.log`), 'a');
     const child = spawn(process.execPath, [`--max-old-space-size=${HEAP_MB}`, MAIN, role], {
       env: { ...process.env, HARRIERGLADE_BOOT: this.bootPath },
-      stdio: ['ignore', 'pipe', 'pipe'],
+      stdio: ['ignore', log, log],
     });
-    child.stdout.pipe(log, { end: false });
-    child.stderr.pipe(log, { end: false });
+    closeSync(log);
     killOnExit(child);
     this.child = child;
     this.expectedExit = undefined;
@@ -62,8 +61,6 @@
         this.recordExit(code, signal);
         resolve();
       });
-      // Its last output may arrive after its exit.
-      child.once('close', () => log.end());
     });
   }
 
--- a/bench/soak/record.ts
+++ b/bench/soak/record.ts
@@ -5,14 +5,18 @@
   AbandonedRequest,
   EndpointArrival,
   EndpointSignal,
+  EndpointSurplus,
   EndpointExecution,
 } from '../../fakes/platform-engine/index.js';
 
-/** Deadline that callers send with each request, ms. */
+/** Deadline that callers send with each request unless the scenario sets another, ms. */
 export const DEADLINE_MS = 3000;
 
-/** Kinds of request, as defined by their routes; a `single-stream` may not be resumed. */
-export type RequestKind = 'once' | 'repeatable' | 'stream' | 'single-stream';
+/**
+ * Kinds of request, as defined by their routes; a `single-attempt` may reach one endpoint only, a `single-stream` may
+ * not be resumed.
+ */
+export type RequestKind = 'once' | 'single-attempt' | 'repeatable' | 'stream' | 'single-stream';
 
 /** How a request ended: with a response, part of one, or none. */
 export interface RequestOutcome {
@@ -34,6 +38,7 @@
   readonly key: string;
   readonly entry: string;
   readonly sentAtMs: number;
+  readonly deadlineMs: number;
   outcome: RequestOutcome | undefined;
 }
 
@@ -94,12 +99,16 @@
 /** Everything recorded in one run. */
 export interface SoakRecord {
   readonly seed: number;
+  /** Wall-clock time from which the others are counted. */
+  readonly startedAt: string;
   readonly requests: readonly CallerRequest[];
   readonly runs: readonly EndpointExecution[];
   /** All requests that reached endpoints, whether run or not. */
   readonly arrivals: readonly EndpointArrival[];
   /** Responses in which endpoints sent backpressure signals. */
   readonly signals: readonly EndpointSignal[];
+  /** Responses that endpoints sent in the place of another request's. */
+  readonly surplus: readonly EndpointSurplus[];
   readonly rateLimitPeriods: readonly RateLimitPeriod[];
   readonly disturbances: readonly Disturbance[];
   readonly removals: readonly Removal[];
--- a/bench/soak/result.ts
+++ b/bench/soak/result.ts
@@ -3,6 +3,11 @@
   readonly seed: number;
   readonly requests: number;
   readonly answered: number;
+  /** Requests refused as not run. */
+  readonly refused?: number;
+  /** Responses that endpoints sent in the place of another request's, and those of status 503. */
+  readonly surplus?: number;
+  readonly surplus503?: number;
   readonly disturbances: number;
   readonly violations: readonly string[];
   /**
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -1,11 +1,14 @@
 /**
  * One soak run: starts a deployment, sends requests while it is disturbed, and checks the record.
  */
+import { writeFileSync } from 'node:fs';
+import { join } from 'node:path';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { seededRandom } from '../../src/core/clock/index.js';
 import { Callers } from './callers.js';
-import { violationsOf } from './check.js';
+import { startCallerThreads, type CallerThreads } from './caller-thread.js';
+import { NOT_RUN_STATUSES, violationsOf } from './check.js';
 import {
   KEYS,
   ORGANISATION,
@@ -18,6 +21,7 @@
 import { crashEndpoints, crashEndpointsAmongTopics } from './crashing.js';
 import { disturb } from './faults.js';
 import { misbehave, rejectRequests } from './misbehaving.js';
+import { overloadService } from './overloaded-service.js';
 import { silenceDuringChanges, silenceWithoutRelays } from './silence.js';
 import { signalLongRateLimits } from './limits.js';
 import { readSlowly, readSlowlyAmongFaults } from './slow-readers.js';
@@ -33,17 +37,19 @@
 const READY_TIMEOUT_MS = 30_000;
 /** Time without disturbance at the end, ms, in which the system must recover. */
 const RECOVERY_PERIOD_MS = 6000;
-/** Time for the last requests to be answered, ms. */
-const DRAIN_MS = 3500;
+/** Time for the last requests to be answered after their deadline, ms. */
+const DRAIN_MS = 500;
 
 function recordOf(deployment: Deployment, seed: number, faultsEndedAtMs: number): SoakRecord {
   const programs = [...deployment.entries, ...deployment.agents].map((i) => i.program);
   return {
     seed,
+    startedAt: new Date(Date.now() - deployment.nowMs()).toISOString(),
     requests: deployment.requests,
     runs: deployment.endpoints.flatMap((endpoint) => endpoint.engine.executions),
     arrivals: deployment.endpoints.flatMap((endpoint) => endpoint.engine.arrivals),
     signals: deployment.endpoints.flatMap((endpoint) => endpoint.engine.signals),
+    surplus: deployment.endpoints.flatMap((endpoint) => endpoint.engine.surplus),
     rateLimitPeriods: deployment.rateLimitPeriods,
     disturbances: deployment.disturbances,
     removals: deployment.removals,
@@ -77,11 +83,17 @@
   asking: signalBackpressure,
   misbehaving: misbehave,
   rejecting: rejectRequests,
+  'overloaded-service': overloadService,
   limits: signalLongRateLimits,
   'slow-readers': readSlowly,
   'slow-readers-and-faults': readSlowlyAmongFaults,
 } as const;
 
+/** Sizes of scenarios that need more than the default. */
+export const SCENARIO_SIZES: Readonly<Record<string, SoakSize>> = {
+  'overloaded-service': { entries: 7, ranks: 0, plain: 3, callers: 250 },
+};
+
 /** Size for scenarios in which endpoints leave one after another. */
 export const LEAVING_SIZE: SoakSize = { entries: 6, ranks: 3, plain: 9 };
 
@@ -99,31 +111,47 @@
   eventLoopDelay.enable();
   const deployment = await startDeployment(size, seededRandom(seed));
   const callers = new Callers(deployment, seededRandom(seed + 1_000_000));
+  let threads: CallerThreads | undefined;
   try {
     if (!(await callers.untilReady(READY_TIMEOUT_MS)))
       throw new Error(
         `entries are not ready after ${READY_TIMEOUT_MS} ms; logs in ${deployment.folder}`,
       );
-    const sending = callers.run();
-    await scenario(deployment, seededRandom(seed + 2_000_000), deployment.nowMs() + seconds * 1000);
+    const untilMs = deployment.nowMs() + seconds * 1000;
+    // Scenarios choose what callers send before the first request.
+    const playing = scenario(deployment, seededRandom(seed + 2_000_000), untilMs);
+    threads = startCallerThreads(deployment, seed);
+    const sending = deployment.callers > 0 ? undefined : callers.run();
+    await playing;
     const faultsEndedAtMs = deployment.nowMs();
     await sleep(RECOVERY_PERIOD_MS);
     callers.stop();
-    await sleep(DRAIN_MS);
+    threads.stop();
+    await sleep(deployment.deadlineMs + DRAIN_MS);
     await sending;
+    deployment.requests.push(...(await threads.takeRequests()));
     const record = recordOf(deployment, seed, faultsEndedAtMs);
+    const violations = violationsOf(record);
+    // The two ends of each request, beside the logs in between.
+    if (violations.length > 0)
+      writeFileSync(join(deployment.folder, 'record.json'), JSON.stringify(record));
+    const { requests, surplus } = record;
     return {
       seed,
-      requests: record.requests.length,
-      answered: record.requests.filter((request) => request.outcome?.isComplete).length,
+      requests: requests.length,
+      answered: requests.filter((request) => request.outcome?.isComplete).length,
+      refused: requests.filter(({ outcome }) => NOT_RUN_STATUSES.has(outcome?.status ?? 0)).length,
+      surplus: surplus.length,
+      surplus503: surplus.filter(({ status }) => status === 503).length,
       disturbances: record.disturbances.length,
-      violations: violationsOf(record),
+      violations,
       longestStallMs: Math.round(eventLoopDelay.max / NS_PER_MS),
       folder: deployment.folder,
     };
   } finally {
     eventLoopDelay.disable();
     callers.close();
+    threads?.close();
     await deployment.close();
   }
 }
--- a/fakes/platform-engine/engine.ts
+++ b/fakes/platform-engine/engine.ts
@@ -97,6 +97,12 @@
   readonly limitPerS: number | undefined;
 }
 
+/** An answer sent once more, in the place of the answer to another request. */
+export interface EndpointSurplus extends EndpointArrival {
+  readonly inPlaceOf: string;
+  readonly status: number;
+}
+
 /** Options of a fake endpoint. */
 export interface EndpointOptions {
   readonly id: string;
@@ -130,6 +136,7 @@
   readonly abandoned: readonly AbandonedRequest[];
   readonly arrivals: readonly EndpointArrival[];
   readonly signals: readonly EndpointSignal[];
+  readonly surplus: readonly EndpointSurplus[];
   /** Closes connections that are opened beyond a number; undefined for no limit. */
   limitConnections(max: number | undefined): void;
   close(): void;
@@ -182,6 +189,7 @@
   const signals: EndpointSignal[] = [];
   const abandoned: AbandonedRequest[] = [];
   const surplus = new SurplusAnswers();
+  const sentSurplus: EndpointSurplus[] = [];
 
   /** Headers for the current backpressure signals; records them if there are any. */
   function backpressureHeaders(requestId: string, retryAfterS?: number): Record<string, string> {
@@ -206,8 +214,9 @@
   function responseHeaders(
     requestId: string,
     extra: Record<string, string> = {},
+    retryAfterS?: number,
   ): Record<string, string> {
-    const backpressure = backpressureHeaders(requestId);
+    const backpressure = backpressureHeaders(requestId, retryAfterS);
     return {
       'x-request-id': requestId,
       'x-server-stamp': `stamp.${options.id}`,
@@ -245,17 +254,28 @@
     res.end();
   }
 
+  /** Sends the surplus answer that is due on a connection, if any, before that to a request. */
+  function sendDue(socket: Socket, inPlaceOf: string): void {
+    const answer = surplus.sendDue(socket);
+    if (!answer) return;
+    const requestId = answer.headers['x-request-id'] ?? '';
+    const status = Number.parseInt(answer.status, 10);
+    sentSurplus.push({ endpoint: options.id, requestId, inPlaceOf, status, atMs: options.nowMs() });
+  }
+
   async function handleRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const requestId = singleHeader(req, 'x-request-id');
     if (singleHeader(req, 'x-expect-instance') !== options.id)
       return void res.writeHead(421, { 'x-request-id': requestId }).end();
     arrivals.push({ endpoint: options.id, requestId, atMs: options.nowMs() });
-    surplus.sendDue(req.socket);
+    sendDue(req.socket, requestId);
     if (rejectsWithRetryAfter(requestId, res)) return;
     const fault = options.nextFault();
     const rejectedStatus = fault && REJECTED_STATUS[fault];
     if (rejectedStatus !== undefined) {
-      const headers = responseHeaders(requestId, { 'x-not-executed': '1' });
+      const { retryAfterS } = options.backpressure?.() ?? NO_BACKPRESSURE;
+      const backoffS = fault === 'limited' && retryAfterS > 0 ? retryAfterS : undefined;
+      const headers = responseHeaders(requestId, { 'x-not-executed': '1' }, backoffS);
       if (fault === 'full-late')
         surplus.repeat(req.socket, { status: '503 Service Unavailable', headers, body: '' });
       return void res.writeHead(rejectedStatus, headers).end();
@@ -342,6 +362,7 @@
     arrivals,
     abandoned,
     signals,
+    surplus: sentSurplus,
     limitConnections: (max) => (server.maxConnections = max ?? Number.MAX_SAFE_INTEGER),
     close: () => closeServer(server),
   };
--- a/fakes/platform-engine/surplus-answers.ts
+++ b/fakes/platform-engine/surplus-answers.ts
@@ -29,12 +29,12 @@
 
 /** The answers that are due a second time, by connection. */
 export class SurplusAnswers {
-  private readonly due = new WeakMap<Socket, string>();
+  private readonly due = new WeakMap<Socket, RawAnswer>();
   private readonly spoiled = new WeakSet<Socket>();
 
   /** Has an answer sent again in the place of the next one on its connection. */
   repeat(socket: Socket, answer: RawAnswer): void {
-    this.due.set(socket, formatAnswer(answer));
+    this.due.set(socket, answer);
   }
 
   /** Notes that a connection carries bytes that belong to no request. */
@@ -42,13 +42,14 @@
     this.spoiled.add(socket);
   }
 
-  /** Sends what is due before the answer to the next request. */
-  sendDue(socket: Socket): void {
-    const text = this.due.get(socket);
-    if (text === undefined) return;
+  /** Sends what is due before the answer to the next request, and returns it. */
+  sendDue(socket: Socket): RawAnswer | undefined {
+    const answer = this.due.get(socket);
+    if (answer === undefined) return undefined;
     this.due.delete(socket);
     this.spoil(socket);
-    socket.write(text);
+    socket.write(formatAnswer(answer));
+    return answer;
   }
 
   /** Whether a connection has carried bytes that belong to no request; a peer may close it at any time. */
--- a/test/soak/backpressure-check.test.ts
+++ b/test/soak/backpressure-check.test.ts
@@ -31,6 +31,7 @@
     key: 'k-0',
     entry,
     sentAtMs: atMs,
+    deadlineMs: 3000,
     outcome: undefined,
   }));
   const signals = arrived.flatMap(({ atMs, signal }, i) =>
@@ -50,10 +51,12 @@
   );
   return {
     seed: 1,
+    startedAt: '',
     requests,
     runs: [],
     arrivals,
     signals,
+    surplus: [],
     rateLimitPeriods: [],
     disturbances: [],
     removals: [],
--- a/test/soak/check.test.ts
+++ b/test/soak/check.test.ts
@@ -23,6 +23,7 @@
     key: 'k-0',
     entry: 'entry-0',
     sentAtMs: 1000,
+    deadlineMs: 3000,
     outcome: end({ body: completeAnswer(id) }),
     ...change,
   };
@@ -45,10 +46,12 @@
   const late = Array.from({ length: 10 }, (_, i) => request(`late-${i}`, { sentAtMs: 30_000 }));
   const base: SoakRecord = {
     seed: 1,
+    startedAt: '',
     requests: [request('a'), ...late],
     runs: [run('a'), ...late.map(({ id }) => run(id, { startedAtMs: 30_010 }))],
     arrivals: [],
     signals: [],
+    surplus: [],
     rateLimitPeriods: [],
     disturbances: [],
     removals: [],
--- a/test/soak/misbehaving.test.ts
+++ b/test/soak/misbehaving.test.ts
@@ -18,6 +18,10 @@
   [9, 'late second answers, of requests that were served or turned away'],
   [20, 'second answers at once, and answers of other requests'],
 ];
+/** The record of one service under load. */
+const OVERLOAD = { entries: 4, ranks: 0, plain: 3, callers: 80 };
+const OVERLOAD_SECONDS = 5;
+const OVERLOAD_SEED = 9501;
 
 const REJECTING: Seeds = [
   [5, 'rejections of status 429 and 421, and few connections'],
@@ -37,6 +41,16 @@
 describe('misbehaving endpoints', { concurrency: MISBEHAVING.length }, () =>
   play(MISBEHAVING, SCENARIOS.misbehaving),
 );
-describe('rejecting endpoints', { concurrency: REJECTING.length }, () =>
-  play(REJECTING, SCENARIOS.rejecting),
-);
+describe('rejecting endpoints', { concurrency: REJECTING.length + 1 }, () => {
+  play(REJECTING, SCENARIOS.rejecting);
+  test('an overloaded service runs no request that was refused, while entries are interrupted', async () => {
+    const { violations, folder } = await soak(
+      OVERLOAD_SEED,
+      OVERLOAD_SECONDS,
+      OVERLOAD,
+      SCENARIOS['overloaded-service'],
+    );
+    assert.deepEqual(violations, [], `logs in ${folder}`);
+    rmSync(folder, { recursive: true });
+  });
+});
