Read every response that is not forwarded within a size limit and a time limit

What operators saw: an agent grew by hundreds of MB in one report of an engine that sends without end; a daemon waited minutes for another one, an endpoint or the platform that sent one byte at a time.

Cause: the readers of reports, counts, placements, orders, the store, other daemons and the platform took a body of any size, some with a timeout only between two parts of it.

Now ConnectionPools reads the whole response itself, and no caller gets a body. Each kind of call names a size limit, counted on what the parser reads from the socket, and a limit on the whole time. Over either the connection is closed and the call fails with a ResponseLimitError that names the call, the origin and the limit; responses_cut_total and response.cut tell of it. A call that is still queued ends at its time limit too. A watch of the store whose response is too large is replaced by a full read.

Tests, against a process that sends without end (head, headers, interim responses, body with a length, chunked, unframed, chunk extension, one trailer, trailers; fast and by the byte).

--- /dev/null
+++ b/fakes/endless/index.ts
@@ -0,0 +1,2 @@
+export * from './modes.js';
+export * from './server.js';
--- a/src/agent/endpoint.ts
+++ b/src/agent/endpoint.ts
@@ -9,32 +9,38 @@
   order(path: string, body: object): Promise<{ status: number; data: unknown }>;
 }
 
-/** Timeout of a response, ms. */
-const RESPONSE_TIMEOUT_MS = 2000;
+/** Timeout of a call, ms. */
+const CALL_TIMEOUT_MS = 2000;
+/** Maximum size of a response, bytes: the counts of 60 layers of 64 experts take 65 KB. */
+const MAX_RESPONSE_BYTES = 1024 * 1024;
+
+const READ_LIMITS = {
+  call: 'endpoint-read',
+  maxBytes: MAX_RESPONSE_BYTES,
+  maxMs: CALL_TIMEOUT_MS,
+};
+const ORDER_LIMITS = { ...READ_LIMITS, call: 'endpoint-order' };
 
 /**
  * Creates the connection to an endpoint.
  * @example await connectEndpoint(connections, 'http://10.1.0.4:8000').read('/state');
  */
 export function connectEndpoint(connections: ConnectionPools, origin: string): Endpoint {
-  const baseRequest = {
-    origin,
-    headersTimeout: RESPONSE_TIMEOUT_MS,
-    bodyTimeout: RESPONSE_TIMEOUT_MS,
-  };
   return {
-    read: (path) =>
-      connections.call({ ...baseRequest, path, method: 'GET' }, (res) => res.body.json()),
-    order: (path, body) =>
-      connections.call(
-        {
-          ...baseRequest,
-          path,
-          method: 'POST',
-          headers: { 'content-type': 'application/json' },
-          body: JSON.stringify(body),
-        },
-        async (res) => ({ status: res.statusCode, data: await res.body.json() }),
-      ),
+    read: async (path) => {
+      const call = { origin, path, method: 'GET' as const, limits: READ_LIMITS };
+      return JSON.parse((await connections.call(call)).text) as unknown;
+    },
+    order: async (path, body) => {
+      const { status, text } = await connections.call({
+        origin,
+        path,
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(body),
+        limits: ORDER_LIMITS,
+      });
+      return { status, data: JSON.parse(text) as unknown };
+    },
   };
 }
--- a/src/cli/shared/io.ts
+++ b/src/cli/shared/io.ts
@@ -1,13 +1,15 @@
 /** Input and output shared by the commands. */
 import { readFileSync } from 'node:fs';
-import { request } from 'undici';
 import { checkDocument } from '../../core/config-feed/index.js';
 import { errorText, notRun } from '../../core/errors/index.js';
 import type { ConfigurationDocument } from '../../generated/configuration.types.js';
+import { ConnectionPools } from '../../runtime/connection-pools.js';
 
 /** Exit codes of every command. */
 export const EXIT_CODE = { ok: 0, refused: 1, usage: 2, unreachable: 3 } as const;
 
+const HTTP_OK = 200;
+
 /** Ends a command with a message on standard error and an exit code. */
 export class CommandError extends Error {
   constructor(
@@ -35,13 +37,19 @@
   }
 }
 
+/** Limits of a response to a command: a document with thousands of organisations takes 0.5 MB. */
+const FETCH_LIMITS = { call: 'command', maxBytes: 64 * 1024 * 1024, maxMs: 30_000 };
+
 /** Fetches a JSON document; throws a `CommandError` with the server's message if it is refused. */
 export async function fetchJson(url: string): Promise<unknown> {
+  const connections = new ConnectionPools({});
   try {
-    const res = await request(url, { headersTimeout: 5000, bodyTimeout: 5000 });
-    const data = await res.body.json();
-    if (res.statusCode === 200) return data;
-    const message = (data as { error?: string }).error ?? `status ${res.statusCode}`;
+    const { origin, pathname, search } = new URL(url);
+    const call = { origin, path: pathname + search, method: 'GET' as const, limits: FETCH_LIMITS };
+    const { status, text } = await connections.call(call);
+    const data = JSON.parse(text) as unknown;
+    if (status === HTTP_OK) return data;
+    const message = (data as { error?: string }).error ?? `status ${status}`;
     throw new CommandError(message, EXIT_CODE.refused);
   } catch (err) {
     if (err instanceof CommandError) throw err;
@@ -49,6 +57,8 @@
       `${url}: ${errorText(err)}. Check the address and whether the service is running.`,
       EXIT_CODE.unreachable,
     );
+  } finally {
+    connections.destroy();
   }
 }
 
--- a/src/core/published/source.ts
+++ b/src/core/published/source.ts
@@ -9,7 +9,7 @@
 /** Why a read failed. */
 export interface ReadFault {
   /** Error kind, used as a metric label. */
-  readonly kind: 'timeout' | 'busy' | 'reset' | 'missing' | 'invalid' | 'stale';
+  readonly kind: 'timeout' | 'busy' | 'reset' | 'missing' | 'invalid' | 'stale' | 'oversized';
   /** Description for the log. */
   readonly detail: string;
 }
--- a/src/daemon/context.ts
+++ b/src/daemon/context.ts
@@ -7,8 +7,8 @@
 import { buildInstanceView, EMPTY_VIEW, type InstanceView } from '../core/membership/index.js';
 import { Metrics } from '../core/metrics/index.js';
 import type { FullSettings } from '../core/settings/index.js';
-import { CONNECT_TIMEOUT_MS, createPeers } from '../rpc/index.js';
-import { ConnectionPools, type DaemonContext } from '../runtime/index.js';
+import { CONNECT_TIMEOUT_MS, createPeers, MAX_RPC_MESSAGE_BYTES } from '../rpc/index.js';
+import { ConnectionPools, reportCutResponses, type DaemonContext } from '../runtime/index.js';
 import type { SocketByteCounter } from './socket-bytes.js';
 
 /** How long an idle connection to another daemon stays open, ms. */
@@ -38,12 +38,15 @@
   store.onChange(() => {
     if (store.list && store.list.version !== view.version) view = buildInstanceView(store.list);
   });
-  const connections = new ConnectionPools({
-    connect: socketBytes.connector(buildConnector({ timeout: CONNECT_TIMEOUT_MS })),
-    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    connections: null,
-    pipelining: 1,
-  });
+  const connections = new ConnectionPools(
+    {
+      connect: socketBytes.connector(buildConnector({ timeout: CONNECT_TIMEOUT_MS })),
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      connections: null,
+      pipelining: 1,
+    },
+    reportCutResponses(log, metrics),
+  );
   const pause = pauseDetector(clock, settings.timing.pauseMs, (gapMs) => {
     metrics.count('pauses_total');
     log.warn('process.paused', { gapMs: Math.round(gapMs) });
@@ -61,7 +64,7 @@
     metrics,
     store,
     view: () => view,
-    peers: createPeers(connections),
+    peers: createPeers(connections, MAX_RPC_MESSAGE_BYTES),
     connections,
     pauseDetector: pause,
     isLeaving: () => shutdown.isRequested || isListedAsLeaving(),
--- a/src/daemon/platform-client.ts
+++ b/src/daemon/platform-client.ts
@@ -1,11 +1,13 @@
 /** Read-only client of the platform's configuration service. */
 import type { PlatformClient } from '../core/config-feed/index.js';
+import { MAX_RPC_MESSAGE_BYTES } from '../rpc/consts.js';
 import type { ConnectionPools } from '../runtime/index.js';
 
 /** Paths of the configuration document and the instance list. */
 export const PLATFORM_PATHS = { config: '/configuration', list: '/instances' } as const;
-/** Time allowed beyond the wait of a watch, and for reading its body, ms. */
+/** Time allowed beyond the wait of a watch, ms. */
 const TIMEOUT_MARGIN_MS = 2000;
+const HTTP_OK = 200;
 const HTTP_NOT_MODIFIED = 304;
 
 /**
@@ -16,21 +18,22 @@
 export function createPlatformClient(connections: ConnectionPools, url: string): PlatformClient {
   const watchPath =
     (path: string) =>
-    (knownVersion: number, waitMs: number, signal: AbortSignal): Promise<unknown> => {
-      const request = {
+    async (knownVersion: number, waitMs: number, signal: AbortSignal): Promise<unknown> => {
+      const limits = {
+        call: 'platform',
+        maxBytes: MAX_RPC_MESSAGE_BYTES,
+        maxMs: waitMs + TIMEOUT_MARGIN_MS,
+      };
+      const { status, text } = await connections.call({
         origin: url,
         path: `${path}?above=${knownVersion}&wait=${waitMs}`,
-        method: 'GET' as const,
+        method: 'GET',
         signal,
-        headersTimeout: waitMs + TIMEOUT_MARGIN_MS,
-        bodyTimeout: TIMEOUT_MARGIN_MS,
-      };
-      return connections.call(request, async ({ statusCode, body }) => {
-        if (statusCode === 200) return body.json();
-        await body.dump();
-        if (statusCode === HTTP_NOT_MODIFIED) return undefined;
-        throw new Error(`The platform responded with status ${statusCode} to GET ${path}.`);
+        limits,
       });
+      if (status === HTTP_OK) return JSON.parse(text) as unknown;
+      if (status === HTTP_NOT_MODIFIED) return undefined;
+      throw new Error(`The platform responded with status ${status} to GET ${path}.`);
     };
   return {
     watchConfig: watchPath(PLATFORM_PATHS.config),
--- a/src/daemon/start.ts
+++ b/src/daemon/start.ts
@@ -5,7 +5,12 @@
 import { sleep } from '../core/clock/index.js';
 import { runFeed, type FeedUpdate } from '../core/config-feed/index.js';
 import type { FullSettings } from '../core/settings/index.js';
-import { CONNECT_TIMEOUT_MS, createRpcServer, type RpcHandlers } from '../rpc/index.js';
+import {
+  CONNECT_TIMEOUT_MS,
+  createRpcServer,
+  MAX_RPC_MESSAGE_BYTES,
+  type RpcHandlers,
+} from '../rpc/index.js';
 import type { DaemonContext } from '../runtime/index.js';
 import { listen } from '../runtime/listen.js';
 import { createDaemonContext, type ShutdownState } from './context.js';
@@ -32,8 +37,6 @@
 }
 
 const DRAIN_POLL_INTERVAL_MS = 25;
-/** Largest message between daemons, bytes: fits a document with thousands of organisations. */
-const MAX_RPC_MESSAGE_BYTES = 4 * 1024 * 1024;
 /** Longer than the clients' own timeout, so that a client never writes to a connection just closed. */
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -23,6 +23,7 @@
 import { createRpcServer } from '../rpc/serve.js';
 import { reportClockSteps } from '../runtime/clock-steps.js';
 import { ConnectionPools } from '../runtime/connection-pools.js';
+import { reportCutResponses } from '../runtime/response-limits.js';
 import { listen } from '../runtime/listen.js';
 import { orderRelays } from '../runtime/relays.js';
 import { watchSettings } from '../runtime/settings-watch.js';
@@ -76,7 +77,12 @@
   /** For components that keep state received from others: its age includes suspension of the machine. */
   const agingDeps = { ...sharedDeps, clock: ageClock };
   const shutdown = new AbortController();
-  const peers = createPeers(new ConnectionPools({ connect: { timeout: PEER_CONNECT_TIMEOUT_MS } }));
+  const peers = createPeers(
+    new ConnectionPools(
+      { connect: { timeout: PEER_CONNECT_TIMEOUT_MS } },
+      reportCutResponses(log, metrics),
+    ),
+  );
   const relayRole = orderRelays(settings);
   const groups = new GroupStatus({
     ...agingDeps,
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -20,6 +20,7 @@
 import type { Result } from '../core/result/index.js';
 import { reportClockSteps } from '../runtime/clock-steps.js';
 import { ConnectionPools } from '../runtime/connection-pools.js';
+import { reportCutResponses } from '../runtime/response-limits.js';
 import { listen } from '../runtime/listen.js';
 import { watchSettings } from '../runtime/settings-watch.js';
 import type { GroupDigest } from '../generated/messages.types.js';
@@ -68,7 +69,12 @@
   const suspensionAwareDeps = { ...sharedDeps, clock: ageClock };
   const shutdown = new AbortController();
   const group = new OwnGroup(state, ownEndpoint, settings.internalPort);
-  const peers = createPeers(new ConnectionPools({ connect: { timeout: CONNECT_TIMEOUT_MS } }));
+  const peers = createPeers(
+    new ConnectionPools(
+      { connect: { timeout: CONNECT_TIMEOUT_MS } },
+      reportCutResponses(log, metrics),
+    ),
+  );
   const source = new RelayedSource({
     ...suspensionAwareDeps,
     state,
--- a/src/rpc/peers.ts
+++ b/src/rpc/peers.ts
@@ -4,7 +4,7 @@
 import { isAbortOrTimeout } from '../core/errors/index.js';
 import type { SendRelayRequest } from '../core/published/index.js';
 import type { ConnectionPools } from '../runtime/connection-pools.js';
-import { RPC_PATH } from './consts.js';
+import { DEFAULT_MAX_RESPONSE_BYTES, MAX_RPC_CALL_MS, RPC_PATH } from './consts.js';
 import type { DaemonRouter } from './router.js';
 
 /** A client of one daemon. */
@@ -39,8 +39,10 @@
  * The subset of fetch that tRPC needs, on keep-alive connections: the full fetch costs several
  * times as much CPU time per call (docs/EXPERIMENTS.md).
  */
-function createFetch(connections: ConnectionPools) {
-  return (url: string, init: FetchOptions = {}): Promise<object> => {
+function createFetch(connections: ConnectionPools, maxBytes: number) {
+  // Most callers limit the time of a call further by a signal.
+  const limits = { call: 'rpc', maxBytes, maxMs: MAX_RPC_CALL_MS };
+  return async (url: string, init: FetchOptions = {}): Promise<object> => {
     const { origin, pathname, search } = new URL(url);
     const request = {
       origin,
@@ -49,14 +51,13 @@
       headers: init.headers ?? {},
       body: init.body ?? null,
       signal: init.signal ?? null,
-    };
-    const readResponse = async ({ statusCode, body }: Dispatcher.ResponseData): Promise<object> => {
-      const data = await body.json();
-      return { ok: statusCode < 400, status: statusCode, json: () => Promise.resolve(data) };
+      limits,
     };
     // tRPC reports a timeout as a plain abort, so every abort counts as an unresponsive connection.
     // Other aborts come only when the calling task ends, where new connections cost little.
-    return connections.call(request, readResponse, isAbortOrTimeout);
+    const { status, text } = await connections.call(request, isAbortOrTimeout);
+    const data = JSON.parse(text) as unknown;
+    return { ok: status < 400, status, json: () => Promise.resolve(data) };
   };
 }
 
@@ -64,9 +65,12 @@
  * Creates the clients on first use; they are cached and hold no connections of their own.
  * @example await peers.at('127.0.0.1:7001').hello.query(undefined, { signal })
  */
-export function createPeers(connections: ConnectionPools): Peers {
+export function createPeers(
+  connections: ConnectionPools,
+  maxResponseBytes = DEFAULT_MAX_RESPONSE_BYTES,
+): Peers {
   const clients = new Map<string, PeerClient>();
-  const fetch = createFetch(connections) as never;
+  const fetch = createFetch(connections, maxResponseBytes) as never;
   return {
     at(address) {
       const existing = clients.get(address);
--- a/test/runtime/connection-pools.test.ts
+++ b/test/runtime/connection-pools.test.ts
@@ -10,7 +10,6 @@
 import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
-import type { Dispatcher } from 'undici';
 import { isTimeout } from '../../src/core/errors/index.js';
 import { ConnectionPools } from '../../src/runtime/connection-pools.js';
 
@@ -60,12 +59,18 @@
   return service;
 }
 
-const readText = (res: Dispatcher.ResponseData): Promise<string> => res.body.text();
+/** Limits that no call of this file reaches. */
+const LIMITS = { call: 'test', maxBytes: 1_000_000, maxMs: 60_000 };
 
-function get(connections: ConnectionPools, origin: string): Promise<string> {
-  const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
-  const call = { origin, path: '/', method: 'GET' as const, signal };
-  return connections.call(call, readText);
+async function get(
+  connections: ConnectionPools,
+  origin: string,
+  options: { path?: string; signal?: AbortSignal } = {
+    signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+  },
+): Promise<string> {
+  const call = { origin, path: '/', method: 'GET' as const, limits: LIMITS, ...options };
+  return (await connections.call(call)).text;
 }
 
 /** Runs a test with a service and `count` idle connections to it. */
@@ -99,9 +104,8 @@
   withIdleConnections(2, async (service, connections) => {
     const { origin } = service;
     service.hangFirst();
-    const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
-    const timedOut = connections.call({ origin, path: '/', method: 'GET', signal }, readText);
-    const slow = connections.call({ origin, path: '/slow', method: 'GET' }, readText);
+    const timedOut = get(connections, origin);
+    const slow = get(connections, origin, { path: '/slow' });
     await assert.rejects(timedOut, isTimeout);
     assert.equal(await slow, 'fine');
   }));
@@ -110,8 +114,7 @@
   withIdleConnections(2, async (service, connections) => {
     const { origin } = service;
     const controller = new AbortController();
-    const call = { origin, path: '/', method: 'GET' as const, signal: controller.signal };
-    const aborted = connections.call(call, readText);
+    const aborted = get(connections, origin, { signal: controller.signal });
     controller.abort();
     await assert.rejects(aborted);
     await get(connections, origin);
