Bound the events of streams, and count only whole events as progress

Cause: each chunk restarted the silence timeout, an incomplete event had no limit and was joined anew with each chunk, outside of the memory budget, and a chunk was split to its end before its first event was checked.

Only an accepted event restarts the timeout; a stream that may not be resumed is still kept to its deadline. Bytes still show that the connection works, so that the other connections of the endpoint are kept.

--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -30,6 +30,8 @@
 export const STALLED_CONNECTION_MS = 250;
 /** Maximum size of a response that is not streamed, bytes. */
 export const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+/** Maximum size of an event of a stream, bytes; an event may carry all tokens of a response. */
+export const MAX_EVENT_BYTES = 256 * 1024;
 /** Maximum size of the head of a response and the interim responses before it, bytes. */
 export const MAX_RESPONSE_HEAD_BYTES = 16 * 1024;
 /** Maximum size of chunk headers and trailers without a part of the body between them, bytes. */
--- a/src/gateway/requests/deliver.ts
+++ b/src/gateway/requests/deliver.ts
@@ -100,6 +100,12 @@
     return { kind: 'answered', status };
   }
   if (request.gone.aborted) return { kind: 'gone' };
+  if (outcome.kind === 'over-budget')
+    return progress.events > 0
+      ? { kind: 'cut', detail: 'the memory of this entry is full' }
+      : responseOverBudget(active, target);
+  if (outcome.kind === 'broke' && outcome.isOverLimit)
+    ctx.endpoints.noteMisbehaviour(target, 'event-limit', outcome.detail);
   recordFault(active, target, outcome);
   return undefined;
 }
--- a/src/gateway/requests/relay-stream.ts
+++ b/src/gateway/requests/relay-stream.ts
@@ -7,6 +7,7 @@
 import type { AttemptResponse } from './attempt.js';
 import { EventSplitter, type StreamEvent } from './event-splitter.js';
 import type { ResponseWriter } from './response-writer.js';
+import { MAX_EVENT_BYTES } from '../consts.js';
 import { SilenceTimeout } from './silence-timeout.js';
 
 /** Progress of a caller's stream over all attempts. */
@@ -24,13 +25,15 @@
 /** How one attempt's part of a stream ended. */
 export type StreamOutcome =
   | { readonly kind: 'whole' }
-  | { readonly kind: 'broke'; readonly detail: string }
+  | { readonly kind: 'broke'; readonly detail: string; readonly isOverLimit?: boolean }
+  /** An incomplete event did not fit into the memory budget, through no fault of the endpoint. */
+  | { readonly kind: 'over-budget' }
   | { readonly kind: 'silent'; readonly detail: string }
   | { readonly kind: 'slow'; readonly detail: string };
 
 /** Options of relaying one attempt's part of a stream. */
 export interface StreamRelayOptions {
-  readonly writer: Pick<ResponseWriter, 'writeHead' | 'write'>;
+  readonly writer: Pick<ResponseWriter, 'writeHead' | 'write' | 'hold' | 'release'>;
   readonly progress: StreamProgress;
   readonly nowMs: () => number;
   /** Timeout between two events while the stream can go on elsewhere, ms. */
@@ -71,6 +74,27 @@
   progress.lastEventAtMs = nowMs;
 }
 
+/** Counts the bytes of an incomplete event against the memory budget. */
+class PendingBytes {
+  private held = 0;
+
+  constructor(private readonly writer: StreamRelayOptions['writer']) {}
+
+  /** Counts `bytes` from now on; false if they do not fit. */
+  set(bytes: number): boolean {
+    const change = bytes - this.held;
+    this.held = bytes;
+    if (change < 0) this.writer.release(-change);
+    return change <= 0 || this.writer.hold(change);
+  }
+}
+
+function tooLarge(response: AttemptResponse): StreamOutcome {
+  response.close();
+  const detail = `an event of the stream is larger than ${MAX_EVENT_BYTES} bytes`;
+  return { kind: 'broke', detail, isOverLimit: true };
+}
+
 /** Writes events that arrived together. */
 function writeEvents(options: StreamRelayOptions, accepted: readonly Buffer[]): void {
   const [first] = accepted;
@@ -87,13 +111,19 @@
 ): Promise<StreamOutcome> {
   const { progress } = options;
   const splitter = new EventSplitter();
+  const pending = new PendingBytes(options.writer);
   let timeoutDetail = '';
   let isFirst = true;
+  let hasSentBytes = false;
   const timeout = new SilenceTimeout({
     idleMs: options.idleTimeoutMs,
     remainingMs: options.remainingMs,
     mayEnd: options.mayEnd,
-    onSilence: response.noteSilence,
+    onSilence: (silentMs) => {
+      // Bytes that complete no event are no progress, but show that the connection works.
+      if (!hasSentBytes) response.noteSilence(silentMs);
+      hasSentBytes = false;
+    },
     end: (silentMs) => {
       timeoutDetail = `no event within ${Math.round(silentMs)} ms`;
       response.close();
@@ -103,7 +133,12 @@
   try {
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
       const accepted: Buffer[] = [];
-      for (const event of splitter.push(chunk)) {
+      hasSentBytes = true;
+      for (const event of splitter.split(chunk)) {
+        if (event.bytes.length > MAX_EVENT_BYTES) {
+          writeEvents(options, accepted);
+          return tooLarge(response);
+        }
         if (!isNextEvent(event, progress.lastEventId)) {
           writeEvents(options, accepted);
           response.close();
@@ -119,17 +154,23 @@
         accepted.push(event.bytes);
       }
       writeEvents(options, accepted);
+      if (splitter.pendingBytes > MAX_EVENT_BYTES) return tooLarge(response);
+      if (!pending.set(splitter.pendingBytes)) {
+        response.close();
+        return { kind: 'over-budget' };
+      }
       if (progress.events > 0 && options.shouldSwitchEndpoint()) {
         response.close();
         return { kind: 'slow', detail: 'the endpoint is slow' };
       }
-      timeout.restart();
+      if (accepted.length > 0) timeout.restart();
     }
   } catch (err) {
     if (timeoutDetail) return { kind: 'silent', detail: timeoutDetail };
     return { kind: 'broke', detail: errorText(err) };
   } finally {
     timeout.stop();
+    pending.set(0);
   }
   if (splitter.pendingBytes > 0)
     return { kind: 'broke', detail: 'the stream ended inside an event' };
--- a/src/gateway/requests/response-writer.ts
+++ b/src/gateway/requests/response-writer.ts
@@ -75,11 +75,16 @@
     if (this.queue.isEmpty) this.deps.res.end();
   }
 
-  /** Counts bytes of a response that is read to its end first; false if they exceed the budget. */
+  /** Counts bytes that cannot be written yet; false if they exceed the budget. */
   hold(bytes: number): boolean {
     return this.deps.budget.hold(this.account, bytes);
   }
 
+  /** Frees bytes counted by `hold`. */
+  release(bytes: number): void {
+    this.deps.budget.release(this.account, bytes);
+  }
+
   /** Discards the bytes counted by `hold`. */
   discard(): void {
     this.deps.budget.release(this.account, this.account.heldBytes);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -197,6 +197,8 @@
   | 'interim-limit'
   /** Chunk headers, chunk extensions or trailers exceed their limit. */
   | 'framing-limit'
+  /** An event of a stream, complete or not, exceeds its limit. */
+  | 'event-limit'
   /** Bytes arrived while no request was in flight on their connection. */
   | 'unsolicited';
 
