Close connections without failing requests that wait, and open none behind

Operators saw: behind each exchange that the entry ended early (a caller that left, a deadline, a limit), a new connection to the endpoint that carried no request.

Cause: the HTTP client keeps an aborted request in its queue if the abort closes the connection, and opens a connection for it. Errors of a class other than its own for sockets fail the requests that wait for the connection.

An exchange in flight now closes its connection before it is aborted, with an error of that class; without an error, a response that ends with its connection would count as complete. `close` acts on the connection that the request was written to, never on a newer one.

--- a/src/gateway/endpoints/exchange.ts
+++ b/src/gateway/endpoints/exchange.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Socket } from 'node:net';
-import { Client, type buildConnector, type Dispatcher, type Pool } from 'undici';
+import { Client, errors, type buildConnector, type Dispatcher, type Pool } from 'undici';
 import { systemClock } from '../../core/clock/index.js';
 import type { Result } from '../../core/result/index.js';
 import { MAX_FRAMING_BYTES } from '../consts.js';
@@ -13,6 +13,7 @@
 /** Lowest status of a final response; those below are informational. */
 const MIN_FINAL_STATUS = 200;
 const CANCELLED = 'the request was cancelled before it was sent';
+const ENDED = 'the exchange was ended';
 const WRITTEN_ONCE = 'the connection ended after the request was written';
 /** Of a dispatcher without `endpointClientFactory`. */
 const UNKNOWN_CONNECTION: ConnectionState = { ageMs: 0, requests: 0 };
@@ -67,8 +68,11 @@
 /** Progress of an exchange on its connection; undici passes it on as the opaque value of a request. */
 class ConnectionUse {
   client: EndpointClient | undefined;
+  /** The connection to which the request is written. */
+  socket: Socket | null = null;
   isStarted = false;
   isCancelled = false;
+  isComplete = false;
 }
 
 /** The client of one connection of a pool; knows which exchange was the last one on it. */
@@ -107,6 +111,7 @@
   /** Notes that the request of an exchange is written to the connection. */
   noteStarted(use: ConnectionUse): void {
     this.newest = use;
+    use.socket = this.socket;
     this.requests += 1;
     this.meter?.startResponse();
   }
@@ -118,7 +123,8 @@
 
   /** Closes the connection if no other exchange has started on it since. */
   closeAfter(use: ConnectionUse): void {
-    if (this.newest === use) this.socket?.destroy();
+    // Without an error a response that ends with its connection would count as complete.
+    if (this.newest === use) use.socket?.destroy(new errors.SocketError(ENDED));
   }
 }
 
@@ -166,6 +172,7 @@
       next.onResponseData?.(controller, bytes);
     },
     onResponseEnd: (...args) => {
+      use.isComplete = true;
       use.client?.meter?.endResponse();
       next.onResponseEnd?.(...args);
     },
@@ -198,13 +205,15 @@
   });
   const cancel = (): void => {
     use.isCancelled = true;
+    // An abort alone makes undici open a new connection, for a request that it then finds aborted.
+    if (use.isStarted && !use.isComplete) use.client?.closeAfter(use);
     aborter.abort();
     // undici reports the end of a queued request only when a connection becomes free.
     if (!use.isStarted) rejectUnsent(new Error(CANCELLED));
   };
   const close = (): void => {
-    cancel();
     use.client?.closeAfter(use);
+    cancel();
   };
   return { response, cancel, close };
 }
--- a/src/gateway/endpoints/response-meter.ts
+++ b/src/gateway/endpoints/response-meter.ts
@@ -4,6 +4,7 @@
  * creates an error for each header behind its limit, so that it is given no more bytes than the limit allows.
  */
 import type { Socket } from 'node:net';
+import { errors } from 'undici';
 import {
   MAX_FRAMING_BYTES,
   MAX_FRAMING_PER_BODY_BYTE,
@@ -105,7 +106,8 @@
   private reject(): null {
     const [kind, detail] = this.violation();
     this.report(kind, detail);
-    this.socket.destroy(new Error(detail));
+    // Of this class, since others fail the requests that wait for the connection.
+    this.socket.destroy(new errors.SocketError(detail));
     return null;
   }
 
--- a/test/gateway/endpoints/connection-close.test.ts
+++ b/test/gateway/endpoints/connection-close.test.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setTimeout as wait } from 'node:timers/promises';
 import { responseHead, type RawRequest } from '../../../fakes/raw-endpoint/index.js';
 import { config, route, withRawEndpoints } from '../harness.js';
 
@@ -30,3 +31,14 @@
     assert.equal(raws[0]?.requests.length, ROUNDS * CALLERS);
   });
 });
+
+test('no connection is opened behind a request whose caller left', async () => {
+  const cfg = config([route({ kind: 'once', maxAttempts: 1 })]);
+  const silent = (): void => undefined;
+  await withRawEndpoints([silent], cfg, async ({ entry, raws }) => {
+    await entry.send('q-1', { disconnectAfterMs: 100 });
+    await wait(200);
+    const open = raws[0]?.requests.filter(({ socket }) => !socket.destroyed);
+    assert.deepEqual([raws[0]?.connections, open?.length], [1, 0]);
+  });
+});
--- a/test/gateway/endpoints/response-meter.test.ts
+++ b/test/gateway/endpoints/response-meter.test.ts
@@ -1,5 +1,7 @@
 /** Guards against bytes without end that are no body: they took the memory and the processor of an entry. */
 import assert from 'node:assert/strict';
+import http from 'node:http';
+import type { Socket } from 'node:net';
 import { test } from 'node:test';
 import {
   chunk,
@@ -156,3 +158,26 @@
     });
   });
 }
+
+test('bytes on an idle connection never fail a request that is not written yet', async () => {
+  const sockets = new Set<Socket>();
+  const respond: RawResponder = (req) => {
+    sockets.add(req.socket);
+    req.socket.write(okResponse(req, 'own'));
+  };
+  await withRawEndpoints([respond], config([ONCE]), async ({ entry, raws }) => {
+    const agent = new http.Agent({ keepAlive: true });
+    for (let i = 1; i <= 64; i += 1) {
+      const sent = entry.send(`q-${i}`, { ...LONG_REQUEST, agent });
+      // The entry receives the request in this process, so that the bytes meet all states of the connection.
+      for (let turns = i % 8; turns > 0; turns -= 1)
+        await new Promise((resolve) => setImmediate(resolve));
+      for (const socket of sockets) socket.write('\r\n');
+      sockets.clear();
+      const { status } = await sent;
+      const isReceived = raws[0]?.requests.some((req) => req.headers['x-request-id'] === `q-${i}`);
+      assert.ok(status !== 502 || isReceived, `q-${i}: ${status}`);
+    }
+    agent.destroy();
+  });
+});
