Limit the size and the time of requests that other daemons and operators send

What operators saw: a daemon spent its processor on a request without end to its control, operators', readiness or metrics port, for as long as the other side sent.

Cause: after the response to a request whose body is not wholly read, be it refused as too large or never wanted, Node's HTTP server reads and discards the rest; the RPC server had no time limit for a request (requestTimeout 0, which sets that of heads to 0 as well), the others one of 300 s. Ruled out: chunk extensions and trailers sent fast end at Node's own limits.

--- a/src/daemon/operators.ts
+++ b/src/daemon/operators.ts
@@ -1,6 +1,7 @@
 /** HTTP server for operators: health, readiness, metrics, status, configuration and past decisions. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { DecisionRecord } from '../caller-api/index.js';
+import { createBoundedServer } from '../runtime/bounded-server.js';
 import type { DaemonContext } from '../runtime/index.js';
 
 /** What the operators' server reads from the daemon. */
@@ -101,6 +102,9 @@
  * Creates the operators' server.
  * @example createOperatorServer(deps).listen(9000, '127.0.0.1');
  */
-export function createOperatorServer(deps: OperatorServerDeps): Server {
-  return createServer((req, res) => handleRequest(deps, req, res));
+export function createOperatorServer(deps: OperatorServerDeps, requestTimeoutMs?: number): Server {
+  return createBoundedServer(
+    { ...(requestTimeoutMs !== undefined && { requestTimeoutMs }) },
+    (req, res) => handleRequest(deps, req, res),
+  );
 }
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -1,5 +1,4 @@
 /** One gateway process: starts its components, follows the published state and stops on SIGTERM. */
-import { createServer } from 'node:http';
 import { EvidenceUpdates } from '../core/crashes/index.js';
 import { sleep, SuspensionClock, systemClock } from '../core/clock/index.js';
 import { errorText, type HarriergladeError } from '../core/errors/index.js';
@@ -22,6 +21,7 @@
 import type { RpcHandlers } from '../rpc/router.js';
 import { createRpcServer } from '../rpc/serve.js';
 import { reportClockSteps } from '../runtime/clock-steps.js';
+import { createBoundedServer } from '../runtime/bounded-server.js';
 import { ConnectionPools } from '../runtime/connection-pools.js';
 import { reportCutResponses } from '../runtime/response-limits.js';
 import { listen } from '../runtime/listen.js';
@@ -223,11 +223,11 @@
   calls: RpcHandlers,
 ): Promise<void> {
   const { callers, control, ready: readyAddress, ip } = deps.settings;
-  const readyServer = createServer((req, res) => {
+  const readyServer = createBoundedServer({}, (req, res) => {
     const ok = req.url === deps.readyPath && gateway.isReady();
     res.writeHead(ok ? 200 : 503, { 'content-length': 0 }).end();
   });
-  const metricsServer = createServer((req, res) => {
+  const metricsServer = createBoundedServer({}, (req, res) => {
     const found = req.url === METRICS_PATH;
     res.writeHead(found ? 200 : 404, { 'content-type': 'text/plain; version=0.0.4' });
     res.end(found ? metrics.print() : '');
--- a/src/rpc/serve.ts
+++ b/src/rpc/serve.ts
@@ -1,6 +1,7 @@
 /** Serves a daemon's RPC handlers over HTTP. */
-import { createServer, type Server } from 'node:http';
+import type { Server } from 'node:http';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import { createBoundedServer } from '../runtime/bounded-server.js';
 import { RPC_PATH } from './consts.js';
 import { buildRouter, type RpcHandlers } from './router.js';
 
@@ -13,6 +14,8 @@
   readonly maxBytes?: number;
   /** How long an idle connection is kept, ms; Node's default if omitted. */
   readonly keepAliveMs?: number;
+  /** Maximum time in which a request must arrive whole, ms. */
+  readonly requestTimeoutMs?: number;
   /** Called for each failed call, with its procedure and tRPC error code. */
   readonly onError?: (path: string, code: string) => void;
 }
@@ -23,7 +26,12 @@
  */
 export function createRpcServer(
   handlers: RpcHandlers,
-  { maxBytes = DEFAULT_MAX_MESSAGE_BYTES, keepAliveMs, onError }: RpcServerOptions = {},
+  {
+    maxBytes = DEFAULT_MAX_MESSAGE_BYTES,
+    keepAliveMs,
+    requestTimeoutMs,
+    onError,
+  }: RpcServerOptions = {},
 ): Server {
   const handler = createHTTPHandler({
     router: buildRouter(handlers),
@@ -31,6 +39,11 @@
     maxBodySize: maxBytes,
     onError: ({ error, path }) => onError?.(path ?? '', error.code),
   });
-  const keepAlive = keepAliveMs === undefined ? {} : { keepAliveTimeout: keepAliveMs };
-  return createServer({ requestTimeout: 0, ...keepAlive }, handler);
+  return createBoundedServer(
+    {
+      ...(keepAliveMs !== undefined && { keepAliveTimeout: keepAliveMs }),
+      ...(requestTimeoutMs !== undefined && { requestTimeoutMs }),
+    },
+    handler,
+  );
 }
