--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -432,3 +432,14 @@
     assert.equal(findRoute(value, 'a.example', '/x/1')?.kind, 'once');
   });
 });
+
+test('changes that are larger than the limit of a response are read as a whole instead', async () => {
+  await withStore(async (store, source) => {
+    const { revision } = await readAll(source);
+    const endpoint = { ...ENDPOINT, address: `10.0.0.1:80${' '.repeat(300_000)}` };
+    for (let i = 0; i < 10; i += 1) store.put(`servers/i-${i}`, endpoint);
+    const watched = await source.watch(revision, 100);
+    assert.equal((watched.val as ReadFault).kind, 'oversized');
+    assert.deepEqual((await source.watch(revision, 100)).unwrap(), { kind: 'forgotten' });
+  });
+});
