Count responses over the size limit as misbehaviour of their endpoint

Operators saw: a response that exceeded 8 MB only as one more broken attempt, so that an endpoint that sends bodies without end could not be told from one that resets connections. Its attempt is now counted with the other kinds of bytes without end, `body-limit`, and logged as `endpoint.misbehaved`.

--- a/src/gateway/requests/deliver.ts
+++ b/src/gateway/requests/deliver.ts
@@ -31,6 +31,8 @@
   if (body.err) {
     if (body.val.kind === 'over-budget') return responseOverBudget(active, target);
     writer.discard();
+    if (body.val.kind === 'broke' && body.val.isOverLimit)
+      active.ctx.endpoints.noteMisbehaviour(target, 'body-limit', body.val.detail);
     recordFault(active, target, body.val);
     return undefined;
   }
--- a/src/gateway/requests/read-response.ts
+++ b/src/gateway/requests/read-response.ts
@@ -36,6 +36,7 @@
         return Err({
           kind: 'broke',
           detail: `the response is larger than ${MAX_RESPONSE_BYTES} bytes`,
+          isOverLimit: true,
         });
       }
       if (!hold(chunk.length)) {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -199,6 +199,8 @@
   | 'framing-limit'
   /** An event of a stream, complete or not, exceeds its limit. */
   | 'event-limit'
+  /** A response that is not streamed exceeds its limit. */
+  | 'body-limit'
   /** Bytes arrived while no request was in flight on their connection. */
   | 'unsolicited';
 
@@ -216,7 +218,13 @@
   /** It has not run: the endpoint requested a backoff and refused it, or it was not sent there. */
   | { readonly kind: 'resting'; readonly detail: string; readonly isUnsent?: boolean }
   /** The connection or the response failed; the request may have run. */
-  | { readonly kind: 'broke'; readonly detail: string; readonly rejected?: RejectReason }
+  | {
+      readonly kind: 'broke';
+      readonly detail: string;
+      readonly rejected?: RejectReason;
+      /** Whether the response exceeded a limit of its size. */
+      readonly isOverLimit?: boolean;
+    }
   /** No response, or no further event, within the timeout. */
   | { readonly kind: 'silent'; readonly detail: string }
   /** Aborted by the entry because the endpoint is slow and another one can resume the stream. */
--- a/test/gateway/endpoints/response-meter.test.ts
+++ b/test/gateway/endpoints/response-meter.test.ts
@@ -54,6 +54,7 @@
     start: (req) => `${chunkedHead(req)}${chunk('x')}0\r\n`,
     repeated: 'a: b\r\n',
   },
+  'a body': { kind: 'body-limit', start: chunkedHead, repeated: chunk('x'.repeat(PIECE_BYTES)) },
   'one trailer': {
     kind: 'framing-limit',
     start: (req) => `${chunkedHead(req)}${chunk('x')}0\r\nA: `,
