Bound the rate at which one endpoint is read

Operators saw: an endpoint that floods its bodies on many connections took the event loop of an entry, since each connection read a chunk per turn.

All connections to one endpoint now share an allowance of 64 KB per ms with a burst of 1 MB. Reads beyond it wait in order, their bytes in the sockets. A read is charged the bytes of the one before it, so that small responses cost a subtraction and no clock.

--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -30,6 +30,10 @@
 export const STALLED_CONNECTION_MS = 250;
 /** Maximum size of a response that is not streamed, bytes. */
 export const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+/** Rate at which the connections to one endpoint are read, bytes per ms; what exceeds it waits in their sockets. */
+export const READ_BYTES_PER_MS = 64 * 1024;
+/** Bytes that may be read from one endpoint at once. */
+export const READ_BURST_BYTES = 1024 * 1024;
 /** Maximum size of an event of a stream, bytes; an event may carry all tokens of a response. */
 export const MAX_EVENT_BYTES = 256 * 1024;
 /** Maximum size of the head of a response and the interim responses before it, bytes. */
--- a/src/gateway/endpoints/connect.ts
+++ b/src/gateway/endpoints/connect.ts
@@ -1,7 +1,9 @@
 /** Connections to endpoints, and classification of connection errors. */
 import type { Socket } from 'node:net';
 import { buildConnector } from 'undici';
+import { systemClock } from '../../core/clock/index.js';
 import { CONNECT_TIMEOUT_MS } from '../consts.js';
+import { ReadAllowance } from './read-allowance.js';
 
 /** Error code of undici for a connection that broke during a request. */
 const BROKEN_CONNECTION = 'UND_ERR_SOCKET';
@@ -14,11 +16,16 @@
  * bytes and the socket is still being read at the end of that turn, libuv reports the end of the stream and
  * the reset is lost; a read in the next turn fails with the reset.
  */
-function readOncePerTurn(socket: Socket): void {
+function readOncePerTurn(socket: Socket, allowance: ReadAllowance): void {
   const read = socket._read.bind(socket);
+  let seenBytes = 0;
   socket._read = (size) => {
     setImmediate(() => {
-      if (!socket.destroyed) read(size);
+      const lastBytes = socket.bytesRead - seenBytes;
+      seenBytes = socket.bytesRead;
+      allowance.run(lastBytes, () => {
+        if (!socket.destroyed) read(size);
+      });
     });
   };
 }
@@ -37,10 +44,11 @@
     timeout: CONNECT_TIMEOUT_MS,
     keepAlive: true,
   });
+  const allowance = new ReadAllowance(() => systemClock.nowMs());
   return (options, callback) =>
     connect(options, (...result) => {
       const socket = result[1] as Socket | null;
-      if (socket) readOncePerTurn(socket);
+      if (socket) readOncePerTurn(socket, allowance);
       socket?.prependListener('error', (err: NodeJS.ErrnoException) => {
         if (err.code === 'ECONNRESET') err.code = BROKEN_CONNECTION;
       });
--- /dev/null
+++ b/src/gateway/endpoints/read-allowance.ts
@@ -0,0 +1,57 @@
+/** Bounds how much is read from one endpoint, so that a flood of it does not take the event loop from others. */
+import { READ_BURST_BYTES, READ_BYTES_PER_MS } from '../consts.js';
+
+/** How often waiting reads are tried, ms. */
+const RETRY_MS = 1;
+
+/** A read of a socket, and the bytes that its last one returned. */
+interface WaitingRead {
+  readonly lastBytes: number;
+  readonly read: () => void;
+}
+
+/** Token bucket of the bytes read on all connections to one endpoint. What exceeds it waits in the sockets. */
+export class ReadAllowance {
+  private available = READ_BURST_BYTES;
+  private refilledAtMs: number;
+  private readonly waiting: WaitingRead[] = [];
+
+  constructor(private readonly nowMs: () => number) {
+    this.refilledAtMs = nowMs();
+  }
+
+  /**
+   * Reads at once, or in order of arrival once the allowance permits. A read is charged the bytes of the last one
+   * on its socket, as its own are not known yet.
+   * @example allowance.run(lastBytes, () => socket.resume());
+   */
+  run(lastBytes: number, read: () => void): void {
+    if (this.waiting.length === 0 && this.hasAllowance()) return this.start({ lastBytes, read });
+    if (this.waiting.push({ lastBytes, read }) === 1) this.scheduleRetry();
+  }
+
+  private start({ lastBytes, read }: WaitingRead): void {
+    this.available -= lastBytes;
+    read();
+  }
+
+  private hasAllowance(): boolean {
+    if (this.available > 0) return true;
+    const nowMs = this.nowMs();
+    const refill = (nowMs - this.refilledAtMs) * READ_BYTES_PER_MS;
+    this.available = Math.min(READ_BURST_BYTES, this.available + refill);
+    this.refilledAtMs = nowMs;
+    return this.available > 0;
+  }
+
+  private scheduleRetry(): void {
+    setTimeout(() => {
+      while (this.hasAllowance()) {
+        const next = this.waiting.shift();
+        if (!next) return;
+        this.start(next);
+      }
+      if (this.waiting.length > 0) this.scheduleRetry();
+    }, RETRY_MS).unref();
+  }
+}
