Bound the requests that a caller sends ahead on one connection

What callers saw: one connection with requests sent ahead without end stopped the entry. In 1.5 s its memory grew by 832 MB (valid requests) and 290 MB (requests that are refused), and one sound request beside it took 6.4 and 4.4 s.

Cause: every request that had been read was parsed and started at once, whatever waited before it. Node stops reading only when responses fill the connection.

Now at most 4 requests of a connection run at once. Further ones wait, their deadline running, and the connection is not read meanwhile. Bytes reach the parser in pieces of 4 KB, as one chunk of 64 KB may hold 2,600 requests, and waiting requests start one turn of the event loop apart, so that other connections come first.

Also: a connection that was closed for writing was taken for one that its caller had left when further bytes of a malformed request came, and the caller lost the 413.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -183,6 +183,7 @@
 
   async function serveCaller(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedAtMs = clock.nowMs();
+    const arrivedAtAgeMs = ageClock.nowMs();
     const head = callers.readRequest(req.headers);
     const id = head.requestId ?? 'none';
     const note: RequestSummary = {
@@ -195,7 +196,8 @@
       events: 0,
     };
     // Its response could not be sent: it is not run, and its caller reads the end of the connection.
-    if (!connections.add(req, res, id)) return;
+    const starts = connections.add(req, res, id);
+    if (!(starts === true || (await starts))) return;
     if (isStopping()) connections.end(req);
     if (callers.requestIdHeader) res.setHeader(callers.requestIdHeader, id);
     const admitted = checkHead(head, req);
@@ -211,7 +213,7 @@
       if (!res.writableFinished) disconnected.abort();
     });
     const allowedMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
-    const deadlineAtMs = ageClock.nowMs() + allowedMs;
+    const deadlineAtMs = arrivedAtAgeMs + allowedMs;
     const bodyMs = Math.min(settings.bodyMs ?? allowedMs, allowedMs);
     const reservation = new BodyReservation(ctx.memory);
     // The response to the caller is closed or complete before the body is freed.
@@ -295,6 +297,8 @@
   const connections = new CallerConnections({
     log,
     metrics,
+    nowMs: () => clock.nowMs(),
+    headMs: () => server.headersTimeout,
     firstHeadExtraMs: () => server.keepAliveTimeout,
   });
   const server = createServer(
--- a/src/gateway/requests/caller-connections.ts
+++ b/src/gateway/requests/caller-connections.ts
@@ -6,7 +6,13 @@
 import type { Socket } from 'node:net';
 import type { Log } from '../../core/logging/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
-import { LINGER_MS, MAX_MALFORMED_BYTES } from '../consts.js';
+import {
+  HEAD_CHECK_INTERVAL_MS,
+  LINGER_MS,
+  MAX_MALFORMED_BYTES,
+  MAX_REQUESTS_AHEAD,
+  PIECE_BYTES,
+} from '../consts.js';
 
 /** Statuses for bytes that are no request, by the code of the parser's error; 400 for all others. */
 const STATUS_LINES: Readonly<Record<string, string>> = {
@@ -24,6 +30,9 @@
 export interface CallerConnectionsDeps {
   readonly log: Log;
   readonly metrics: Metrics;
+  readonly nowMs: () => number;
+  /** Timeout of a head from its first byte, ms. */
+  readonly headMs: () => number;
   /** Timeout of a connection on which no request was sent yet, ms, beyond that of a head. */
   readonly firstHeadExtraMs: () => number;
 }
@@ -31,6 +40,8 @@
 interface DueResponse {
   readonly res: ServerResponse;
   readonly id: string;
+  /** Lets the request start, or not; undefined once it has. */
+  letStart: ((starts: boolean) => void) | undefined;
 }
 
 interface Connection {
@@ -40,6 +51,16 @@
   newest: IncomingMessage | undefined;
   /** Number of requests on the connection. */
   requests: number;
+  /** Requests among those due that wait for their turn. */
+  readonly waiting: Set<DueResponse>;
+  /** The request that came last among those due. */
+  last: DueResponse | undefined;
+  isStartingNext: boolean;
+  /** Bytes that were read and not parsed. */
+  unparsed: Buffer | undefined;
+  readonly parse: (bytes: Buffer) => void;
+  /** When its bytes were last read again after a pause, ms. */
+  resumedAtMs: number;
   /** Whether it closes after the responses that are due. */
   isEnding: boolean;
   /** Bytes read when it could no longer be parsed. */
@@ -68,27 +89,65 @@
     // The server calls it after the last response. Closed at once, unread bytes would reset the connection, and
     // the caller might lose the response (RFC 9112, 9.6).
     socket.destroySoon = () => linger(connection);
+    // Reading a body resumes the connection.
+    socket.on('resume', () => {
+      if (mustPause(connection)) socket.pause();
+    });
+    // Bytes reach the parser in small pieces, so that it can be stopped behind too many requests.
+    socket.off('data', connection.parse);
+    socket.on('data', (bytes: Buffer) => parseInPieces(connection, bytes));
   };
 
   /**
-   * Adds a request; false if it must be ignored, as its connection ends before its response.
-   * @example if (!connections.add(req, res, id)) return;
+   * Adds a request. Returns whether it starts: false if its connection ends before its response. Too many requests
+   * at once wait for their turn, with the rest of the connection unread.
+   * @example if (!(await connections.add(req, res, id))) return;
    */
-  add(req: IncomingMessage, res: ServerResponse, id: string): boolean {
+  add(req: IncomingMessage, res: ServerResponse, id: string): boolean | Promise<boolean> {
     const connection = this.of(req.socket);
-    const last = [...connection.due].at(-1);
-    if (connection.isLingering || connection.malformedAtBytes !== undefined) return false;
+    const { last } = connection;
+    if (connection.isLingering) return false;
+    if (connection.malformedAtBytes !== undefined) return false;
     if (connection.isEnding && (!last || last.res.headersSent)) return false;
-    const due: DueResponse = { res, id };
+    const due: DueResponse = { res, id, letStart: undefined };
     connection.due.add(due);
+    connection.last = due;
     connection.newest = req;
     connection.requests += 1;
     if (connection.isEnding) this.endAfterLast(connection);
-    res.once('close', () => {
-      connection.due.delete(due);
-      if (connection.isEnding && connection.due.size === 0) linger(connection);
-    });
-    return true;
+    res.once('close', () => this.remove(connection, due));
+    if (connection.due.size <= MAX_REQUESTS_AHEAD) return true;
+    connection.waiting.add(due);
+    connection.socket.pause();
+    return new Promise((resolve) => (due.letStart = resolve));
+  }
+
+  private remove(connection: Connection, due: DueResponse): void {
+    const { socket, waiting } = connection;
+    connection.due.delete(due);
+    if (connection.last === due) connection.last = undefined;
+    if (due.letStart) letStart(connection, due, false);
+    if (connection.isEnding && connection.due.size === 0) return linger(connection);
+    if ((waiting.size === 0 && !socket.isPaused()) || connection.isStartingNext) return;
+    // Other connections have their turn first.
+    connection.isStartingNext = true;
+    setImmediate(() => this.startNext(connection));
+  }
+
+  /** Starts waiting requests, and reads on behind the last one. */
+  private startNext(connection: Connection): void {
+    const { socket, waiting, due } = connection;
+    connection.isStartingNext = false;
+    for (const next of waiting) {
+      if (due.size - waiting.size >= MAX_REQUESTS_AHEAD) return;
+      letStart(connection, next, true);
+    }
+    if (isBlocked(connection) || socket.destroyed) return;
+    connection.resumedAtMs = this.deps.nowMs();
+    const { unparsed } = connection;
+    connection.unparsed = undefined;
+    if (unparsed) parseInPieces(connection, unparsed);
+    if (!mustPause(connection)) socket.resume();
   }
 
   /**
@@ -103,12 +162,11 @@
   readonly onClientError = (err: NodeJS.ErrnoException, socket: Socket): void => {
     const code = codeOf(err);
     const connection = this.of(socket);
-    const hasLeft = code === CLOSED_EARLY || socket.readableEnded || !socket.writable;
-    if (connection.isLingering && !hasLeft) return;
-    if (hasLeft || !isCallersFault(code)) {
+    if (!isCallersFault(code) || code === CLOSED_EARLY || socket.readableEnded) {
       socket.destroy();
       return;
     }
+    if (connection.isLingering) return;
     // The parser reports each further chunk.
     if (connection.malformedAtBytes !== undefined) return limitDiscarded(connection);
     if (code === HEAD_TIMEOUT) return this.onHeadTimeout(err, connection);
@@ -117,6 +175,16 @@
 
   private onHeadTimeout(err: NodeJS.ErrnoException, connection: Connection): void {
     const { socket, requests } = connection;
+    const { headMs, nowMs } = this.deps;
+    if (mustPause(connection) || nowMs() - connection.resumedAtMs < headMs()) {
+      // The server reports a head only once.
+      const checkAgain = (): void => {
+        if (connection.requests === requests && !socket.destroyed)
+          this.onHeadTimeout(err, connection);
+      };
+      setTimeout(checkAgain, HEAD_CHECK_INTERVAL_MS).unref();
+      return;
+    }
     if (socket.bytesRead === 0) {
       const closeIfUnused = (): void => void (socket.bytesRead === 0 && linger(connection));
       setTimeout(closeIfUnused, this.deps.firstHeadExtraMs()).unref();
@@ -124,7 +192,8 @@
     }
     // After a pause of the process the head may have arrived: timers run before I/O, I/O before immediates.
     setImmediate(() => {
-      if (connection.requests === requests && !socket.destroyed) this.onMalformed(err, connection);
+      const isLate = connection.requests === requests && !connection.isLingering;
+      if (isLate && !socket.destroyed) this.onMalformed(err, connection);
     });
   }
 
@@ -136,7 +205,7 @@
     this.deps.log.warn('caller.malformed', {
       code,
       detail: err.message,
-      requests: [...due].map(({ id }) => id).join() || undefined,
+      requests: idsOf(connection),
       earlier: connection.requests - due.size,
     });
     const isInBody = newest !== undefined && !newest.complete;
@@ -165,6 +234,12 @@
       due: new Set(),
       newest: undefined,
       requests: 0,
+      waiting: new Set(),
+      last: undefined,
+      isStartingNext: false,
+      unparsed: undefined,
+      parse: socket.listeners('data')[0] as (bytes: Buffer) => void,
+      resumedAtMs: Number.NEGATIVE_INFINITY,
       isEnding: false,
       malformedAtBytes: undefined,
       isLingering: false,
@@ -174,9 +249,43 @@
   }
 }
 
+/** Whether nothing more is parsed: requests wait for their turn. */
+function isBlocked({ waiting }: Connection): boolean {
+  return waiting.size > 0;
+}
+
+function mustPause(connection: Connection): boolean {
+  return isBlocked(connection) || connection.unparsed !== undefined;
+}
+
+function parseInPieces(connection: Connection, bytes: Buffer): void {
+  const { socket, parse } = connection;
+  for (let start = 0; start < bytes.length && !socket.destroyed; start += PIECE_BYTES) {
+    if (isBlocked(connection)) {
+      connection.unparsed = bytes.subarray(start);
+      socket.pause();
+      return;
+    }
+    parse.call(socket, bytes.subarray(start, start + PIECE_BYTES));
+  }
+}
+
+function letStart(connection: Connection, due: DueResponse, starts: boolean): void {
+  connection.waiting.delete(due);
+  due.letStart?.(starts);
+  due.letStart = undefined;
+}
+
 /** Leaves further bytes unread until the responses that are due have been sent. */
-function limitDiscarded({ socket, malformedAtBytes = 0 }: Connection): void {
-  if (socket.bytesRead - malformedAtBytes > MAX_MALFORMED_BYTES) socket.pause();
+function limitDiscarded(connection: Connection): void {
+  const { socket, malformedAtBytes = 0 } = connection;
+  if (socket.bytesRead - malformedAtBytes <= MAX_MALFORMED_BYTES) return;
+  socket.pause();
+}
+
+/** Ids of the requests whose responses are due, for the log. */
+function idsOf({ due }: Connection): string | undefined {
+  return [...due].map(({ id }) => id).join() || undefined;
 }
 
 function errorResponse(code: string): string {
@@ -188,9 +297,11 @@
   const { socket } = connection;
   if (connection.isLingering) return;
   connection.isLingering = true;
-  socket.resume();
-  socket.end(() => {
+  const destroyLater = (): void => {
     const timer = setTimeout(() => socket.destroy(), LINGER_MS);
     socket.once('close', () => clearTimeout(timer));
-  });
+  };
+  connection.unparsed = undefined;
+  socket.resume();
+  socket.end(destroyLater);
 }
