Bound the rest of a body whose request was refused

What operators saw: a caller that was refused early and went on sending its body was read for ever, as fast as it sent: one connection took a whole core (6.2 s of CPU in 6.0 s) and was still open then, as were those that sent a byte each 10 ms.

Cause: the rest of the body was resumed without a limit on bytes or time. Now it is read up to the limit of a body and for 2 s at most; beyond, and behind a body that was late or too large, the connection closes after the responses that are due on it, and is read for 150 ms more so that the caller reads the last one. A connection that waits for responses in front is not read meanwhile. Each such end has a log line and a counter.

--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -92,3 +92,7 @@
 export const MAX_REQUESTS_AHEAD = 4;
 /** Bytes of a caller's connection that are parsed at a time: bounds the requests that are parsed and wait. */
 export const PIECE_BYTES = 4096;
+/** Time for which the rest of a refused body is read, ms. */
+export const MAX_REFUSED_BODY_MS = 2000;
+/** Bytes of a refused body that are read while no configuration names a limit. */
+export const DEFAULT_REFUSED_BODY_BYTES = 1024 * 1024;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,9 +13,11 @@
 import {
   BUSY_RETRY_S,
   DEFAULT_DEADLINE_MS,
+  DEFAULT_REFUSED_BODY_BYTES,
   OTHER_ENTRY_RETRY_S,
   FINAL_RESPONSE_MARGIN_MS,
   HEAD_CHECK_INTERVAL_MS,
+  MAX_REFUSED_BODY_MS,
   STOP_SERVING_MS,
 } from './consts.js';
 import type { GatewayContext } from './context.js';
@@ -202,9 +204,8 @@
     if (callers.requestIdHeader) res.setHeader(callers.requestIdHeader, id);
     const admitted = checkHead(head, req);
     if (admitted.err) {
-      // The rest of the body must not be parsed as the next request.
-      if (!req.complete) req.resume();
-      return finish(undefined, id, res, { kind: 'refused', refusal: admitted.val }, note);
+      finish(undefined, id, res, { kind: 'refused', refusal: admitted.val }, note);
+      return discardRest(req, id, head.deadlineMs);
     }
     const { config, route, organisation } = admitted.val;
     if (callers.answer?.(req, res)) return;
@@ -236,7 +237,9 @@
       gone: disconnected.signal,
     };
     if (body.err) {
-      return finish(request, id, res, outcomeOfBody(body.val), note);
+      finish(request, id, res, outcomeOfBody(body.val), note);
+      if (body.val.reason === 'buffers-full') return discardRest(req, id, head.deadlineMs);
+      return req.complete ? undefined : connections.abandonBody(req, id);
     }
     const end = await serveAdmitted(request, note);
     finish(request, id, res, end, note);
@@ -244,6 +247,13 @@
     if (request.remainingMs() < FINAL_RESPONSE_MARGIN_MS) disconnected.abort();
   }
 
+  /** Reads the rest of a refused request's body, which must not be parsed as the next request. */
+  function discardRest(req: IncomingMessage, id: string, deadlineMs = Infinity): void {
+    const maxBytes = state.config?.limits.bodyBytes ?? DEFAULT_REFUSED_BODY_BYTES;
+    const maxMs = Math.min(MAX_REFUSED_BODY_MS, settings.bodyMs ?? MAX_REFUSED_BODY_MS, deadlineMs);
+    connections.discardBody(req, id, { maxBytes, maxMs });
+  }
+
   /** The outcome of a request whose body could not be read. */
   function outcomeOfBody({ reason, message: detail }: HarriergladeError): RequestOutcome {
     if (reason === 'body-cut') return { kind: 'gone' };
--- a/src/gateway/requests/caller-connections.ts
+++ b/src/gateway/requests/caller-connections.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net';
 import type { Log } from '../../core/logging/index.js';
 import type { Metrics } from '../../core/metrics/index.js';
+import { discardRequestBody, type DiscardLimits } from '../../runtime/discard-request-body.js';
 import {
   HEAD_CHECK_INTERVAL_MS,
   LINGER_MS,
@@ -61,6 +62,10 @@
   readonly parse: (bytes: Buffer) => void;
   /** When its bytes were last read again after a pause, ms. */
   resumedAtMs: number;
+  /** Whether the rest of its bytes is left unread until it is closed. */
+  isAbandoned: boolean;
+  /** Resolves when the body of a refused request has ended, or exceeds its limits. */
+  discarding: Promise<void> | undefined;
   /** Whether it closes after the responses that are due. */
   isEnding: boolean;
   /** Bytes read when it could no longer be parsed. */
@@ -106,7 +111,7 @@
   add(req: IncomingMessage, res: ServerResponse, id: string): boolean | Promise<boolean> {
     const connection = this.of(req.socket);
     const { last } = connection;
-    if (connection.isLingering) return false;
+    if (connection.isLingering || connection.isAbandoned) return false;
     if (connection.malformedAtBytes !== undefined) return false;
     if (connection.isEnding && (!last || last.res.headersSent)) return false;
     const due: DueResponse = { res, id, letStart: undefined };
@@ -150,6 +155,31 @@
     if (!mustPause(connection)) socket.resume();
   }
 
+  /** Reads the rest of the body of a refused request; the connection ends if it exceeds the limits. */
+  discardBody(req: IncomingMessage, id: string, limits: DiscardLimits): void {
+    const connection = this.of(req.socket);
+    connection.discarding = discardRequestBody(req, limits).then((hasEnded) => {
+      connection.discarding = undefined;
+      if (!hasEnded) this.abandonBody(req, id);
+    });
+  }
+
+  /** Ends the connection of a request whose body is not read to its end. */
+  abandonBody(req: IncomingMessage, id: string): void {
+    const connection = this.of(req.socket);
+    if (req.socket.destroyed || connection.malformedAtBytes !== undefined) return;
+    this.deps.metrics.count('caller_bodies_abandoned_total');
+    this.deps.log.warn('caller.body-abandoned', {
+      request: id,
+      connectionBytes: req.socket.bytesRead,
+      requests: idsOf(connection),
+    });
+    connection.isAbandoned = true;
+    this.endAfterLast(connection);
+    if (connection.due.size === 0) linger(connection);
+    else connection.socket.pause();
+  }
+
   /**
    * Closes the connection of a request after the last response that is due on it.
    * @example if (isStopping()) connections.end(req);
@@ -240,6 +270,8 @@
       unparsed: undefined,
       parse: socket.listeners('data')[0] as (bytes: Buffer) => void,
       resumedAtMs: Number.NEGATIVE_INFINITY,
+      isAbandoned: false,
+      discarding: undefined,
       isEnding: false,
       malformedAtBytes: undefined,
       isLingering: false,
@@ -249,9 +281,9 @@
   }
 }
 
-/** Whether nothing more is parsed: requests wait for their turn. */
-function isBlocked({ waiting }: Connection): boolean {
-  return waiting.size > 0;
+/** Whether nothing more is parsed: requests wait for their turn, or responses for the end of the connection. */
+function isBlocked({ waiting, isAbandoned, due }: Connection): boolean {
+  return waiting.size > 0 || (isAbandoned && due.size > 0);
 }
 
 function mustPause(connection: Connection): boolean {
@@ -260,6 +292,7 @@
 
 function parseInPieces(connection: Connection, bytes: Buffer): void {
   const { socket, parse } = connection;
+  if (connection.isLingering && !connection.discarding) return;
   for (let start = 0; start < bytes.length && !socket.destroyed; start += PIECE_BYTES) {
     if (isBlocked(connection)) {
       connection.unparsed = bytes.subarray(start);
@@ -280,6 +313,7 @@
 function limitDiscarded(connection: Connection): void {
   const { socket, malformedAtBytes = 0 } = connection;
   if (socket.bytesRead - malformedAtBytes <= MAX_MALFORMED_BYTES) return;
+  connection.isAbandoned = true;
   socket.pause();
 }
 
@@ -303,5 +337,5 @@
   };
   connection.unparsed = undefined;
   socket.resume();
-  socket.end(destroyLater);
+  socket.end(() => void (connection.discarding ?? Promise.resolve()).then(destroyLater));
 }
--- a/src/gateway/requests/read-request-body.ts
+++ b/src/gateway/requests/read-request-body.ts
@@ -22,12 +22,9 @@
   { reservation, maxBytes, maxMs }: RequestBodyOptions,
 ): Promise<Result<Buffer, HarriergladeError>> {
   const declaredBytes = Math.min(Number(req.headers['content-length'] ?? 0), maxBytes);
-  const body = reservation.extendTo(declaredBytes)
-    ? await readBody(req, maxBytes, maxMs, (bytes) => reservation.extendTo(bytes))
-    : Err(
-        notRun('buffers-full', `The entry cannot buffer the ${declaredBytes} bytes of the body.`),
-      );
-  // The rest of the body must not be parsed as the next request.
-  if (body.err && body.val.reason === 'buffers-full') req.resume();
-  return body;
+  if (!reservation.extendTo(declaredBytes))
+    return Err(
+      notRun('buffers-full', `The entry cannot buffer the ${declaredBytes} bytes of the body.`),
+    );
+  return readBody(req, maxBytes, maxMs, (bytes) => reservation.extendTo(bytes));
 }
--- a/test/gateway/requests/endless-caller.test.ts
+++ b/test/gateway/requests/endless-caller.test.ts
@@ -34,6 +34,7 @@
   readonly isLegal?: boolean;
 }
 
+const refused = (head: string): string => head.replace('/x/', '/none/');
 const MODES: Record<string, Mode> = {
   head: { start: `${rawHead('q-1')}X-Long: `, endless: 'x', statuses: [431, 408] },
   'header fields': { start: rawHead('q-1'), endless: 'X-A: b\r\n', statuses: [431, 408] },
@@ -42,11 +43,21 @@
     endless: '10\r\n0123456789abcdef\r\n',
     statuses: [413, 408],
   },
+  'body of a request that is refused': {
+    start: `${refused(rawHead('q-1', CHUNKED, DEADLINE))}\r\n`,
+    endless: '10\r\n0123456789abcdef\r\n',
+    statuses: [404],
+  },
   'chunk extension': {
     start: `${rawHead('q-1', CHUNKED, DEADLINE)}\r\n1;`,
     endless: 'x',
     statuses: [413, 408],
   },
+  'chunk extension of a request that is refused': {
+    start: `${refused(rawHead('q-1', CHUNKED, DEADLINE))}\r\n1;`,
+    endless: 'x',
+    statuses: [404],
+  },
   trailers: {
     start: `${rawHead('q-1', CHUNKED, DEADLINE)}\r\n1\r\nx\r\n0\r\n`,
     endless: 'X-A: b\r\n',
--- a/test/gateway/requests/pipelining-caller.test.ts
+++ b/test/gateway/requests/pipelining-caller.test.ts
@@ -17,6 +17,11 @@
 
 const CLOSED_WITHIN_MS = 5000;
 const WORK_MS = 120;
+const LARGE_BYTES = 4_000_000;
+const PARTS = 8;
+/** All parts together take longer than the connection is read after its last response, ms. */
+const PART_INTERVAL_MS = 50;
+const AHEAD = 40;
 
 /** Responds with the id as the body, the later requests sooner. */
 const respondReversed: RawResponder = (req) => {
@@ -137,3 +142,34 @@
     ]);
   });
 });
+
+test('a caller that sends a large legal body reads its early refusal, without a reset', async () => {
+  const limits = { headerBytes: 16_384, bodyBytes: LARGE_BYTES, headerMs: 3000, idleMs: 15_000 };
+  const cfg = config([route({ kind: 'once', timeoutMs: 4000 })], { limits });
+  await withRawEndpoints([respondReversed], cfg, async ({ entry }) => {
+    const caller = rawCaller(entry);
+    const head = rawHead('q-1', `Content-Length: ${LARGE_BYTES}`, 'Connection: close');
+    caller.socket.write(`${head.replace('/x/', '/none/')}\r\n`);
+    for (let sent = 0; sent < LARGE_BYTES; sent += LARGE_BYTES / PARTS) {
+      caller.socket.write('x'.repeat(LARGE_BYTES / PARTS));
+      await wait(PART_INTERVAL_MS);
+    }
+    assert.deepEqual(summary(await caller.untilClosed(CLOSED_WITHIN_MS)), [[404, '']]);
+    assert.ok(caller.isClosed());
+    assert.ok(!caller.isReset());
+  });
+});
+
+test('requests beyond those that run at once get their responses in order', async () => {
+  await withEntry(respondReversed, async (setup) => {
+    const caller = rawCaller(setup.entry);
+    const ids = Array.from({ length: AHEAD }, (_, i) => `q-${i + 1}`);
+    caller.socket.write(ids.map((id) => rawRequest(id, 'x'.repeat(1000))).join(''));
+    caller.socket.write(rawRequest('q-99', '', 'Connection: close'));
+    const read = await caller.untilClosed(CLOSED_WITHIN_MS);
+    assert.deepEqual(
+      summary(read),
+      [...ids, 'q-99'].map((id) => [200, id]),
+    );
+  });
+});
