Model of two requests on connections with surplus responses

spec/responses.pml: two requests, an endpoint that runs them, turns them away or stays silent, surplus responses anywhere (also before the first request of a connection, and without an id), connections that are lost, requests that are given up while they wait or after they were written, and a pool that is replaced. No request runs whose caller was told "not run", none runs twice, and a surplus response costs at most one request.

--- a/scripts/model.mjs
+++ b/scripts/model.mjs
@@ -19,6 +19,18 @@
     variants: ['NO_FENCE', 'OWN_VERSION', 'NO_HOLD', 'EARLY_GO', 'LATE_ABORT'],
   },
   { spec: 'engine-restart', variants: ['NO_CLAIM'] },
+  {
+    spec: 'responses',
+    variants: [
+      'NOT_RUN_FIRST',
+      'ID_LESS',
+      'FIRST_ID_LESS',
+      'KEEP',
+      'CODES',
+      'LATE_WRITE',
+      'REWRITE',
+    ],
+  },
 ];
 
 function run(command, args, cwd) {
