Count no failure for a 408 that ends an idle connection

What operators would see: an endpoint that announces the end of each idle connection with a 408 (RFC 9110, 15.5.9) is ejected, for longer with each further connection, though no request failed: its connections end together after a lull, and each counted as a failure.

Cause: all bytes that come while no request is in flight count as a failure of the endpoint since they are metered. A 408 on an idle connection is now only the end of that connection; all other bytes count as before.

--- a/src/gateway/endpoints/response-meter.ts
+++ b/src/gateway/endpoints/response-meter.ts
@@ -15,6 +15,9 @@
 /** Called with a violation and its description. */
 export type ReportMisbehaviour = (kind: EndpointMisbehaviour, detail: string) => void;
 
+/** How a server may end an idle connection (RFC 9110, 15.5.9); no failure of it. */
+const IDLE_EXPIRY = /^HTTP\/1\.[01] 408 /;
+
 /** Part of a response that is expected next. */
 type Expected = 'nothing' | 'head' | 'body';
 
@@ -82,7 +85,7 @@
   private meter(read: () => unknown): Buffer | null {
     if (this.socket.readableLength === 0) return read() as Buffer | null;
     const allowance = this.allowance();
-    if (allowance <= 0) return this.reject();
+    if (allowance <= 0) return this.reject(read);
     const chunk = read() as Buffer | null;
     if (!chunk || chunk.length <= allowance) return chunk;
     this.socket.unshift(chunk.subarray(allowance));
@@ -103,9 +106,10 @@
     return Math.min(sinceBody, total);
   }
 
-  private reject(): null {
+  private reject(read: () => unknown): null {
     const [kind, detail] = this.violation();
-    this.report(kind, detail);
+    const isExpiry = this.expected === 'nothing' && IDLE_EXPIRY.test(String(read()));
+    if (!isExpiry) this.report(kind, detail);
     // Of this class, since others fail the requests that wait for the connection.
     this.socket.destroy(new errors.SocketError(detail));
     return null;
