Soak: see progress while a client reads a flood

The proxy took a client that was reading for one that had stopped, and reset its connection: it wrote on however much was pending, so that the pieces that had piled up went out in one write, whose progress a socket does not show until its end. It now reads on from the endpoint once the client has taken what is pending, as a real connection would.

--- a/bench/soak/proxy.ts
+++ b/bench/soak/proxy.ts
@@ -155,6 +155,11 @@
       after(() => {
         if (to.destroyed || to.write(piece) || direction === 'out') return;
         this.resetUnlessRead(from, to);
+        if (from.isPaused()) return;
+        // Pieces that pile up are written in one go, which shows no progress until its end.
+        from.pause();
+        const resume = (): void => void from.resume();
+        to.once('drain', resume).once('close', resume);
       }),
     );
     from.on('end', () => after(() => to.end()));
--- a/test/soak/proxy.test.ts
+++ b/test/soak/proxy.test.ts
@@ -50,6 +50,21 @@
   });
 });
 
+test('a client that reads a flood slowly, but without a stop, is not taken for one that does not read', async () => {
+  await withLink(async ({ proxy, near, far }) => {
+    let unread = 0;
+    proxy.onUnread = () => (unread += 1);
+    near.on('data', () => {
+      near.pause();
+      setTimeout(() => near.resume(), 10);
+    });
+    far.write(Buffer.alloc(64 << 20));
+    await wait(4000);
+    assert.equal(unread, 0);
+    assert.ok(!near.destroyed);
+  });
+});
+
 test('a delay postpones chunks and keeps their order', async () => {
   await withLink(async ({ proxy, near, received: got }) => {
     proxy.setLinkState({ delayMs: 150, blocked: [] });
