Log: refusals without an attempt leave the reserve to failed attempts

After 500 refusals in a second, which an overloaded entry reaches, the line of a failed attempt was dropped again (shown by a script of the reviewer). Only the ends of requests with an attempt use the reserve; the others explain themselves by their reason, which is counted. No test of its own.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -149,7 +149,8 @@
     const tookMs = req ? clock.nowMs() - req.arrivedAtMs : 0;
     if (req) metrics.observe('request_us', tookMs * 1000, { kind: req.route.kind });
     if (note.firstMs !== undefined) metrics.observe('first_event_us', note.firstMs * 1000);
-    const write = end.kind === 'answered' ? log.info : log.evidence;
+    // Refusals without an attempt come in thousands under overload, and explain themselves by their counter.
+    const write = end.kind === 'answered' || note.tries.length === 0 ? log.info : log.evidence;
     write('request.end', {
       request: id,
       route: req?.route.id,
