Run two requests of a caller's connection at once

With four, 40 connections of requests sent ahead without end had 160 requests in flight: beside them sound requests took up to 1.2 s, and in one run at a machine load of 33 some missed their deadline of 600 ms, so that one mode of endless-caller.test failed. A cold entry grew by 60 and 63 MB in that mode.

With two, all 36 modes pass (load about 30): memory grew by 15 MB in that mode, the slowest sound request took 339 ms. Run alone on a cold entry, growth was 49.4 MB (over the bound of 48 MB) and 46 MB.

--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -89,7 +89,7 @@
 /** Interval at which timeouts of callers' heads are checked, ms. */
 export const HEAD_CHECK_INTERVAL_MS = 100;
 /** Requests that run at once on one connection of a caller; further ones wait unread. */
-export const MAX_REQUESTS_AHEAD = 4;
+export const MAX_REQUESTS_AHEAD = 2;
 /** Bytes of a caller's connection that are parsed at a time: bounds the requests that are parsed and wait. */
 export const PIECE_BYTES = 4096;
 /** Time for which the rest of a refused body is read, ms. */
