Soak: responses without end

Endpoints may send bytes without end until their peer closes. The stand-in sends a head, interim responses, trailers, a body (chunked or unframed), an event or comments without end, a not-run 503 whose body floods, and an event or a not-run 503 that trickles a byte each 50 ms; each lasts until the connection is closed, at most 3 s. A flood has 16 MB/s: endpoints share the process of the soak.

`--play endless` plays one or two kinds by seed, also beside responses in the place of the next one; `overloaded-service` mixes them in. Records name the fault of each request that reached an endpoint.

--- a/bench/soak/misbehaving.ts
+++ b/bench/soak/misbehaving.ts
@@ -1,8 +1,9 @@
 /**
  * Scenario `misbehaving`: endpoints send what a faulty one may send on the wire, and ranks report a slow pace for
- * a while. Scenario `rejecting`: endpoints reject, drop or ignore requests and connections. Each seed plays one of
- * these behaviours or two, so that a failure names its cause. Nothing else is disturbed, so nothing excuses a
- * request that is refused although it ran, runs twice or is ended too soon.
+ * a while. Scenario `rejecting`: endpoints reject, drop or ignore requests and connections. Scenario `endless`: they
+ * send responses without end, also beside responses in the place of the next one. Each seed plays one of these
+ * behaviours or two, so that a failure names its cause. Nothing else is disturbed, so nothing excuses a request that
+ * is refused although it ran, runs twice or is ended too soon.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { EndpointFault } from '../../fakes/platform-engine/index.js';
@@ -18,6 +19,8 @@
 const MAX_QUEUED_FAULTS = 3;
 /** The same for requests that are never answered: each takes its caller's whole time. */
 const SILENCE_INTERVAL_MS = 600;
+/** The same for responses without end. */
+const ENDLESS_INTERVAL_MS = 1500;
 /** Connections that an endpoint accepts while it limits them, and how long it does, ms. */
 const FEW_CONNECTIONS = 3;
 const LIMIT_PERIOD_MS = 800;
@@ -26,8 +29,9 @@
 type Behaviour = (deployment: Deployment, random: () => number) => Promise<void>;
 
 const withFaults =
-  (kinds: readonly EndpointFault[], intervalMs = FAULT_INTERVAL_MS): Behaviour =>
-  async ({ endpoints }, random) => {
+  (kinds: readonly EndpointFault[], intervalMs = FAULT_INTERVAL_MS, service?: string): Behaviour =>
+  async (deployment, random) => {
+    const endpoints = deployment.endpoints.filter((e) => e.service === (service ?? e.service));
     const { faults } = pick(endpoints, random);
     if (faults.length < MAX_QUEUED_FAULTS) faults.push(pick(kinds, random));
     await sleep((2 * intervalMs * random()) / endpoints.length);
@@ -68,6 +72,16 @@
   fewConnections,
 ];
 
+const ENDLESS: readonly Behaviour[] = [
+  withFaults(['endless-head', 'endless-interim'], ENDLESS_INTERVAL_MS),
+  withFaults(['endless-trailers'], ENDLESS_INTERVAL_MS),
+  withFaults(['endless-chunks', 'endless-body'], ENDLESS_INTERVAL_MS),
+  withFaults(['endless-rejection', 'trickling-rejection'], ENDLESS_INTERVAL_MS),
+  withFaults(['endless-event', 'trickling-event'], ENDLESS_INTERVAL_MS, 'model'),
+  withFaults(['endless-comments'], ENDLESS_INTERVAL_MS, 'model'),
+  withFaults(['full-late', 'late', 'full'], FAULT_INTERVAL_MS, 'plain'),
+];
+
 /** Plays one or two random behaviours at once until `untilMs`. */
 const playSome =
   (behaviours: readonly Behaviour[]) =>
@@ -85,3 +99,5 @@
 export const misbehave = playSome(MISBEHAVIOURS);
 /** @example await rejectRequests(deployment, random, 8000); */
 export const rejectRequests = playSome(REJECTIONS);
+/** @example await respondWithoutEnd(deployment, random, 8000); */
+export const respondWithoutEnd = playSome(ENDLESS);
--- a/bench/soak/overloaded-service.ts
+++ b/bench/soak/overloaded-service.ts
@@ -46,6 +46,15 @@
   ],
   [['silent', 0.03]],
   [['limited', 0.1]],
+  [
+    ['endless-head', 0.002],
+    ['endless-interim', 0.002],
+    ['endless-trailers', 0.002],
+    ['endless-chunks', 0.002],
+    ['endless-body', 0.002],
+    ['endless-rejection', 0.005],
+    ['trickling-rejection', 0.005],
+  ],
 ];
 
 /** The same fault with its response repeated; others have none to repeat. */
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -20,7 +20,7 @@
 import { restoreFromCopies } from './copies.js';
 import { crashEndpoints, crashEndpointsAmongTopics } from './crashing.js';
 import { disturb } from './faults.js';
-import { misbehave, rejectRequests } from './misbehaving.js';
+import { misbehave, rejectRequests, respondWithoutEnd } from './misbehaving.js';
 import { overloadService } from './overloaded-service.js';
 import { silenceDuringChanges, silenceWithoutRelays } from './silence.js';
 import { signalLongRateLimits } from './limits.js';
@@ -83,6 +83,7 @@
   asking: signalBackpressure,
   misbehaving: misbehave,
   rejecting: rejectRequests,
+  endless: respondWithoutEnd,
   'overloaded-service': overloadService,
   limits: signalLongRateLimits,
   'slow-readers': readSlowly,
--- a/fakes/platform-engine/engine.ts
+++ b/fakes/platform-engine/engine.ts
@@ -7,6 +7,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { EngineCalls } from '../../src/group/engine-calls.js';
 import { closeServer } from '../http/index.js';
+import { isEndless, isEndlessRejection, sendEndless, type EndlessFault } from './endless.js';
 import { serveRankCalls } from './rank-calls.js';
 import { formatAnswer, formatUnframed, SurplusAnswers } from './surplus-answers.js';
 
@@ -27,7 +28,8 @@
  * concern only complete answers: the ID of another request (`crossed`), no stamp of the server (`unsigned`), a
  * truncated body (`short`), a second answer in the place of the next one (`late`) or at once (`twice`), other bytes
  * behind it (`trailing`), no length (`unframed`), an informational answer before it (`informational`),
- * `Connection: close` (`closing`), a connection closed soon after it without notice (`idle-close`).
+ * `Connection: close` (`closing`), a connection closed soon after it without notice (`idle-close`). See `EndlessFault`
+ * for answers without end.
  */
 export type EndpointFault =
   | 'full'
@@ -48,7 +50,8 @@
   | 'unframed'
   | 'informational'
   | 'closing'
-  | 'idle-close';
+  | 'idle-close'
+  | EndlessFault;
 
 /** Status of a request that is rejected without execution. */
 const REJECTED_STATUS: Partial<Record<EndpointFault, number>> = {
@@ -87,6 +90,8 @@
   readonly endpoint: string;
   readonly requestId: string;
   readonly atMs: number;
+  /** Fault that was applied to it, if any. */
+  fault?: EndpointFault | undefined;
 }
 
 /** An answer that carried a backpressure signal. */
@@ -267,10 +272,12 @@
     const requestId = singleHeader(req, 'x-request-id');
     if (singleHeader(req, 'x-expect-instance') !== options.id)
       return void res.writeHead(421, { 'x-request-id': requestId }).end();
-    arrivals.push({ endpoint: options.id, requestId, atMs: options.nowMs() });
+    const arrival: EndpointArrival = { endpoint: options.id, requestId, atMs: options.nowMs() };
+    arrivals.push(arrival);
     sendDue(req.socket, requestId);
     if (rejectsWithRetryAfter(requestId, res)) return;
     const fault = options.nextFault();
+    arrival.fault = fault;
     const rejectedStatus = fault && REJECTED_STATUS[fault];
     if (rejectedStatus !== undefined) {
       const { retryAfterS } = options.backpressure?.() ?? NO_BACKPRESSURE;
@@ -280,6 +287,7 @@
         surplus.repeat(req.socket, { status: '503 Service Unavailable', headers, body: '' });
       return void res.writeHead(rejectedStatus, headers).end();
     }
+    if (isEndless(fault) && isEndlessRejection(fault)) return sendWithoutEnd(req, fault);
     if (fault === 'dropped') return void req.socket.resetAndDestroy();
     const body = await readText(req);
     executions.push({
@@ -292,6 +300,7 @@
     });
     if (options.crashesOn?.(req.url ?? '')) return;
     if (fault === 'garbled') return sendGarbled(req);
+    if (isEndless(fault)) return sendWithoutEnd(req, fault);
     if (fault !== 'cut') recordIfAbandoned(req, res, requestId);
     if (fault === 'silent') return;
     if (options.rank) return sendEventStream(req, res, fault === 'cut');
@@ -315,6 +324,14 @@
     socket.write('bytes of no answer\r\n\r\n');
   }
 
+  function sendWithoutEnd(
+    { socket, headers }: IncomingMessage,
+    fault: EndlessFault,
+  ): Promise<void> {
+    surplus.spoil(socket);
+    return sendEndless(socket, fault, responseHeaders(String(headers['x-request-id'])));
+  }
+
   const idleCloseMs = (): number => IDLE_CLOSE_MS * (options.random?.() ?? 1);
 
   function dropConnection(socket: Socket): void {
--- a/fakes/platform-engine/index.ts
+++ b/fakes/platform-engine/index.ts
@@ -1,2 +1,3 @@
+export type { EndlessFault } from './endless.js';
 export * from './engine.js';
 export * from './rank-calls.js';
--- a/test/soak/misbehaving.test.ts
+++ b/test/soak/misbehaving.test.ts
@@ -1,7 +1,7 @@
 /**
  * Guards against requests that are refused although they ran, run twice or are ended too soon when endpoints do
  * what a faulty one may do on the wire: surplus answers of any status, late or at once, bytes behind an answer,
- * answers without a length, broken off or without a signature, and slow ranks; rejections of any status, requests
+ * answers without a length, without an end, broken off or without a signature, and slow ranks; rejections of any status, requests
  * and connections that are dropped, and silence.
  */
 import assert from 'node:assert/strict';
@@ -38,9 +38,15 @@
     });
 }
 
-describe('misbehaving endpoints', { concurrency: MISBEHAVING.length }, () =>
-  play(MISBEHAVING, SCENARIOS.misbehaving),
-);
+const ENDLESS: Seeds = [
+  [20, 'events and trailers without end'],
+  [27, 'rejections without end beside late second answers'],
+];
+
+describe('misbehaving endpoints', { concurrency: MISBEHAVING.length + ENDLESS.length }, () => {
+  play(MISBEHAVING, SCENARIOS.misbehaving);
+  play(ENDLESS, SCENARIOS.endless);
+});
 describe('rejecting endpoints', { concurrency: REJECTING.length + 1 }, () => {
   play(REJECTING, SCENARIOS.rejecting);
   test('an overloaded service runs no request that was refused, while entries are interrupted', async () => {
