--- a/test/platform/endless-memory.test.ts
+++ b/test/platform/endless-memory.test.ts
@@ -3,7 +3,7 @@
 import { fork } from 'node:child_process';
 import { once } from 'node:events';
 import { join } from 'node:path';
-import { test } from 'node:test';
+import { describe, test } from 'node:test';
 import { ENDLESS_MODES, startEndlessServer } from '../../fakes/endless/index.js';
 import type { ReaderCall, ReaderReport } from '../fixtures/endless-reader.js';
 
@@ -21,7 +21,9 @@
   rpc: '{"result":{"data":{"instance":"entry-1"}}}',
 };
 
-for (const call of ['report', 'store', 'rpc'] as const) {
+const CONCURRENCY = 3;
+
+function testMemory(call: ReaderCall): void {
   for (const mode of ENDLESS_MODES) {
     test(`${CALLS[call]} calls (${call}) that get a response without end (${mode}) do not grow the process`, async () => {
       const server = await startEndlessServer();
@@ -45,3 +47,6 @@
     });
   }
 }
+
+for (const call of ['report', 'store', 'rpc'] as const)
+  describe(`memory of ${call} calls`, { concurrency: CONCURRENCY }, () => testMemory(call));
--- a/test/soak/misbehaving.test.ts
+++ b/test/soak/misbehaving.test.ts
@@ -43,10 +43,12 @@
   [27, 'rejections without end beside late second answers'],
 ];
 
-describe('misbehaving endpoints', { concurrency: MISBEHAVING.length + ENDLESS.length }, () => {
-  play(MISBEHAVING, SCENARIOS.misbehaving);
-  play(ENDLESS, SCENARIOS.endless);
-});
+describe('misbehaving endpoints', { concurrency: MISBEHAVING.length }, () =>
+  play(MISBEHAVING, SCENARIOS.misbehaving),
+);
+describe('endless responses', { concurrency: ENDLESS.length }, () =>
+  play(ENDLESS, SCENARIOS.endless),
+);
 describe('rejecting endpoints', { concurrency: REJECTING.length + 1 }, () => {
   play(REJECTING, SCENARIOS.rejecting);
   test('an overloaded service runs no request that was refused, while entries are interrupted', async () => {
