Count a response over its limit where faults are recorded

Both callers of recordFault looked at the fault first to count the same counter. The fault now names the limit, and recordFault counts it beside the rejected responses. Counter, log line and their order are unchanged; the header of caller-connections is reworded.

--- a/src/gateway/requests/active-request.ts
+++ b/src/gateway/requests/active-request.ts
@@ -180,6 +180,8 @@
   if (!NOT_RUN_FAULTS.has(fault.kind)) active.mayHaveRun = true;
   if ('isUnsent' in fault && fault.isUnsent) active.unsentAttempts += 1;
   active.summary.tries.push(`${target.endpoint.id}:${fault.kind}`);
+  if (fault.kind === 'broke' && fault.overLimit)
+    active.ctx.endpoints.noteMisbehaviour(target, fault.overLimit, fault.detail);
   // An attempt that the caller or this entry aborted is no evidence against the endpoint.
   if (active.request.gone.aborted || fault.kind === 'slow') return;
   // An endpoint that requests a backoff is alive, and names the time of the next attempt itself.
--- a/src/gateway/requests/caller-connections.ts
+++ b/src/gateway/requests/caller-connections.ts
@@ -1,6 +1,6 @@
 /**
- * Connections of callers: which responses are due on each, and how it is closed. Nothing is written out of turn: what
- * ends a connection is told after the responses that are due, or not at all.
+ * Connections of callers: which responses are due on each, and how it is closed. Nothing is written out of turn: an
+ * error that ends a connection is reported behind the responses that are due, or not at all.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
--- a/src/gateway/requests/deliver.ts
+++ b/src/gateway/requests/deliver.ts
@@ -31,8 +31,6 @@
   if (body.err) {
     if (body.val.kind === 'over-budget') return responseOverBudget(active, target);
     writer.discard();
-    if (body.val.kind === 'broke' && body.val.isOverLimit)
-      active.ctx.endpoints.noteMisbehaviour(target, 'body-limit', body.val.detail);
     recordFault(active, target, body.val);
     return undefined;
   }
@@ -106,8 +104,6 @@
     return progress.events > 0
       ? { kind: 'cut', detail: 'the memory of this entry is full' }
       : responseOverBudget(active, target);
-  if (outcome.kind === 'broke' && outcome.isOverLimit)
-    ctx.endpoints.noteMisbehaviour(target, 'event-limit', outcome.detail);
   recordFault(active, target, outcome);
   return undefined;
 }
--- a/src/gateway/requests/read-response.ts
+++ b/src/gateway/requests/read-response.ts
@@ -36,7 +36,7 @@
         return Err({
           kind: 'broke',
           detail: `the response is larger than ${MAX_RESPONSE_BYTES} bytes`,
-          isOverLimit: true,
+          overLimit: 'body-limit',
         });
       }
       if (!hold(chunk.length)) {
--- a/src/gateway/requests/relay-stream.ts
+++ b/src/gateway/requests/relay-stream.ts
@@ -8,6 +8,7 @@
 import { EventSplitter, type StreamEvent } from './event-splitter.js';
 import type { ResponseWriter } from './response-writer.js';
 import { MAX_EVENT_BYTES } from '../consts.js';
+import type { EndpointMisbehaviour } from '../types.js';
 import { SilenceTimeout } from './silence-timeout.js';
 
 /** Progress of a caller's stream over all attempts. */
@@ -25,7 +26,7 @@
 /** How one attempt's part of a stream ended. */
 export type StreamOutcome =
   | { readonly kind: 'whole' }
-  | { readonly kind: 'broke'; readonly detail: string; readonly isOverLimit?: boolean }
+  | { readonly kind: 'broke'; readonly detail: string; readonly overLimit?: EndpointMisbehaviour }
   /** An incomplete event did not fit into the memory budget, through no fault of the endpoint. */
   | { readonly kind: 'over-budget' }
   | { readonly kind: 'silent'; readonly detail: string }
@@ -92,7 +93,7 @@
 function tooLarge(response: AttemptResponse): StreamOutcome {
   response.close();
   const detail = `an event of the stream is larger than ${MAX_EVENT_BYTES} bytes`;
-  return { kind: 'broke', detail, isOverLimit: true };
+  return { kind: 'broke', detail, overLimit: 'event-limit' };
 }
 
 /** Writes events that arrived together. */
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -222,8 +222,8 @@
       readonly kind: 'broke';
       readonly detail: string;
       readonly rejected?: RejectReason;
-      /** Whether the response exceeded a limit of its size. */
-      readonly isOverLimit?: boolean;
+      /** The limit of the response that the endpoint exceeded. */
+      readonly overLimit?: EndpointMisbehaviour;
     }
   /** No response, or no further event, within the timeout. */
   | { readonly kind: 'silent'; readonly detail: string }
