Drop an option that nothing sets, and two guards against undefined

sendRefusal is called by the gateway alone, which closes connections itself; the default of requestTimeoutMs covers undefined. No behaviour changes.

--- a/src/daemon/operators.ts
+++ b/src/daemon/operators.ts
@@ -103,8 +103,5 @@
  * @example createOperatorServer(deps).listen(9000, '127.0.0.1');
  */
 export function createOperatorServer(deps: OperatorServerDeps, requestTimeoutMs?: number): Server {
-  return createBoundedServer(
-    { ...(requestTimeoutMs !== undefined && { requestTimeoutMs }) },
-    (req, res) => handleRequest(deps, req, res),
-  );
+  return createBoundedServer({ requestTimeoutMs }, (req, res) => handleRequest(deps, req, res));
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -181,7 +181,7 @@
   /** Writes a refusal; the connection closes after the last response that is due on it. */
   function refuse(res: ServerResponse, refused: Refusal): void {
     if (refused.close) connections.end(res.req);
-    sendRefusal(res, metrics, { ...refused, close: false });
+    sendRefusal(res, metrics, refused);
   }
 
   async function serveCaller(req: IncomingMessage, res: ServerResponse): Promise<void> {
--- a/src/gateway/requests/refuse.ts
+++ b/src/gateway/requests/refuse.ts
@@ -22,11 +22,12 @@
 }
 
 /**
- * Writes a refusal as the final response; returns false if it can no longer be sent.
+ * Writes a refusal as the final response; returns false if it can no longer be sent. The caller of this function closes
+ * the connection if the refusal asks for it.
  * @example sendRefusal(res, metrics, { reason: 'busy', detail: '8 of 8 slots', retryAfterS: 1 });
  */
 export function sendRefusal(res: ServerResponse, metrics: Metrics, refusal: Refusal): boolean {
-  const { reason, detail, retryAfterS, close } = refusal;
+  const { reason, detail, retryAfterS } = refusal;
   const outcome = MAY_HAVE_RUN_REASONS.has(reason) ? 'unknown' : 'not-run';
   metrics.count('refusals_total', { reason, outcome });
   if (res.headersSent || res.destroyed) {
@@ -40,7 +41,6 @@
     'content-type': 'application/problem+json',
     'content-length': Buffer.byteLength(body),
     ...(problem.retryAfterS !== undefined && { 'retry-after': problem.retryAfterS.toFixed(2) }),
-    ...(close && { connection: 'close' }),
   });
   res.end(body);
   return true;
--- a/src/rpc/serve.ts
+++ b/src/rpc/serve.ts
@@ -42,7 +42,7 @@
   return createBoundedServer(
     {
       ...(keepAliveMs !== undefined && { keepAliveTimeout: keepAliveMs }),
-      ...(requestTimeoutMs !== undefined && { requestTimeoutMs }),
+      requestTimeoutMs,
     },
     handler,
   );
