One place that intercepts the reads of undici

The clients of endpoints and those of all other calls replaced socket.read in the same way, to bound what the parser is given. interceptReads does it for both; what each reads, and its limits, are unchanged.

--- a/src/gateway/endpoints/exchange.ts
+++ b/src/gateway/endpoints/exchange.ts
@@ -4,9 +4,10 @@
  */
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Socket } from 'node:net';
-import { Client, errors, type buildConnector, type Dispatcher, type Pool } from 'undici';
+import { Client, errors, type Dispatcher, type Pool } from 'undici';
 import { systemClock } from '../../core/clock/index.js';
 import type { Result } from '../../core/result/index.js';
+import type { PoolClientOptions } from '../../runtime/socket-reads.js';
 import { MAX_FRAMING_BYTES } from '../consts.js';
 import { ResponseMeter, type ReportMisbehaviour } from './response-meter.js';
 
@@ -62,9 +63,6 @@
   readonly close: () => void;
 }
 
-/** Options of a client as a pool creates it. */
-type PoolClientOptions = Client.Options & { readonly connect: buildConnector.connector };
-
 /** Progress of an exchange on its connection; undici passes it on as the opaque value of a request. */
 class ConnectionUse {
   client: EndpointClient | undefined;
--- a/src/gateway/endpoints/response-meter.ts
+++ b/src/gateway/endpoints/response-meter.ts
@@ -5,6 +5,7 @@
  */
 import type { Socket } from 'node:net';
 import { errors } from 'undici';
+import { interceptReads, type ReadSocket } from '../../runtime/socket-reads.js';
 import {
   MAX_FRAMING_BYTES,
   MAX_FRAMING_PER_BODY_BYTE,
@@ -39,11 +40,7 @@
     private readonly socket: Socket,
     private readonly report: ReportMisbehaviour,
   ) {
-    const read = socket.read.bind(socket);
-    socket.read = (size?: number): unknown => {
-      if (size !== undefined) return read(size);
-      return socket.destroyed ? null : this.meter(read);
-    };
+    interceptReads(socket, (read) => this.meter(read));
   }
 
   /** A request is written to the connection. */
@@ -82,11 +79,11 @@
   }
 
   /** Reads at most the bytes that the expected part may still have, so that the limit holds within a chunk. */
-  private meter(read: () => unknown): Buffer | null {
-    if (this.socket.readableLength === 0) return read() as Buffer | null;
+  private meter(read: ReadSocket): Buffer | null {
+    if (this.socket.readableLength === 0) return read();
     const allowance = this.allowance();
     if (allowance <= 0) return this.reject(read);
-    const chunk = read() as Buffer | null;
+    const chunk = read();
     if (!chunk || chunk.length <= allowance) return chunk;
     this.socket.unshift(chunk.subarray(allowance));
     return chunk.subarray(0, allowance);
@@ -106,7 +103,7 @@
     return Math.min(sinceBody, total);
   }
 
-  private reject(read: () => unknown): null {
+  private reject(read: ReadSocket): null {
     const [kind, detail] = this.violation();
     const isExpiry = this.expected === 'nothing' && IDLE_EXPIRY.test(String(read()));
     if (!isExpiry) this.report(kind, detail);
--- a/src/runtime/bounded-client.ts
+++ b/src/runtime/bounded-client.ts
@@ -1,10 +1,8 @@
 /** One connection of a pool, closed as soon as a response on it exceeds its size limit. */
 import type { Socket } from 'node:net';
-import { Client, type buildConnector, type Dispatcher } from 'undici';
+import { Client, type Dispatcher } from 'undici';
 import { ResponseLimitError, type ResponseLimits } from './response-limits.js';
-
-/** Options of a client as a pool creates it. */
-type PoolClientOptions = Client.Options & { readonly connect: buildConnector.connector };
+import { interceptReads, type PoolClientOptions } from './socket-reads.js';
 
 /** Options of a request; the limits of its response are passed as its opaque value. */
 type BoundedDispatchOptions = Dispatcher.DispatchOptions & { readonly opaque?: unknown };
@@ -44,19 +42,15 @@
     return super.dispatch(options, handler);
   }
 
-  /** Replaces the method by which undici reads all that has arrived; Node itself names a size. */
   private limitReads(socket: Socket): void {
-    const read = socket.read.bind(socket) as (size?: number) => Buffer | null;
     this.bytesLeft = this.limits?.maxBytes ?? 0;
-    socket.read = (size?: number): Buffer | null => {
-      if (size !== undefined) return read(size);
-      if (socket.destroyed) return null;
+    interceptReads(socket, (read) => {
       const piece = read(Math.min(socket.readableLength, MAX_PIECE_BYTES) || undefined);
       this.bytesLeft -= piece?.length ?? 0;
       if (this.bytesLeft >= 0) return piece;
       socket.destroy(this.createError());
       return null;
-    };
+    });
   }
 
   private createError(): ResponseLimitError {
