Review case 4: a slow reader that sends on ends the entry's process

Cause: the entry hands a caller's bytes to Node's HTTP parser in pieces, and goes on after Node has paused the socket because its last answer is still unsent. Node asserts that this does not happen; the exception ends the process, and with it all requests at work there (LOST).

--- a/review/lib-2/engine.mjs
+++ b/review/lib-2/engine.mjs
@@ -1,8 +1,8 @@
 /** Stand-in of an engine of a plain service: runs each request after a time and records it. */
 import http from 'node:http';
 
-/** Starts an engine; `onRun` is called when it begins work on a request. */
-export async function startEngine({ host, id, workMs = 20, onRun }) {
+/** Starts an engine; `onRun` is called when it begins work on a request, `answerOf` may give its answer. */
+export async function startEngine({ host, id, workMs = 20, onRun, answerOf = () => undefined }) {
   const server = http.createServer((req, res) => {
     const chunks = [];
     req.on('data', (chunk) => chunks.push(chunk));
@@ -21,7 +21,7 @@
       const expected = req.headers['x-expect-instance'];
       if (expected !== undefined && expected !== id)
         return answer(421, '', { 'x-not-executed': '1' });
-      onRun({
+      const run = {
         engine: id,
         id: requestId,
         method: req.method,
@@ -29,9 +29,13 @@
         body: Buffer.concat(chunks).toString('latin1'),
         tenant: req.headers['x-tenant'],
         atMs: performance.now(),
-      });
+      };
+      onRun(run);
       setTimeout(
-        () => answer(200, `answer to ${requestId}`, { 'x-server-stamp': `stamp.${id}` }),
+        () =>
+          answer(200, answerOf(run) ?? `answer to ${requestId}`, {
+            'x-server-stamp': `stamp.${id}`,
+          }),
         workMs,
       );
     });
