--- a/review/lib-2/programs.mjs
+++ b/review/lib-2/programs.mjs
@@ -178,6 +178,7 @@
   }
 }
 
+for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => process.exit(2));
 process.on('exit', () => {
   for (const child of running) child.kill('SIGKILL');
 });
