--- a/test/platform/boot-text.ts
+++ b/test/platform/boot-text.ts
@@ -42,12 +42,12 @@
   const fields = { ...DEFAULT_FIELDS, ...overrides };
   const formatFields = (names: readonly string[]): string[] =>
     names.filter((name) => fields[name] !== undefined).map((name) => `${name} = ${fields[name]}`);
+  const hasLimits = LIMITS_FIELDS.some((name) => fields[name] !== undefined);
   return [
     ...formatFields(TOP_LEVEL_FIELDS),
     '[listen]',
     ...formatFields(LISTEN_FIELDS),
-    '[limits]',
-    ...formatFields(LIMITS_FIELDS),
+    ...(hasLimits ? ['[limits]', ...formatFields(LIMITS_FIELDS)] : []),
     '[bounds]',
     ...formatFields(BOUNDS_FIELDS),
     '[platform]',
