Read bodies into one buffer, and count what it takes

Callers saw the entry end: twenty connections with bodies in chunks of one byte were enough (SIGABRT for want of heap). Cause: each chunk was kept as a buffer of its own, with its place in two arrays, and kept the bytes alive that it was read with, while the budget counted its length. A million bytes in chunks of one byte took a hundred times as much.

A body, and a response that is read whole, now grow in one buffer, and the budget counts the size of that buffer. At the limit of the bodies the request is ended that has not arrived whole and has kept the most bytes for the longest time, once it had the second in which an ordinary request arrives; it has not run, and gets 503. A length that is declared counts as before, but its request can be ended too.

--- a/src/core/buffering/memory-budget.ts
+++ b/src/core/buffering/memory-budget.ts
@@ -10,6 +10,7 @@
   KEEPS_UP_MS,
   RESPONSE_BUDGET_SHARE,
 } from './consts.js';
+import { PendingMemory, type PendingAccount } from './pending-memory.js';
 import type { BudgetLimits, EndedResponse, EndReason } from './types.js';
 
 /**
@@ -65,39 +66,64 @@
 
 /** The bytes of one request body, reserved until the request ends. */
 export class BodyReservation {
-  private reservedBytes = 0;
+  private readonly account: PendingAccount;
+  private onEnded: () => void = () => undefined;
+  private isEnded = false;
+
+  constructor(private readonly budget: MemoryBudget) {
+    this.account = budget.pending.open(() => {
+      this.isEnded = true;
+      this.onEnded();
+    });
+  }
 
-  constructor(private readonly budget: MemoryBudget) {}
+  /** Calls `onEnded` if the bytes are taken back for other requests before the body is complete. */
+  whenEnded(onEnded: () => void): void {
+    this.onEnded = onEnded;
+  }
 
   /**
    * Extends the reservation to a number of bytes; false if they do not fit.
-   * @example if (!reservation.extendTo(contentLength)) return refuse();
+   * @example if (!reservation.extendTo(body.takenBytes)) return refuse();
    */
   extendTo(bytes: number): boolean {
-    if (bytes <= this.reservedBytes) return true;
-    if (!this.budget.reserveBody(bytes - this.reservedBytes)) return false;
-    this.reservedBytes = bytes;
-    return true;
+    if (this.isEnded) return false;
+    if (bytes <= this.account.heldBytes) return true;
+    return this.budget.pending.set(this.account, bytes);
+  }
+
+  /** Notes that the body is complete, so that its bytes are not taken back. */
+  complete(): void {
+    this.budget.pending.settle(this.account);
   }
 
   /** Frees the bytes. */
   release(): void {
-    this.budget.releaseBody(this.reservedBytes);
-    this.reservedBytes = 0;
+    this.budget.pending.close(this.account);
   }
 }
 
 /** The buffered bytes of one process. */
 export class MemoryBudget {
   private readonly accounts = new Set<OpenAccount>();
-  private bodies = 0;
   private used = 0;
   private peak = 0;
+  /**
+   * Requests: no response is ended for them, as a request that is refused has cost nothing yet.
+   */
+  readonly pending: PendingMemory;
 
   constructor(
     readonly limits: BudgetLimits,
     private readonly nowMs: () => number,
-  ) {}
+  ) {
+    this.pending = new PendingMemory({
+      limitBytes: limits.bodyBytes,
+      nowMs,
+      hasRoom: (bytes) => this.used + bytes <= limits.totalBytes,
+      onChange: (bytes) => this.add(bytes),
+    });
+  }
 
   /** Bytes buffered now. */
   get usedBytes(): number {
@@ -109,25 +135,6 @@
     return this.peak;
   }
 
-  /**
-   * Reserves the bytes of a request body; false if they do not fit. No response is ended for it: a
-   * request that is refused has cost nothing yet.
-   * @example if (!budget.reserveBody(4096)) return refuse();
-   */
-  reserveBody(bytes: number): boolean {
-    if (this.bodies + bytes > this.limits.bodyBytes) return false;
-    if (this.used + bytes > this.limits.totalBytes) return false;
-    this.bodies += bytes;
-    this.add(bytes);
-    return true;
-  }
-
-  /** Returns the bytes of a request body. */
-  releaseBody(bytes: number): void {
-    this.bodies -= bytes;
-    this.used -= bytes;
-  }
-
   /** Opens the account of a response; `end` is called at most once if the response must be ended. */
   open(end: (ended: EndedResponse) => void): ResponseAccount {
     const account: OpenAccount = { heldBytes: 0, unreadSinceMs: undefined, end };
--- a/src/gateway/requests/read-request-body.ts
+++ b/src/gateway/requests/read-request-body.ts
@@ -26,5 +26,5 @@
     return Err(
       notRun('buffers-full', `The entry cannot buffer the ${declaredBytes} bytes of the body.`),
     );
-  return readBody(req, maxBytes, maxMs, (bytes) => reservation.extendTo(bytes));
+  return readBody(req, maxBytes, maxMs, reservation);
 }
--- a/src/gateway/requests/read-response.ts
+++ b/src/gateway/requests/read-response.ts
@@ -1,4 +1,5 @@
 /** Reads responses that are not streamed to the end before they are forwarded. */
+import { ByteCollector } from '../../core/buffering/index.js';
 import { IoTimeout } from '../../core/clock/index.js';
 import { errorText } from '../../core/errors/index.js';
 import { Err, Ok, type Result } from '../../core/result/index.js';
@@ -10,8 +11,8 @@
 export const OVER_BUDGET = { kind: 'over-budget' } as const;
 
 /**
- * Reads a response to its end within `timeoutMs`; a truncated response is an error. `hold` counts its
- * bytes, and returns false if the entry cannot buffer them.
+ * Reads a response to its end within `timeoutMs`; a truncated response is an error. `hold` counts further
+ * bytes of memory, and returns false if the entry cannot buffer them.
  * @example const body = await readFullResponse(response, 400, hold); if (body.ok) res.end(body.val);
  */
 export async function readFullResponse(
@@ -19,8 +20,7 @@
   timeoutMs: number,
   hold: (bytes: number) => boolean,
 ): Promise<Result<Buffer, AttemptFault | typeof OVER_BUDGET>> {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const collected = new ByteCollector();
   let hasTimedOut = false;
   const timeout = new IoTimeout(() => {
     hasTimedOut = true;
@@ -30,8 +30,7 @@
   timeout.start(timeoutMs);
   try {
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > MAX_RESPONSE_BYTES) {
+      if (collected.size + chunk.length > MAX_RESPONSE_BYTES) {
         response.close();
         return Err({
           kind: 'broke',
@@ -39,14 +38,14 @@
           overLimit: 'body-limit',
         });
       }
-      if (!hold(chunk.length)) {
+      const before = collected.takenBytes;
+      collected.push(chunk);
+      if (collected.takenBytes > before && !hold(collected.takenBytes - before)) {
         response.close();
         return Err(OVER_BUDGET);
       }
-      chunks.push(chunk);
     }
-    const [first] = chunks;
-    return Ok(first && chunks.length === 1 ? first : Buffer.concat(chunks));
+    return Ok(collected.toBuffer());
   } catch (err) {
     if (hasTimedOut)
       return Err({
--- a/src/runtime/read-body.ts
+++ b/src/runtime/read-body.ts
@@ -1,5 +1,6 @@
 /** Reads a request body within a size limit and a time limit. */
 import type { IncomingMessage } from 'node:http';
+import { ByteCollector } from '../core/buffering/index.js';
 import { IoTimeout } from '../core/clock/index.js';
 import { Err, Ok, type Result } from '../core/result/index.js';
 import { notRun, type HarriergladeError } from '../core/errors/index.js';
@@ -11,42 +12,58 @@
   return notRun(code === 'HPE_HEADER_OVERFLOW' ? 'trailers-large' : 'body-malformed', detail);
 }
 
+/** Where the memory of a body is counted. */
+export interface BodyMemory {
+  /** Takes bytes of memory for the body in all; false if there are too few. */
+  readonly extendTo: (bytes: number) => boolean;
+  /** Registers a callback for when the memory is needed for other bodies. */
+  readonly whenEnded: (onEnded: () => void) => void;
+  /** The body is complete. */
+  readonly complete: () => void;
+}
+
 /**
- * Resolves to the complete body, or to the error that ended it. `hasRoom` is called with the number of
- * bytes received so far, and returns false if they cannot be buffered.
- * @example const body = await readBody(req, 1_048_576, 10_000); if (body.err) return refuse(body.val);
+ * Resolves to the complete body, or to the error that ended it.
+ * @example const body = await readBody(req, 1_048_576, 10_000, memory); if (body.err) return refuse(body.val);
  */
 export function readBody(
   req: IncomingMessage,
   maxBytes: number,
   maxMs: number,
-  hasRoom: (bytes: number) => boolean = () => true,
+  memory?: BodyMemory,
 ): Promise<Result<Buffer, HarriergladeError>> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const declaredBytes = Math.min(Number(req.headers['content-length'] ?? 0), maxBytes);
+    const body = new ByteCollector(declaredBytes || undefined);
     const settle = (result: () => Result<Buffer, HarriergladeError>): void => {
       timeout.stop();
       req.off('data', onData).off('end', onEnd).off('error', onError).off('close', onEarlyClose);
       resolve(result());
     };
-    const onEnd = (): void => settle(() => Ok(Buffer.concat(chunks)));
+    const onEnd = (): void =>
+      settle(() => {
+        memory?.complete();
+        return Ok(body.toBuffer());
+      });
     // Every request emits close, so the error is created only if the body is incomplete by then.
     const onEarlyClose = (): void => settle(() => Err(notRun('body-cut')));
     const onError = (err: NodeJS.ErrnoException): void =>
       err.code?.startsWith('HPE_') ? settle(() => Err(malformedBody(err))) : onEarlyClose();
+    const refuse = (): void =>
+      settle(() => Err(notRun('buffers-full', 'The process cannot buffer the body.')));
     const onData = (chunk: Buffer): void => {
-      size += chunk.length;
-      chunks.push(chunk);
-      if (size > maxBytes)
-        settle(() => Err(notRun('body-large', `The body is larger than ${maxBytes} bytes.`)));
-      else if (!hasRoom(size))
-        settle(() => Err(notRun('buffers-full', 'The entry cannot buffer the body.')));
+      if (body.size + chunk.length > maxBytes)
+        return settle(() =>
+          Err(notRun('body-large', `The body is larger than ${maxBytes} bytes.`)),
+        );
+      body.push(chunk);
+      if (memory?.extendTo(body.takenBytes) === false) refuse();
     };
     const timeout = new IoTimeout(() =>
       settle(() => Err(notRun('body-late', `The body took longer than ${maxMs} ms.`))),
     );
     timeout.start(maxMs);
+    memory?.whenEnded(refuse);
     // Without a listener, a later error on the connection would end the process.
     req.on('error', () => undefined);
     req.on('data', onData);
