Parse connections in turns, and count what they keep before a request is whole

The servers for other daemons, the platform and operators took whatever came, pipelined requests with unread responses among it.

One connection's bytes were parsed to the end of what was read before another had its turn. All requests within 4 KB were parsed before the first could hold up the next. Bytes that waited, heads that stopped and requests that waited were counted nowhere. The loop that feeds the parser went on although the server had paused the connection, and Node's parser asserts that it does not. What was read of refused requests was garbage that came as fast as it was sent.

ClientConnections, which was the gateway's, is shared by all servers of a process. Bytes are fed in pieces of one head at most, for 1 ms a connection and 8 ms a turn of the event loop; connections that come with little go first. A connection that the server has paused, or whose body nobody reads, is not fed. What waits, partial heads and waiting requests count against the account of bodies. Beyond four at once, large requests are read at a rate that depends on the memory of the instance, and refused ones are read on only within an allowance of the process. A refusal that is known before the rest arrives is sent as before.

--- a/src/daemon/context.ts
+++ b/src/daemon/context.ts
@@ -8,9 +8,12 @@
 import { Metrics } from '../core/metrics/index.js';
 import type { FullSettings } from '../core/settings/index.js';
 import { CONNECT_TIMEOUT_MS, createPeers, MAX_RPC_MESSAGE_BYTES } from '../rpc/index.js';
+import { createClientLimits } from '../runtime/connections/index.js';
 import { ConnectionPools, reportCutResponses, type DaemonContext } from '../runtime/index.js';
 import type { SocketByteCounter } from './socket-bytes.js';
 
+/** Bytes per MB of memory. */
+export const BYTES_PER_MB = 1e6;
 /** How long an idle connection to another daemon stays open, ms. */
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 
@@ -66,6 +69,12 @@
     view: () => view,
     peers: createPeers(connections, MAX_RPC_MESSAGE_BYTES),
     connections,
+    clients: createClientLimits({
+      memoryBytes: settings.limits.memoryMb * BYTES_PER_MB,
+      log,
+      metrics,
+      nowMs: () => clock.nowMs(),
+    }),
     pauseDetector: pause,
     isLeaving: () => shutdown.isRequested || isListedAsLeaving(),
     signal,
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -12,13 +12,12 @@
 import { PublishedState, type CallerLimits } from '../core/published/index.js';
 import { createContext, createGateway, shareOf, type Gateway } from '../gateway/index.js';
 import type { DaemonContext } from '../runtime/index.js';
+import { BYTES_PER_MB } from './context.js';
 
 /** Retries per window of all entries together, beyond the retry share, so that quiet services have some. */
 const RETRY_BUDGET_EXTRA = 480;
 /** Window of the retry budget, ms: over it the extra retries and the share of requests are counted. */
 const RETRY_BUDGET_WINDOW_MS = 10_000;
-/** Bytes per MB of memory. */
-const BYTES_PER_MB = 1e6;
 /** Idle timeout of a caller's connection, ms: longer than the clients' own timeouts. */
 const CALLER_IDLE_TIMEOUT_MS = 65_000;
 /** How often the state of removed endpoints is deleted, ms. */
@@ -98,6 +97,7 @@
       retryWindowMs: RETRY_BUDGET_WINDOW_MS,
     },
     retryShare: () => body()?.policy.retryShare ?? 0,
+    clients: ctx.clients,
     callers: callerApi,
     state,
     clock,
--- a/src/daemon/operators.ts
+++ b/src/daemon/operators.ts
@@ -103,5 +103,8 @@
  * @example createOperatorServer(deps).listen(9000, '127.0.0.1');
  */
 export function createOperatorServer(deps: OperatorServerDeps, requestTimeoutMs?: number): Server {
-  return createBoundedServer({ requestTimeoutMs }, (req, res) => handleRequest(deps, req, res));
+  const { clients: limits } = deps.ctx;
+  return createBoundedServer({ limits, port: 'operators', requestTimeoutMs }, (req, res) =>
+    handleRequest(deps, req, res),
+  );
 }
--- a/src/daemon/start.ts
+++ b/src/daemon/start.ts
@@ -58,6 +58,7 @@
 function createDaemonServer(ctx: DaemonContext, rank: Rank | undefined): Server {
   const handlers = { ...commonHandlers(ctx), ...(rank && { rank: rank.serve }) };
   return createRpcServer(handlers, {
+    limits: ctx.clients,
     maxBytes: MAX_RPC_MESSAGE_BYTES,
     keepAliveMs: KEEP_ALIVE_TIMEOUT_MS,
     onError: (path, code) => ctx.metrics.count('rpc_errors_total', { path, code }),
--- a/src/gateway/consts.ts
+++ b/src/gateway/consts.ts
@@ -30,10 +30,8 @@
 export const STALLED_CONNECTION_MS = 250;
 /** Maximum size of a response that is not streamed, bytes. */
 export const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
-/** Rate at which the connections to one endpoint are read, bytes per ms; what exceeds it waits in their sockets. */
-export const READ_BYTES_PER_MS = 64 * 1024;
-/** Bytes that may be read from one endpoint at once. */
-export const READ_BURST_BYTES = 1024 * 1024;
+/** Rate at which the connections to one endpoint are read; what exceeds it waits in their sockets. */
+export const ENDPOINT_READ_RATE = { burstBytes: 1024 * 1024, bytesPerMs: 64 * 1024 } as const;
 /** Maximum size of an event of a stream, bytes; an event may carry all tokens of a response. */
 export const MAX_EVENT_BYTES = 256 * 1024;
 /** Maximum size of the head of a response and the interim responses before it, bytes. */
@@ -82,16 +80,6 @@
 /** Polling period of a stopping entry, ms. */
 export const STOP_POLL_MS = 50;
 
-/** Time for which a connection that the entry closes is still read, ms, so that the caller reads the last response. */
-export const LINGER_MS = 150;
-/** Bytes that are discarded behind a malformed request while responses are due before the connection is closed. */
-export const MAX_MALFORMED_BYTES = 256 * 1024;
-/** Interval at which timeouts of callers' heads are checked, ms. */
-export const HEAD_CHECK_INTERVAL_MS = 100;
-/** Requests that run at once on one connection of a caller; further ones wait unread. */
-export const MAX_REQUESTS_AHEAD = 2;
-/** Bytes of a caller's connection that are parsed at a time: bounds the requests that are parsed and wait. */
-export const PIECE_BYTES = 4096;
 /** Time for which the rest of a refused body is read, ms. */
 export const MAX_REFUSED_BODY_MS = 2000;
 /** Bytes of a refused body that are read while no configuration names a limit. */
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,8 +1,9 @@
 /** State shared by all requests of one gateway. */
-import { budgetLimits, MemoryBudget } from '../core/buffering/index.js';
+import type { MemoryBudget } from '../core/buffering/index.js';
 import { ColdEndpoints, type KnownLimits } from '../core/backpressure/index.js';
 import type { Clock } from '../core/clock/index.js';
 import type { EngineInfo, PublishedEndpoint, ServiceId } from '../core/published/index.js';
+import type { ClientLimits } from '../runtime/connections/index.js';
 import { RetryBudget } from '../core/retry/index.js';
 import { KEY_FRESHNESS_MARGIN_MS, ASSUMED_RETRY_PEERS, RETRY_SHARE_USED } from './consts.js';
 import { CrashDetector } from './requests/crash-detector.js';
@@ -18,6 +19,8 @@
 /** Dependencies of a gateway. */
 export interface GatewayDeps extends EndpointsDeps {
   readonly settings: GatewaySettings;
+  /** Limits of the clients of this process. */
+  readonly clients: ClientLimits;
   /** Rate limits announced by endpoints. */
   readonly limits: KnownLimits;
   /** Clock for ages and deadlines; also advances while the machine is suspended. */
@@ -62,14 +65,6 @@
   return Math.max(MIN_RETRY_EXTRA, extra / Math.max(ASSUMED_RETRY_PEERS, knownEntries));
 }
 
-function createMemoryBudget({ settings, clock, metrics }: GatewayDeps): MemoryBudget {
-  const memory = new MemoryBudget(budgetLimits(settings.memoryBytes), () => clock.nowMs());
-  metrics.gauge('buffered_bytes', () => memory.usedBytes);
-  metrics.gauge('buffered_peak_bytes', () => memory.peakBytes);
-  metrics.gauge('buffered_budget_bytes', () => memory.limits.totalBytes);
-  return memory;
-}
-
 function createColdEndpoints(deps: GatewayDeps): ColdEndpoints {
   const { state, ageClock, random, knownEntries, log, metrics } = deps;
   const cold = new ColdEndpoints({
@@ -126,7 +121,7 @@
     ...deps,
     cold,
     endpoints,
-    memory: createMemoryBudget(deps),
+    memory: deps.clients.memory,
     crashes: new CrashDetector({
       ...deps,
       clock: ageClock,
--- a/src/gateway/endpoints/connect.ts
+++ b/src/gateway/endpoints/connect.ts
@@ -2,8 +2,8 @@
 import type { Socket } from 'node:net';
 import { buildConnector } from 'undici';
 import { systemClock } from '../../core/clock/index.js';
-import { CONNECT_TIMEOUT_MS } from '../consts.js';
-import { ReadAllowance } from './read-allowance.js';
+import { CONNECT_TIMEOUT_MS, ENDPOINT_READ_RATE } from '../consts.js';
+import { ReadAllowance } from '../../runtime/read-allowance.js';
 
 /** Error code of undici for a connection that broke during a request. */
 const BROKEN_CONNECTION = 'UND_ERR_SOCKET';
@@ -44,7 +44,7 @@
     timeout: CONNECT_TIMEOUT_MS,
     keepAlive: true,
   });
-  const allowance = new ReadAllowance(() => systemClock.nowMs());
+  const allowance = new ReadAllowance(() => systemClock.nowMs(), ENDPOINT_READ_RATE);
   return (options, callback) =>
     connect(options, (...result) => {
       const socket = result[1] as Socket | null;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,18 +10,17 @@
   type Route,
 } from '../core/published/index.js';
 import { Err, Ok, type Result } from '../core/result/index.js';
+import { ClientConnections, HEAD_CHECK_INTERVAL_MS } from '../runtime/connections/index.js';
 import {
   BUSY_RETRY_S,
   DEFAULT_DEADLINE_MS,
   DEFAULT_REFUSED_BODY_BYTES,
   OTHER_ENTRY_RETRY_S,
   FINAL_RESPONSE_MARGIN_MS,
-  HEAD_CHECK_INTERVAL_MS,
   MAX_REFUSED_BODY_MS,
   STOP_SERVING_MS,
 } from './consts.js';
 import type { GatewayContext } from './context.js';
-import { CallerConnections } from './requests/caller-connections.js';
 import { cutResponse } from './requests/cut-response.js';
 import { readRequestBody } from './requests/read-request-body.js';
 import { sendRefusal, type Refusal } from './requests/refuse.js';
@@ -305,10 +304,10 @@
   }
 
   const waiting = new WaitingResponses();
-  const connections = new CallerConnections({
-    log,
-    metrics,
-    nowMs: () => clock.nowMs(),
+  const connections = new ClientConnections({
+    limits: ctx.clients,
+    port: 'callers',
+    maxHeadBytes: () => settings.parserHeaderBytes,
     headMs: () => server.headersTimeout,
     firstHeadExtraMs: () => server.keepAliveTimeout,
   });
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -22,6 +22,7 @@
 import { createRpcServer } from '../rpc/serve.js';
 import { reportClockSteps } from '../runtime/clock-steps.js';
 import { createBoundedServer } from '../runtime/bounded-server.js';
+import { createClientLimits } from '../runtime/connections/index.js';
 import { ConnectionPools } from '../runtime/connection-pools.js';
 import { reportCutResponses } from '../runtime/response-limits.js';
 import { listen } from '../runtime/listen.js';
@@ -116,8 +117,15 @@
     countKnown: () => groups.knownEntries,
     onChange: () => relay.wake(),
   });
+  const clients = createClientLimits({
+    ...settings.gateway,
+    log,
+    metrics,
+    nowMs: () => systemClock.nowMs(),
+  });
   const ctx: GatewayContext = createContext({
     ...sharedDeps,
+    clients,
     ageClock,
     broadcastCrashes: () => {
       relay.wakeSoon();
@@ -200,7 +208,7 @@
       if (applyLeaving(ctx, update)) relay.recordChanges();
     },
   };
-  await listenAll(deps, gateway, metrics, calls);
+  await listenAll(deps, gateway, ctx, calls);
   log.info('process.started', { settings: JSON.stringify(settings) });
 }
 
@@ -219,20 +227,20 @@
 async function listenAll(
   deps: ProcessDeps,
   gateway: Gateway,
-  metrics: Metrics,
+  { clients: limits, metrics }: GatewayContext,
   calls: RpcHandlers,
 ): Promise<void> {
   const { callers, control, ready: readyAddress, ip } = deps.settings;
-  const readyServer = createBoundedServer({}, (req, res) => {
+  const readyServer = createBoundedServer({ limits, port: 'ready' }, (req, res) => {
     const ok = req.url === deps.readyPath && gateway.isReady();
     res.writeHead(ok ? 200 : 503, { 'content-length': 0 }).end();
   });
-  const metricsServer = createBoundedServer({}, (req, res) => {
+  const metricsServer = createBoundedServer({ limits, port: 'operators' }, (req, res) => {
     const found = req.url === METRICS_PATH;
     res.writeHead(found ? 200 : 404, { 'content-type': 'text/plain; version=0.0.4' });
     res.end(found ? metrics.print() : '');
   });
-  if (control) await listen(createRpcServer(calls), control);
+  if (control) await listen(createRpcServer(calls, { limits }), control);
   if (callers) await listen(gateway.server, callers);
   if (readyAddress) await listen(readyServer, readyAddress);
   await listen(metricsServer, { host: ip, port: METRICS_PORT });
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -26,7 +26,9 @@
 import type { GroupDigest } from '../generated/messages.types.js';
 import { requestFromRelay, createPeers } from '../rpc/peers.js';
 import { CONNECT_TIMEOUT_MS } from '../rpc/consts.js';
+import type { RpcHandlers } from '../rpc/router.js';
 import { createRpcServer } from '../rpc/serve.js';
+import { createClientLimits } from '../runtime/connections/index.js';
 import { orderRelays } from '../runtime/relays.js';
 import type { InstanceSettings } from '../gateway/types.js';
 import { ActiveEntries } from './active-entries.js';
@@ -181,7 +183,13 @@
     callBranch: (forwarder, order, timeoutMs) =>
       peers.at(forwarder).branch.mutate(order, { signal: AbortSignal.timeout(timeoutMs) }),
   });
-  const server = createRpcServer({
+  const limits = createClientLimits({
+    ...settings.gateway,
+    log,
+    metrics,
+    nowMs: () => clock.nowMs(),
+  });
+  const calls: RpcHandlers = {
     rank: serveRank,
     branch: (order) => serveBranch(callAgent, order),
     group: (request) => {
@@ -190,11 +198,12 @@
       const latest = digest.read(MAX_DIGEST_AGE_MS);
       return latest && { ...latest, takesDemand: true };
     },
-  });
+  };
   process.on('SIGTERM', () => {
     log.info('process.stopped', {});
     process.exit(0);
   });
+  const server = createRpcServer(calls, { limits });
   await listen(server, { host: settings.ip, port: settings.internalPort });
   const task = new CoordinatorTask({
     ...sharedDeps,
--- a/src/gateway/requests/caller-connections.ts
+++ b/src/runtime/connections/client-connections.ts
@@ -1,23 +1,28 @@
 /**
- * Connections of callers: which responses are due on each, and how it is closed. Nothing is written out of turn: an
- * error that ends a connection is reported behind the responses that are due, or not at all.
+ * Connections of clients: which responses are due on each, what it keeps, and how it is closed. Nothing is written out
+ * of turn: an error that ends a connection is reported behind the responses that are due, or not at all.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Log } from '../../core/logging/index.js';
-import type { Metrics } from '../../core/metrics/index.js';
-import { discardRequestBody, type DiscardLimits } from '../../runtime/discard-request-body.js';
+import type { PendingAccount } from '../../core/buffering/index.js';
+import { discardRequestBody, type DiscardLimits } from '../discard-request-body.js';
+import type { ClientLimits } from './client-limits.js';
+import { ConnectionFeed } from './connection-feed.js';
 import {
   HEAD_CHECK_INTERVAL_MS,
+  LARGE_READ_BYTES,
   LINGER_MS,
   MAX_MALFORMED_BYTES,
   MAX_REQUESTS_AHEAD,
-  PIECE_BYTES,
-} from '../consts.js';
+  MAX_UNLIMITED_READERS,
+  MEMORY_PER_HEAD_BYTE,
+  WAITING_REQUEST_BYTES,
+} from './consts.js';
 
+const HEAD_OVERFLOW = 'HPE_HEADER_OVERFLOW';
 /** Statuses for bytes that are no request, by the code of the parser's error; 400 for all others. */
 const STATUS_LINES: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  [HEAD_OVERFLOW]: '431 Request Header Fields Too Large',
   HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
@@ -27,11 +32,13 @@
 /** The caller closed its side inside a request. */
 const CLOSED_EARLY = 'HPE_INVALID_EOF_STATE';
 
-/** Dependencies of `CallerConnections`. */
-export interface CallerConnectionsDeps {
-  readonly log: Log;
-  readonly metrics: Metrics;
-  readonly nowMs: () => number;
+/** Dependencies of `ClientConnections`. */
+export interface ClientConnectionsDeps {
+  readonly limits: ClientLimits;
+  /** What connects here, for the log. */
+  readonly port: string;
+  /** Maximum size of a head, bytes. */
+  readonly maxHeadBytes: () => number;
   /** Timeout of a head from its first byte, ms. */
   readonly headMs: () => number;
   /** Timeout of a connection on which no request was sent yet, ms, beyond that of a head. */
@@ -47,6 +54,9 @@
 
 interface Connection {
   readonly socket: Socket;
+  readonly feed: ConnectionFeed;
+  /** Memory of what has arrived and is no request yet. */
+  readonly account: PendingAccount;
   /** Responses that are not complete yet, in order. */
   readonly due: Set<DueResponse>;
   newest: IncomingMessage | undefined;
@@ -57,9 +67,11 @@
   /** The request that came last among those due. */
   last: DueResponse | undefined;
   isStartingNext: boolean;
-  /** Bytes that were read and not parsed. */
-  unparsed: Buffer | undefined;
-  readonly parse: (bytes: Buffer) => void;
+  /** Whether the rate of reads lets more of its bytes be read. */
+  mayRead: boolean;
+  /** Bytes of a head that is not complete. */
+  headBytes: number;
+  readonly close: () => void;
   /** When its bytes were last read again after a pause, ms. */
   resumedAtMs: number;
   /** Whether the rest of its bytes is left unread until it is closed. */
@@ -71,6 +83,8 @@
   /** Bytes read when it could no longer be parsed. */
   malformedAtBytes: number | undefined;
   isLingering: boolean;
+  /** Time for which it is read after the last response, ms. */
+  lingerMs: number;
 }
 
 function codeOf(err: NodeJS.ErrnoException): string {
@@ -83,26 +97,70 @@
 }
 
 /** The connections of one server. */
-export class CallerConnections {
+export class ClientConnections {
   private readonly bySocket = new WeakMap<Socket, Connection>();
 
-  constructor(private readonly deps: CallerConnectionsDeps) {}
+  constructor(private readonly deps: ClientConnectionsDeps) {}
 
   /** Follows a new connection. */
   readonly onConnection = (socket: Socket): void => {
     const connection = this.of(socket);
+    socket.once('close', () => this.forget(connection));
     // The server calls it after the last response. Closed at once, unread bytes would reset the connection, and
-    // the caller might lose the response (RFC 9112, 9.6).
+    // the client might lose the response (RFC 9112, 9.6).
     socket.destroySoon = () => linger(connection);
-    // Reading a body resumes the connection.
+    // Reading a body resumes the connection, as does the server once its responses have been sent.
     socket.on('resume', () => {
-      if (mustPause(connection)) socket.pause();
+      if (!isDropping(connection)) connection.feed.resume();
     });
-    // Bytes reach the parser in small pieces, so that it can be stopped behind too many requests.
-    socket.off('data', connection.parse);
-    socket.on('data', (bytes: Buffer) => parseInPieces(connection, bytes));
+    socket.on('data', (bytes: Buffer) => this.onData(connection, bytes));
   };
 
+  private forget(connection: Connection): void {
+    connection.feed.clear();
+    this.deps.limits.largeReaders.delete(connection);
+    this.deps.limits.memory.pending.close(connection.account);
+  }
+
+  private onData(connection: Connection, bytes: Buffer): void {
+    const isDiscarded = connection.isLingering || connection.discarding !== undefined;
+    if (isDiscarded && !this.deps.limits.discards.take(bytes.length)) {
+      if (connection.isLingering || connection.due.size === 0) return connection.close();
+      return this.abandon(connection);
+    }
+    if (isDropping(connection)) return;
+    if (bytes.length >= LARGE_READ_BYTES) this.limitReads(connection, bytes.length);
+    connection.feed.push(bytes);
+  }
+
+  /** Reads on only when the read rate allows it, if many large requests arrive. */
+  private limitReads(connection: Connection, bytes: number): void {
+    const { largeReaders } = this.deps.limits;
+    largeReaders.add(connection);
+    if (largeReaders.size <= MAX_UNLIMITED_READERS) return;
+    connection.mayRead = false;
+    this.deps.limits.reads.run(bytes, () => {
+      connection.mayRead = true;
+      if (!isDropping(connection)) connection.feed.resume();
+    });
+  }
+
+  /** Counts a piece that was parsed, and ends the connection if it is part of a head that is too large. */
+  private onParsed(connection: Connection, isPartOfHead: boolean, bytes: number): void {
+    connection.headBytes = isPartOfHead ? connection.headBytes + bytes : 0;
+    const isTooLarge = connection.headBytes > this.deps.maxHeadBytes();
+    if (!isTooLarge || connection.malformedAtBytes !== undefined) return;
+    const err = Object.assign(new Error('the head is too large'), { code: HEAD_OVERFLOW });
+    this.onMalformed(err, connection);
+  }
+
+  /** Counts the memory of what has arrived and is no request yet. */
+  private onKept({ headBytes, waiting, account }: Connection, unparsedBytes: number): void {
+    const bytes =
+      unparsedBytes + MEMORY_PER_HEAD_BYTE * headBytes + WAITING_REQUEST_BYTES * waiting.size;
+    if (bytes !== account.heldBytes) this.deps.limits.memory.pending.keep(account, bytes);
+  }
+
   /**
    * Adds a request. Returns whether it starts: false if its connection ends before its response. Too many requests
    * at once wait for their turn, with the rest of the connection unread.
@@ -129,6 +187,7 @@
 
   private remove(connection: Connection, due: DueResponse): void {
     const { socket, waiting } = connection;
+    this.deps.limits.largeReaders.delete(connection);
     connection.due.delete(due);
     if (connection.last === due) connection.last = undefined;
     if (due.letStart) letStart(connection, due, false);
@@ -148,11 +207,8 @@
       letStart(connection, next, true);
     }
     if (isBlocked(connection) || socket.destroyed) return;
-    connection.resumedAtMs = this.deps.nowMs();
-    const { unparsed } = connection;
-    connection.unparsed = undefined;
-    if (unparsed) parseInPieces(connection, unparsed);
-    if (!mustPause(connection)) socket.resume();
+    connection.resumedAtMs = this.deps.limits.nowMs();
+    connection.feed.resume();
   }
 
   /** Reads the rest of the body of a refused request; the connection ends if it exceeds the limits. */
@@ -168,8 +224,8 @@
   abandonBody(req: IncomingMessage, id: string): void {
     const connection = this.of(req.socket);
     if (req.socket.destroyed || connection.malformedAtBytes !== undefined) return;
-    this.deps.metrics.count('caller_bodies_abandoned_total');
-    this.deps.log.warn('caller.body-abandoned', {
+    this.deps.limits.metrics.count('caller_bodies_abandoned_total');
+    this.deps.limits.log.warn('caller.body-abandoned', {
       request: id,
       connectionBytes: req.socket.bytesRead,
       requests: idsOf(connection),
@@ -205,8 +261,8 @@
 
   private onHeadTimeout(err: NodeJS.ErrnoException, connection: Connection): void {
     const { socket, requests } = connection;
-    const { headMs, nowMs } = this.deps;
-    if (mustPause(connection) || nowMs() - connection.resumedAtMs < headMs()) {
+    const { headMs, limits } = this.deps;
+    if (mustPause(connection) || limits.nowMs() - connection.resumedAtMs < headMs()) {
       // The server reports a head only once.
       const checkAgain = (): void => {
         if (connection.requests === requests && !socket.destroyed)
@@ -231,8 +287,8 @@
     const code = codeOf(err);
     const { socket, newest, due } = connection;
     connection.malformedAtBytes = socket.bytesRead;
-    this.deps.metrics.count('caller_errors_total', { code });
-    this.deps.log.warn('caller.malformed', {
+    this.deps.limits.metrics.count('caller_errors_total', { code });
+    this.deps.limits.log.warn('caller.malformed', {
       code,
       detail: err.message,
       requests: idsOf(connection),
@@ -256,51 +312,97 @@
     if (last && !last.headersSent) last.setHeader('connection', 'close');
   }
 
+  /** Closes a connection whose memory or descriptor is needed for others; what runs on it is answered first. */
+  private abandon(connection: Connection): void {
+    const { due, waiting, socket } = connection;
+    connection.feed.clear();
+    connection.isAbandoned = true;
+    connection.lingerMs = 0;
+    connection.headBytes = 0;
+    for (const next of [...waiting]) {
+      due.delete(next);
+      letStart(connection, next, false);
+    }
+    connection.last = [...due].at(-1);
+    if (due.size === 0 || isArriving(connection)) return void socket.destroy();
+    this.endAfterLast(connection);
+    socket.pause();
+  }
+
   private of(socket: Socket): Connection {
     const known = this.bySocket.get(socket);
     if (known) return known;
+    const created = this.create(socket);
+    this.bySocket.set(socket, created);
+    return created;
+  }
+
+  private create(socket: Socket): Connection {
+    const { limits } = this.deps;
+    // The server has added its parser as the only listener.
+    const serverParse = socket.listeners('data')[0] as (bytes: Buffer) => void;
+    socket.off('data', serverParse);
+    const close = (): void => {
+      limits.metrics.count('connections_abandoned_total', { port: this.deps.port });
+      this.abandon(created);
+    };
+    let requestsBefore = 0;
+    const feed = new ConnectionFeed({
+      socket,
+      queue: limits.queue,
+      parse: (bytes) => {
+        requestsBefore = created.requests;
+        serverParse.call(socket, bytes);
+      },
+      isBlocked: () => isBlocked(created),
+      mayRead: () => created.mayRead,
+      newest: () => created.newest,
+      onParsed: (bytes, startsInHead) =>
+        this.onParsed(created, startsInHead && created.requests === requestsBefore, bytes),
+      onKept: (bytes) => this.onKept(created, bytes),
+    });
     const created: Connection = {
       socket,
+      feed,
+      account: limits.memory.pending.open(close),
       due: new Set(),
       newest: undefined,
       requests: 0,
       waiting: new Set(),
       last: undefined,
       isStartingNext: false,
-      unparsed: undefined,
-      parse: socket.listeners('data')[0] as (bytes: Buffer) => void,
+      mayRead: true,
+      headBytes: 0,
       resumedAtMs: Number.NEGATIVE_INFINITY,
       isAbandoned: false,
       discarding: undefined,
       isEnding: false,
       malformedAtBytes: undefined,
       isLingering: false,
+      lingerMs: LINGER_MS,
+      close,
     };
-    this.bySocket.set(socket, created);
     return created;
   }
 }
 
+/** Whether what it still sends is read and dropped. */
+function isDropping({ isLingering, discarding }: Connection): boolean {
+  return isLingering && discarding === undefined;
+}
+
+/** Whether the only request that is due has not arrived whole. */
+function isArriving({ due, newest }: Connection): boolean {
+  return due.size === 1 && newest?.complete === false;
+}
+
 /** Whether nothing more is parsed: requests wait for their turn, or responses for the end of the connection. */
 function isBlocked({ waiting, isAbandoned, due }: Connection): boolean {
   return waiting.size > 0 || (isAbandoned && due.size > 0);
 }
 
 function mustPause(connection: Connection): boolean {
-  return isBlocked(connection) || connection.unparsed !== undefined;
-}
-
-function parseInPieces(connection: Connection, bytes: Buffer): void {
-  const { socket, parse } = connection;
-  if (connection.isLingering && !connection.discarding) return;
-  for (let start = 0; start < bytes.length && !socket.destroyed; start += PIECE_BYTES) {
-    if (isBlocked(connection)) {
-      connection.unparsed = bytes.subarray(start);
-      socket.pause();
-      return;
-    }
-    parse.call(socket, bytes.subarray(start, start + PIECE_BYTES));
-  }
+  return isBlocked(connection) || connection.feed.hasUnparsed;
 }
 
 function letStart(connection: Connection, due: DueResponse, starts: boolean): void {
@@ -331,11 +433,12 @@
   const { socket } = connection;
   if (connection.isLingering) return;
   connection.isLingering = true;
-  const destroyLater = (): void => {
-    const timer = setTimeout(() => socket.destroy(), LINGER_MS);
-    socket.once('close', () => clearTimeout(timer));
+  const destroyLater = (): unknown => {
+    if (connection.lingerMs === 0) return socket.destroy();
+    const timer = setTimeout(() => socket.destroy(), connection.lingerMs);
+    return socket.once('close', () => clearTimeout(timer));
   };
-  connection.unparsed = undefined;
+  if (!connection.discarding) connection.feed.clear();
   socket.resume();
   socket.end(() => void (connection.discarding ?? Promise.resolve()).then(destroyLater));
 }
--- a/src/runtime/context.ts
+++ b/src/runtime/context.ts
@@ -1,4 +1,5 @@
 /** The context that the components of one daemon share. */
+import type { ClientLimits } from './connections/index.js';
 import type { ConnectionPools } from './connection-pools.js';
 import type { Clock, pauseDetector, Random } from '../core/clock/index.js';
 import type { FeedStore } from '../core/config-feed/index.js';
@@ -23,6 +24,8 @@
   readonly view: () => InstanceView;
   readonly peers: Peers;
   readonly connections: ConnectionPools;
+  /** Limits of the clients of this process. */
+  readonly clients: ClientLimits;
   readonly pauseDetector: ReturnType<typeof pauseDetector>;
   /** Whether this instance takes no new requests: a stop was requested, or it is listed as leaving. */
   readonly isLeaving: () => boolean;
--- a/src/gateway/endpoints/read-allowance.ts
+++ b/src/runtime/read-allowance.ts
@@ -1,5 +1,4 @@
-/** Bounds how much is read from one endpoint, so that a flood of it does not take the event loop from others. */
-import { READ_BURST_BYTES, READ_BYTES_PER_MS } from '../consts.js';
+/** Bounds how much is read from some connections, so that a flood on them does not take the event loop from others. */
 
 /** How often waiting reads are tried, ms. */
 const RETRY_MS = 1;
@@ -10,13 +9,24 @@
   readonly read: () => void;
 }
 
-/** Token bucket of the bytes read on all connections to one endpoint. What exceeds it waits in the sockets. */
+/** Rate of a `ReadAllowance`. */
+export interface ReadRate {
+  /** Bytes that may be read at once. */
+  readonly burstBytes: number;
+  readonly bytesPerMs: number;
+}
+
+/** Token bucket of the bytes read on some connections. What exceeds it waits in the sockets. */
 export class ReadAllowance {
-  private available = READ_BURST_BYTES;
+  private available: number;
   private refilledAtMs: number;
   private readonly waiting: WaitingRead[] = [];
 
-  constructor(private readonly nowMs: () => number) {
+  constructor(
+    private readonly nowMs: () => number,
+    private readonly rate: ReadRate,
+  ) {
+    this.available = rate.burstBytes;
     this.refilledAtMs = nowMs();
   }
 
@@ -38,8 +48,8 @@
   private hasAllowance(): boolean {
     if (this.available > 0) return true;
     const nowMs = this.nowMs();
-    const refill = (nowMs - this.refilledAtMs) * READ_BYTES_PER_MS;
-    this.available = Math.min(READ_BURST_BYTES, this.available + refill);
+    const refill = (nowMs - this.refilledAtMs) * this.rate.bytesPerMs;
+    this.available = Math.min(this.rate.burstBytes, this.available + refill);
     this.refilledAtMs = nowMs;
     return this.available > 0;
   }
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -22,6 +22,7 @@
 } from '../../fakes/raw-endpoint/index.js';
 import { silentLog, type Log, type LogFields } from '../../src/core/logging/index.js';
 import { Metrics } from '../../src/core/metrics/index.js';
+import { createClientLimits } from '../../src/runtime/connections/index.js';
 import {
   indexRoutes,
   PublishedState,
@@ -178,15 +179,18 @@
   const limits = new KnownLimits(ageClock);
   const sharingPeers = (): LimitPeers => ({ index: undefined, count: ASSUMED_PEERS });
   const shareDeps = { state, limits, limitPeers: sharingPeers };
+  const log = createRecordingLog(lines);
+  const nowMs = (): number => clock.nowMs();
   const ctx = createContext({
     settings,
+    clients: createClientLimits({ ...settings, log, metrics, nowMs }),
     retryShare: () => 0.2,
     callers: platformHeaders,
     state,
     clock,
     ageClock,
     random: seededRandom(1),
-    log: createRecordingLog(lines),
+    log,
     metrics,
     dataCentre: asId('a'),
     statusOf: () => undefined,
--- a/test/rpc/endless-requests.test.ts
+++ b/test/rpc/endless-requests.test.ts
@@ -7,6 +7,7 @@
 import { createPeers } from '../../src/rpc/peers.js';
 import { createRpcServer } from '../../src/rpc/serve.js';
 import { ConnectionPools } from '../../src/runtime/connection-pools.js';
+import { testClientLimits } from '../fixtures/client-limits.js';
 import { checkEndlessRequests } from '../fixtures/endless-requests.js';
 
 const HELLO = { instance: 'entry-1', incarnation: 'l-1', config: 1, list: 1, leaving: false };
@@ -23,7 +24,7 @@
   test(`a request without end, ${pace}, is cut off: ${line}`, async () => {
     const server = createRpcServer(
       { hello: () => HELLO, rank: () => Promise.reject(new Error('not reached')) },
-      { requestTimeoutMs: REQUEST_TIMEOUT_MS },
+      { limits: testClientLimits(), requestTimeoutMs: REQUEST_TIMEOUT_MS },
     );
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
@@ -50,7 +51,11 @@
         return { incarnation: 'l-1', kind: 'look', isAccepted: true } as never;
       },
     },
-    { requestTimeoutMs: REQUEST_TIMEOUT_MS, keepAliveMs: 10 * CLOSED_AFTER_MS },
+    {
+      limits: testClientLimits(),
+      requestTimeoutMs: REQUEST_TIMEOUT_MS,
+      keepAliveMs: 10 * CLOSED_AFTER_MS,
+    },
   );
   let accepted = 0;
   server.on('connection', () => (accepted += 1)).listen(0, '127.0.0.1');
--- a/test/rpc/peers.test.ts
+++ b/test/rpc/peers.test.ts
@@ -12,6 +12,7 @@
 import { LoopbackProxy } from '../../bench/soak/proxy.js';
 import { createPeers } from '../../src/rpc/peers.js';
 import { createRpcServer } from '../../src/rpc/serve.js';
+import { testClientLimits } from '../fixtures/client-limits.js';
 import { ConnectionPools } from '../../src/runtime/connection-pools.js';
 
 const HELLO = { instance: 'entry-1', incarnation: 'l-1', config: 1, list: 1, leaving: false };
@@ -21,7 +22,7 @@
 const CALL_TIMEOUT_MS = 1000;
 
 test('a call to a daemon that times out retires all open connections to it', async () => {
-  const server = createRpcServer({ hello: () => HELLO });
+  const server = createRpcServer({ hello: () => HELLO }, { limits: testClientLimits() });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const { port } = server.address() as AddressInfo;
--- a/test/gateway/endpoints/read-allowance.test.ts
+++ b/test/runtime/read-allowance.test.ts
@@ -2,12 +2,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
-import { READ_BURST_BYTES, READ_BYTES_PER_MS } from '../../../src/gateway/consts.js';
-import { ReadAllowance } from '../../../src/gateway/endpoints/read-allowance.js';
+import { ReadAllowance } from '../../src/runtime/read-allowance.js';
 
 const CHUNK_BYTES = 64 * 1024;
 const SOCKETS = 100;
-const READS_AT_ONCE = READ_BURST_BYTES / CHUNK_BYTES;
+const RATE = { burstBytes: 1024 * 1024, bytesPerMs: 64 * 1024 };
+const READS_AT_ONCE = RATE.burstBytes / CHUNK_BYTES;
 
 interface Flood {
   readonly allowance: ReadAllowance;
@@ -19,7 +19,7 @@
 /** Each socket has just read a whole chunk, and reads again. */
 function flood(): Flood {
   const clock = { nowMs: 0 };
-  const allowance = new ReadAllowance(() => clock.nowMs);
+  const allowance = new ReadAllowance(() => clock.nowMs, RATE);
   const state: Flood = { allowance, read: [], clock };
   for (let i = 0; i < SOCKETS; i += 1)
     state.allowance.run(CHUNK_BYTES, () => void state.read.push(i));
@@ -38,7 +38,7 @@
   const state = flood();
   const passedMs = 10;
   state.clock.nowMs = passedMs;
-  const due = READS_AT_ONCE + Math.ceil((passedMs * READ_BYTES_PER_MS) / CHUNK_BYTES);
+  const due = READS_AT_ONCE + Math.ceil((passedMs * RATE.bytesPerMs) / CHUNK_BYTES);
   while (state.read.length < due) await wait(1);
   await wait(20);
   assert.deepEqual(state.read, inOrder(due));
--- a/test/soak/silent-fleet.ts
+++ b/test/soak/silent-fleet.ts
@@ -23,6 +23,7 @@
   type FollowDeps,
 } from '../../src/core/published/index.js';
 import { requestFromRelay, createPeers } from '../../src/rpc/peers.js';
+import { testClientLimits } from '../fixtures/client-limits.js';
 import { createRpcServer } from '../../src/rpc/serve.js';
 import { ConnectionPools } from '../../src/runtime/connection-pools.js';
 import { until } from '../fixtures/until.js';
@@ -155,7 +156,10 @@
       isDirect: () => source.isDirect,
     });
     if (isRelay) {
-      const server = createRpcServer({ published: (ask) => relay.answer(ask) });
+      const server = createRpcServer(
+        { published: (ask) => relay.answer(ask) },
+        { limits: testClientLimits() },
+      );
       this.servers.push(server.listen(this.relays[at]?.control.port, this.host));
     }
     const pace = isRelay ? RELAY_PACE : entryPace(CONTACT_MS);
