Limit the connections of each server by the descriptors of its process

What callers saw: 700 connections to a process with 600 descriptors took all of them. Then no ordinary caller was accepted, and calls to endpoints, the store and other daemons had none left (600 of 600 open; an ordinary request was not answered while silent connections stayed). Nothing read `max-fds`.

Each server has a share of the descriptors: callers 45%, other daemons 20% (of an agent 50%), operators and the readiness check 5% each, of what is left besides 200 for files; the rest is for connections that the process opens. At its limit a server closes, the longest first, connections that brought no whole request, then those at rest, then those whose request waits and has not run: it is refused with 503 and `buffers-full`, and never sent. A connection whose request may run is never closed for another; a new one is closed then. The shares of a machine of 4,200 descriptors are 1,800 callers and 800 daemons. `limits.max-fds` of the boot file and the new setting `limits.descriptors` name the number.

--- a/src/core/settings/settings.ts
+++ b/src/core/settings/settings.ts
@@ -84,6 +84,7 @@
     'bodyBytes',
     'bodyMs',
     'memoryMb',
+    'descriptors',
     'admissionLevel',
     'streamsPerOrganisation',
     'defaultDeadlineMs',
--- a/src/daemon/context.ts
+++ b/src/daemon/context.ts
@@ -70,7 +70,9 @@
     peers: createPeers(connections, MAX_RPC_MESSAGE_BYTES),
     connections,
     clients: createClientLimits({
+      role: settings.role,
       memoryBytes: settings.limits.memoryMb * BYTES_PER_MB,
+      descriptors: settings.limits.descriptors,
       log,
       metrics,
       nowMs: () => clock.nowMs(),
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -92,6 +92,7 @@
       bodyMs: settings.limits.bodyMs,
       parserHeaderBytes: settings.limits.headerBytes,
       memoryBytes: settings.limits.memoryMb * BYTES_PER_MB,
+      descriptors: settings.limits.descriptors,
       hasAdmissionLevel: settings.limits.admissionLevel,
       retryExtra: RETRY_BUDGET_EXTRA,
       retryWindowMs: RETRY_BUDGET_WINDOW_MS,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -224,8 +224,18 @@
       maxBytes: config.limits.bodyBytes,
       maxMs: bodyMs,
     });
+    let noteSent = (): void => undefined;
+    const refused = new Promise<RequestOutcome>((resolve) => {
+      noteSent = connections.makeRefusable(req, res, () => {
+        disconnected.abort();
+        const detail =
+          'the entry needs the connection for others; the request waited and was not sent';
+        resolve(refuseWith('buffers-full', detail, randomRetryAfterS(ctx, BUSY_RETRY_S), true));
+      });
+    });
     const request: GatewayRequest = {
       id,
+      noteSent,
       req,
       res,
       head,
@@ -241,7 +251,7 @@
       if (body.val.reason === 'buffers-full') return discardRest(req, id, head.deadlineMs);
       return req.complete ? undefined : connections.abandonBody(req, id);
     }
-    const end = await serveAdmitted(request, note);
+    const end = await serveAdmitted(request, note, refused);
     finish(request, id, res, end, note);
     // After a timeout an attempt may still wait for a connection, and must not be sent.
     if (request.remainingMs() < FINAL_RESPONSE_MARGIN_MS) disconnected.abort();
@@ -266,6 +276,7 @@
   async function serveAdmitted(
     request: GatewayRequest,
     note: RequestSummary,
+    refused: Promise<RequestOutcome>,
   ): Promise<RequestOutcome> {
     const content = callers.readContent?.(request) ?? Ok({ route: request.route });
     if (content.err) return { kind: 'refused', refusal: content.val };
@@ -273,7 +284,8 @@
     const admitted = callers.admit?.(routed);
     if (admitted?.err) return { kind: 'refused', refusal: admitted.val };
     try {
-      return await withRouteTimeout(routed, serveRequest(ctx, routed, note), note);
+      const work = Promise.race([serveRequest(ctx, routed, note), refused]);
+      return await withRouteTimeout(routed, work, note);
     } finally {
       admitted?.val();
     }
@@ -307,6 +319,7 @@
   const connections = new ClientConnections({
     limits: ctx.clients,
     port: 'callers',
+    maxConnections: ctx.clients.connections.callers,
     maxHeadBytes: () => settings.parserHeaderBytes,
     headMs: () => server.headersTimeout,
     firstHeadExtraMs: () => server.keepAliveTimeout,
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -118,6 +118,7 @@
     onChange: () => relay.wake(),
   });
   const clients = createClientLimits({
+    role: 'entry',
     ...settings.gateway,
     log,
     metrics,
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -169,6 +169,7 @@
   target.cancelUnsent.add(cancelUnsent);
   const exchange = startAttempt(options, pool, () => {
     wasStarted = true;
+    request.noteSent();
     target.cancelUnsent.delete(cancelUnsent);
   });
   const { close } = exchange;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -35,6 +35,8 @@
   readonly parserHeaderBytes: number;
   /** Memory of the instance, bytes; a share of it may be used for buffered bodies and responses. */
   readonly memoryBytes: number;
+  /** Descriptors that the process may have open. */
+  readonly descriptors: number;
   /**
    * Whether groups admit by an admission level if their requests differ in urgency; off by default. With 33 entries
    * before 72 ranks the level admits more streams than the group bears after it stood still.
@@ -164,6 +166,8 @@
 /** A caller's request whose body has been read. */
 export interface GatewayRequest extends RequestContent {
   readonly id: string;
+  /** To be called before the request is sent, after which it may have run. */
+  readonly noteSent: () => void;
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly head: RequestHead;
--- a/src/group/agent-process.ts
+++ b/src/group/agent-process.ts
@@ -184,6 +184,7 @@
       peers.at(forwarder).branch.mutate(order, { signal: AbortSignal.timeout(timeoutMs) }),
   });
   const limits = createClientLimits({
+    role: 'agent',
     ...settings.gateway,
     log,
     metrics,
--- a/src/runtime/bounded-server.ts
+++ b/src/runtime/bounded-server.ts
@@ -29,9 +29,11 @@
   { limits, port, requestTimeoutMs = DEFAULT_REQUEST_TIMEOUT_MS, ...options }: BoundedServerOptions,
   listener: RequestListener,
 ): Server {
+  const { daemons, operators } = limits.connections;
   const connections = new ClientConnections({
     limits,
     port,
+    maxConnections: port === 'daemons' ? daemons : operators,
     maxHeadBytes: () => MAX_HEAD_BYTES,
     headMs: () => requestTimeoutMs,
     firstHeadExtraMs: () => server.keepAliveTimeout,
--- a/src/runtime/connections/client-connections.ts
+++ b/src/runtime/connections/client-connections.ts
@@ -8,6 +8,11 @@
 import { discardRequestBody, type DiscardLimits } from '../discard-request-body.js';
 import type { ClientLimits } from './client-limits.js';
 import { ConnectionFeed } from './connection-feed.js';
+import {
+  ConnectionLimit,
+  type ConnectionState,
+  type LimitedConnection,
+} from './connection-limit.js';
 import {
   HEAD_CHECK_INTERVAL_MS,
   LARGE_READ_BYTES,
@@ -37,6 +42,7 @@
   readonly limits: ClientLimits;
   /** What connects here, for the log. */
   readonly port: string;
+  readonly maxConnections: number;
   /** Maximum size of a head, bytes. */
   readonly maxHeadBytes: () => number;
   /** Timeout of a head from its first byte, ms. */
@@ -50,9 +56,11 @@
   readonly id: string;
   /** Lets the request start, or not; undefined once it has. */
   letStart: ((starts: boolean) => void) | undefined;
+  /** Refuses the request; undefined if it may have run, or is about to be refused anyway. */
+  refuse: (() => void) | undefined;
 }
 
-interface Connection {
+interface Connection extends LimitedConnection {
   readonly socket: Socket;
   readonly feed: ConnectionFeed;
   /** Memory of what has arrived and is no request yet. */
@@ -71,7 +79,8 @@
   mayRead: boolean;
   /** Bytes of a head that is not complete. */
   headBytes: number;
-  readonly close: () => void;
+  /** When it was opened, or last got a request or completed a response, ms. */
+  sinceMs: number;
   /** When its bytes were last read again after a pause, ms. */
   resumedAtMs: number;
   /** Whether the rest of its bytes is left unread until it is closed. */
@@ -99,12 +108,25 @@
 /** The connections of one server. */
 export class ClientConnections {
   private readonly bySocket = new WeakMap<Socket, Connection>();
+  private readonly limit: ConnectionLimit<Connection>;
 
-  constructor(private readonly deps: ClientConnectionsDeps) {}
+  constructor(private readonly deps: ClientConnectionsDeps) {
+    const { limits, port } = deps;
+    this.limit = new ConnectionLimit(deps.maxConnections, (closed) => {
+      limits.metrics.count('connections_closed_for_others_total', { port }, closed);
+      limits.log.warn('connections.full', { port, closed, open: deps.maxConnections });
+    });
+    limits.metrics.gauge(`open_connections_${port}`, () => this.limit.size);
+  }
 
   /** Follows a new connection. */
   readonly onConnection = (socket: Socket): void => {
     const connection = this.of(socket);
+    if (!this.limit.add(connection)) {
+      this.deps.limits.metrics.count('connections_refused_total', { port: this.deps.port });
+      socket.destroy();
+      return;
+    }
     socket.once('close', () => this.forget(connection));
     // The server calls it after the last response. Closed at once, unread bytes would reset the connection, and
     // the client might lose the response (RFC 9112, 9.6).
@@ -119,6 +141,7 @@
   private forget(connection: Connection): void {
     connection.feed.clear();
     this.deps.limits.largeReaders.delete(connection);
+    this.limit.remove(connection);
     this.deps.limits.memory.pending.close(connection.account);
   }
 
@@ -169,10 +192,11 @@
   add(req: IncomingMessage, res: ServerResponse, id: string): boolean | Promise<boolean> {
     const connection = this.of(req.socket);
     const { last } = connection;
+    connection.sinceMs = this.deps.limits.nowMs();
     if (connection.isLingering || connection.isAbandoned) return false;
     if (connection.malformedAtBytes !== undefined) return false;
     if (connection.isEnding && (!last || last.res.headersSent)) return false;
-    const due: DueResponse = { res, id, letStart: undefined };
+    const due: DueResponse = { res, id, letStart: undefined, refuse: undefined };
     connection.due.add(due);
     connection.last = due;
     connection.newest = req;
@@ -187,6 +211,7 @@
 
   private remove(connection: Connection, due: DueResponse): void {
     const { socket, waiting } = connection;
+    connection.sinceMs = this.deps.limits.nowMs();
     this.deps.limits.largeReaders.delete(connection);
     connection.due.delete(due);
     if (connection.last === due) connection.last = undefined;
@@ -211,6 +236,20 @@
     connection.feed.resume();
   }
 
+  /**
+   * Lets a request that waits be refused, if its connection is needed for others, until the returned function is
+   * called: when it may run.
+   * @example const noteSent = connections.makeRefusable(req, res, () => refuse(res));
+   */
+  makeRefusable({ socket }: IncomingMessage, res: ServerResponse, refuse: () => void): () => void {
+    for (const due of this.of(socket).due) {
+      if (due.res !== res) continue;
+      due.refuse = refuse;
+      return () => void (due.refuse = undefined);
+    }
+    return () => undefined;
+  }
+
   /** Reads the rest of the body of a refused request; the connection ends if it exceeds the limits. */
   discardBody(req: IncomingMessage, id: string, limits: DiscardLimits): void {
     const connection = this.of(req.socket);
@@ -327,6 +366,7 @@
     if (due.size === 0 || isArriving(connection)) return void socket.destroy();
     this.endAfterLast(connection);
     socket.pause();
+    for (const { refuse } of due) refuse?.();
   }
 
   private of(socket: Socket): Connection {
@@ -373,6 +413,7 @@
       isStartingNext: false,
       mayRead: true,
       headBytes: 0,
+      sinceMs: limits.nowMs(),
       resumedAtMs: Number.NEGATIVE_INFINITY,
       isAbandoned: false,
       discarding: undefined,
@@ -380,6 +421,7 @@
       malformedAtBytes: undefined,
       isLingering: false,
       lingerMs: LINGER_MS,
+      state: () => stateOf(created),
       close,
     };
     return created;
@@ -396,6 +438,20 @@
   return due.size === 1 && newest?.complete === false;
 }
 
+/** Whether none of the requests that lack their response may have run. */
+function isWaiting({ due }: Connection): boolean {
+  for (const { res, refuse, letStart: start } of due)
+    if (!refuse && !start && !res.writableEnded) return false;
+  return true;
+}
+
+function stateOf(connection: Connection): ConnectionState {
+  const { due, requests, headBytes, isLingering } = connection;
+  if (isLingering || isArriving(connection)) return 'arriving';
+  if (due.size > 0) return isWaiting(connection) ? 'waiting' : 'running';
+  return requests === 0 || headBytes > 0 ? 'arriving' : 'idle';
+}
+
 /** Whether nothing more is parsed: requests wait for their turn, or responses for the end of the connection. */
 function isBlocked({ waiting, isAbandoned, due }: Connection): boolean {
   return waiting.size > 0 || (isAbandoned && due.size > 0);
--- a/test/crowd/programs.ts
+++ b/test/crowd/programs.ts
@@ -252,7 +252,12 @@
     ...member.settings,
     instance: 'crowded',
     listen: { ...(role === 'entry' && { callers: any }), daemons: any, operators: any },
-    limits: { ...member.settings.limits, bodyBytes: MAX_BODY_BYTES, memoryMb: machine.memoryMb },
+    limits: {
+      ...member.settings.limits,
+      bodyBytes: MAX_BODY_BYTES,
+      memoryMb: machine.memoryMb,
+      descriptors: machine.descriptors,
+    },
   };
   const program = startProgram({
     machine,
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -96,6 +96,7 @@
   configApplyMs: 2000,
   parserHeaderBytes: 64 * 1024,
   memoryBytes: 256e6,
+  descriptors: 4096,
   hasAdmissionLevel: true,
   retryExtra: 480,
   retryWindowMs: 10_000,
@@ -183,7 +184,7 @@
   const nowMs = (): number => clock.nowMs();
   const ctx = createContext({
     settings,
-    clients: createClientLimits({ ...settings, log, metrics, nowMs }),
+    clients: createClientLimits({ role: 'entry', ...settings, log, metrics, nowMs }),
     retryShare: () => 0.2,
     callers: platformHeaders,
     state,
