Reject responses with a status above 599

RFC 9110, 15 calls a status outside 100 to 599 invalid. Statuses below 200 were rejected already, by the HTTP client, which takes them for interim responses.

--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -43,11 +43,15 @@
   readonly onHead: (head: ResponseHead) => void;
 }
 
+/** Highest valid status (RFC 9110, 15); the HTTP client rejects those that are too low. */
+const MAX_STATUS = 599;
+
 const REJECTED_TEXTS: Record<RejectReason, string> = {
   'other-request': 'the response belongs to another request',
   'no-request-id': 'the response lacks a request id',
   unsigned: 'the response is unsigned',
   encoded: 'the response has a content encoding',
+  'invalid-status': 'the status of the response is not from 100 to 599',
 };
 
 /** A response that must not be used, whatever its status says. */
@@ -67,6 +71,7 @@
 function rejectedHead(head: ResponseHead, request: GatewayRequest): RejectReason | undefined {
   if (head.requestId === undefined) return 'no-request-id';
   if (head.requestId !== request.id) return 'other-request';
+  if (head.status > MAX_STATUS) return 'invalid-status';
   if (head.status < 200 || head.status >= 300) return undefined;
   if (!head.isSigned) return 'unsigned';
   return head.isEncoded ? 'encoded' : undefined;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -182,7 +182,8 @@
 }
 
 /** Why the headers of a response show that it must not be used; label `reason` of `responses_rejected_total`. */
-export type RejectReason = 'other-request' | 'no-request-id' | 'unsigned' | 'encoded';
+export type RejectReason =
+  'other-request' | 'no-request-id' | 'unsigned' | 'encoded' | 'invalid-status';
 
 /** The response on which a fault rests, for the log. */
 export interface FaultEvidence {
