Count a connection again when the requests that waited on it have started

A connection kept the charge of requests that had waited for their turn until its next bytes came, so that a connection at rest could be closed for memory that it no longer took. client-connections.test fails before (8,192 bytes stay counted).

--- a/src/runtime/connections/connection-feed.ts
+++ b/src/runtime/connections/connection-feed.ts
@@ -63,7 +63,8 @@
 
   /** Goes on after a pause. */
   resume(): void {
-    if (this.unparsed && !this.isParsing) this.deps.queue.continue(this);
+    if (!this.unparsed) this.noteKept();
+    else if (!this.isParsing) this.deps.queue.continue(this);
     this.settle();
   }
 
