No immediate for each read of a connection that is parsed at once

The queue of connections scheduled an immediate after each read, to begin a new turn, which made the event loop poll once more for each request. A gap of more than 1 ms without parsing begins a turn now. Servers for daemons, the platform and operators check for late requests each second again, as before they were limited; 100 ms are needed for callers only. Found by reading; not measured.

--- a/src/runtime/bounded-server.ts
+++ b/src/runtime/bounded-server.ts
@@ -1,14 +1,12 @@
 /** HTTP servers for other daemons, the platform and operators, whose clients are limited in what they take. */
 import { createServer, type RequestListener, type Server, type ServerOptions } from 'node:http';
 import type { Socket } from 'node:net';
-import {
-  ClientConnections,
-  HEAD_CHECK_INTERVAL_MS,
-  type ClientLimits,
-} from './connections/index.js';
+import { ClientConnections, type ClientLimits } from './connections/index.js';
 
 /** Maximum time in which a request must arrive whole, ms: 4 MiB at half a MB per second take 8 s. */
 const DEFAULT_REQUEST_TIMEOUT_MS = 15_000;
+/** Interval between two checks for requests that are late, ms. */
+const CHECK_INTERVAL_MS = 1000;
 /** Maximum size of a head, bytes. */
 const MAX_HEAD_BYTES = 16 * 1024;
 
@@ -44,7 +42,7 @@
       maxHeaderSize: MAX_HEAD_BYTES,
       requestTimeout: requestTimeoutMs,
       headersTimeout: requestTimeoutMs,
-      connectionsCheckingInterval: Math.min(HEAD_CHECK_INTERVAL_MS, requestTimeoutMs),
+      connectionsCheckingInterval: Math.min(CHECK_INTERVAL_MS, requestTimeoutMs),
     },
     (req, res) => {
       req.on('error', () => undefined);
--- a/src/runtime/connections/consts.ts
+++ b/src/runtime/connections/consts.ts
@@ -14,6 +14,8 @@
 export const MAX_SLICE_MS = 1;
 /** Time for which connections are parsed before the event loop does other work, ms. */
 export const MAX_TURN_MS = 8;
+/** Time without parsing after which a new turn has begun, ms. */
+export const MIN_GAP_MS = 1;
 /** Memory that a head takes for each of its bytes: a short field becomes two strings and their places in a list. */
 export const MEMORY_PER_HEAD_BYTE = 8;
 /** Memory of a request that waits for its turn, bytes. */
--- a/src/runtime/connections/parse-queue.ts
+++ b/src/runtime/connections/parse-queue.ts
@@ -2,7 +2,7 @@
  * Shares the time for parsing among connections. Bytes in small chunks cost a hundred times as much to parse as the
  * same bytes in one, and the parser does not stop by itself before the end of what it is given.
  */
-import { MAX_TURN_MS } from './consts.js';
+import { MAX_TURN_MS, MIN_GAP_MS } from './consts.js';
 
 /** Bytes of one connection that wait to be parsed. */
 export interface Parsable {
@@ -17,7 +17,9 @@
   /** Connections that had no slice since they last had nothing to parse; they go first. */
   private readonly fresh = new Set<Parsable>();
   private readonly served = new Set<Parsable>();
+  /** Time spent in this turn of the event loop, and when the last slice ended, ms. */
   private spentMs = 0;
+  private endedAtMs = Number.NEGATIVE_INFINITY;
   private isScheduled = false;
 
   constructor(readonly nowMs: () => number) {}
@@ -27,8 +29,10 @@
    * @example queue.start(feed);
    */
   start(item: Parsable): void {
-    if (this.spentMs >= MAX_TURN_MS || this.fresh.size > 0) this.fresh.add(item);
-    else this.run(item);
+    // After a gap the event loop has done other work.
+    if (this.nowMs() - this.endedAtMs > MIN_GAP_MS) this.spentMs = 0;
+    if (this.spentMs < MAX_TURN_MS && this.fresh.size === 0) return this.run(item);
+    this.fresh.add(item);
     this.schedule();
   }
 
@@ -47,7 +51,8 @@
   private run(item: Parsable): void {
     const startedAtMs = this.nowMs();
     item.parseSlice();
-    this.spentMs += this.nowMs() - startedAtMs;
+    this.endedAtMs = this.nowMs();
+    this.spentMs += this.endedAtMs - startedAtMs;
   }
 
   private schedule(): void {
