--- a/src/gateway/requests/read-request-body.ts
+++ b/src/gateway/requests/read-request-body.ts
@@ -3,7 +3,7 @@
 import type { BodyReservation } from '../../core/buffering/index.js';
 import { notRun, type HarriergladeError } from '../../core/errors/index.js';
 import { Err, type Result } from '../../core/result/index.js';
-import { readBody } from '../../runtime/read-body.js';
+import { declaredBytes, readBody } from '../../runtime/read-body.js';
 
 /** Options of reading a request body. */
 export interface RequestBodyOptions {
@@ -21,10 +21,8 @@
   req: IncomingMessage,
   { reservation, maxBytes, maxMs }: RequestBodyOptions,
 ): Promise<Result<Buffer, HarriergladeError>> {
-  const declaredBytes = Math.min(Number(req.headers['content-length'] ?? 0), maxBytes);
-  if (!reservation.extendTo(declaredBytes))
-    return Err(
-      notRun('buffers-full', `The entry cannot buffer the ${declaredBytes} bytes of the body.`),
-    );
+  const bytes = declaredBytes(req, maxBytes);
+  if (!reservation.extendTo(bytes))
+    return Err(notRun('buffers-full', `The entry cannot buffer the ${bytes} bytes of the body.`));
   return readBody(req, maxBytes, maxMs, reservation);
 }
--- a/src/runtime/connections/consts.ts
+++ b/src/runtime/connections/consts.ts
@@ -21,8 +21,7 @@
 /** Memory of a request that waits for its turn, bytes. */
 export const WAITING_REQUEST_BYTES = 8 * 1024;
 /** Bytes of requests that nobody needs that a process reads in a row, and bytes per ms after that. */
-export const DISCARD_BURST_BYTES = 2 * 1024 * 1024;
-export const DISCARD_BYTES_PER_MS = 2 * 1024;
+export const DISCARD_RATE = { burstBytes: 2 * 1024 * 1024, bytesPerMs: 2 * 1024 } as const;
 /** Share of the connections of a server that is closed when there are too many, so that it is seldom necessary. */
 export const EVICTED_SHARE = 0.02;
 /** Reads of at least this size count as those of a large request; smaller ones are never held up. */
--- a/src/runtime/connections/discard-allowance.ts
+++ b/src/runtime/connections/discard-allowance.ts
@@ -1,13 +1,13 @@
 /** Limits what a process reads of requests that it has refused: the rest is read only so that callers see why. */
-import { DISCARD_BURST_BYTES, DISCARD_BYTES_PER_MS } from './consts.js';
+import { ByteBucket } from '../byte-bucket.js';
+import { DISCARD_RATE } from './consts.js';
 
-/** Token bucket of the bytes that all connections of a process discard. */
+/** The bytes that all connections of a process discard. */
 export class DiscardAllowance {
-  private available = DISCARD_BURST_BYTES;
-  private refilledAtMs: number;
+  private readonly bucket: ByteBucket;
 
-  constructor(private readonly nowMs: () => number) {
-    this.refilledAtMs = nowMs();
+  constructor(nowMs: () => number) {
+    this.bucket = new ByteBucket(nowMs, DISCARD_RATE);
   }
 
   /**
@@ -15,13 +15,11 @@
    * @example if (!allowance.take(chunk.length)) socket.destroy();
    */
   take(bytes: number): boolean {
-    const nowMs = this.nowMs();
-    const refill = (nowMs - this.refilledAtMs) * DISCARD_BYTES_PER_MS;
-    this.available = Math.min(DISCARD_BURST_BYTES, this.available + refill) - bytes;
-    this.refilledAtMs = nowMs;
+    const { bucket } = this;
+    bucket.refill();
+    const isAllowed = bytes <= bucket.availableBytes;
     // A debt would refuse the callers of the next seconds for what one read brought.
-    if (this.available >= 0) return true;
-    this.available = 0;
-    return false;
+    bucket.availableBytes = isAllowed ? bucket.availableBytes - bytes : 0;
+    return isAllowed;
   }
 }
--- a/src/runtime/read-allowance.ts
+++ b/src/runtime/read-allowance.ts
@@ -1,4 +1,5 @@
 /** Bounds how much is read from some connections, so that a flood on them does not take the event loop from others. */
+import { ByteBucket, type ByteRate } from './byte-bucket.js';
 
 /** How often waiting reads are tried, ms. */
 const RETRY_MS = 1;
@@ -9,25 +10,13 @@
   readonly read: () => void;
 }
 
-/** Rate of a `ReadAllowance`. */
-export interface ReadRate {
-  /** Bytes that may be read at once. */
-  readonly burstBytes: number;
-  readonly bytesPerMs: number;
-}
-
 /** Token bucket of the bytes read on some connections. What exceeds it waits in the sockets. */
 export class ReadAllowance {
-  private available: number;
-  private refilledAtMs: number;
+  private readonly bucket: ByteBucket;
   private readonly waiting: WaitingRead[] = [];
 
-  constructor(
-    private readonly nowMs: () => number,
-    private readonly rate: ReadRate,
-  ) {
-    this.available = rate.burstBytes;
-    this.refilledAtMs = nowMs();
+  constructor(nowMs: () => number, rate: ByteRate) {
+    this.bucket = new ByteBucket(nowMs, rate);
   }
 
   /**
@@ -41,17 +30,14 @@
   }
 
   private start({ lastBytes, read }: WaitingRead): void {
-    this.available -= lastBytes;
+    this.bucket.availableBytes -= lastBytes;
     read();
   }
 
   private hasAllowance(): boolean {
-    if (this.available > 0) return true;
-    const nowMs = this.nowMs();
-    const refill = (nowMs - this.refilledAtMs) * this.rate.bytesPerMs;
-    this.available = Math.min(this.rate.burstBytes, this.available + refill);
-    this.refilledAtMs = nowMs;
-    return this.available > 0;
+    if (this.bucket.availableBytes > 0) return true;
+    this.bucket.refill();
+    return this.bucket.availableBytes > 0;
   }
 
   private scheduleRetry(): void {
--- a/src/runtime/read-body.ts
+++ b/src/runtime/read-body.ts
@@ -22,6 +22,11 @@
   readonly complete: () => void;
 }
 
+/** Length that a request declares for its body, at most `maxBytes`; 0 if it declares none. */
+export function declaredBytes(req: IncomingMessage, maxBytes: number): number {
+  return Math.min(Number(req.headers['content-length'] ?? 0), maxBytes);
+}
+
 /**
  * Resolves to the complete body, or to the error that ended it.
  * @example const body = await readBody(req, 1_048_576, 10_000, memory); if (body.err) return refuse(body.val);
@@ -33,8 +38,7 @@
   memory?: BodyMemory,
 ): Promise<Result<Buffer, HarriergladeError>> {
   return new Promise((resolve) => {
-    const declaredBytes = Math.min(Number(req.headers['content-length'] ?? 0), maxBytes);
-    const body = new ByteCollector(declaredBytes || undefined);
+    const body = new ByteCollector(declaredBytes(req, maxBytes) || undefined);
     const settle = (result: () => Result<Buffer, HarriergladeError>): void => {
       timeout.stop();
       req.off('data', onData).off('end', onEnd).off('error', onError).off('close', onEarlyClose);
--- a/test/crowd/crowd.ts
+++ b/test/crowd/crowd.ts
@@ -114,3 +114,11 @@
   const chunk = `${chunkBytes.toString(16)}${extension}\r\n${'x'.repeat(chunkBytes)}\r\n`;
   return chunk.repeat(Math.floor(bodyBytes / chunkBytes));
 }
+
+/**
+ * A crowd of which each connection sends a text, byte by character.
+ * @example crowdOf(40, head + chunks(160_000, 1))
+ */
+export function crowdOf(connections: number, text: string, more: Partial<Crowd> = {}): Crowd {
+  return { connections, bytes: Buffer.from(text, 'latin1'), ...more };
+}
--- a/test/crowd/daemon.test.ts
+++ b/test/crowd/daemon.test.ts
@@ -1,16 +1,12 @@
 /** Guards against clients that end a daemon of the product's own interface. */
 import { test } from 'node:test';
 import { checkCrowds } from './check.js';
-import { chunks, type Crowd } from './crowd.js';
+import { chunks, crowdOf, type Crowd } from './crowd.js';
 import { CALL_CROWDS, POLL_CROWDS } from './internal-crowds.js';
 import { MAX_BODY_BYTES, ownHead, startDaemon } from './programs.js';
 
 const KB = 1024;
 const CHUNKED = 'Transfer-Encoding: chunked';
-const crowdOf = (connections: number, text: string): Crowd => ({
-  connections,
-  bytes: Buffer.from(text, 'latin1'),
-});
 
 const CALLER_CROWDS: Readonly<Record<string, readonly Crowd[]>> = {
   'chunks of 1 byte, never ended': [crowdOf(40, `${ownHead(CHUNKED)}\r\n${chunks(160 * KB, 1)}`)],
--- a/test/crowd/entry-callers.test.ts
+++ b/test/crowd/entry-callers.test.ts
@@ -1,7 +1,7 @@
 /** Guards against clients that end an entry, or keep it from serving others, by what they send to its callers' port. */
 import { test } from 'node:test';
 import { checkCrowds } from './check.js';
-import { chunks, type Crowd } from './crowd.js';
+import { chunks, crowdOf, type Crowd } from './crowd.js';
 import { callerHead, MAX_BODY_BYTES, PORT, startEntry } from './programs.js';
 
 const CHUNKED = 'Transfer-Encoding: chunked';
@@ -9,11 +9,6 @@
 const LAST_CHUNK = '0\r\n\r\n';
 
 const post = (...headers: string[]): string => `${callerHead('POST', '/x/1', ...headers)}\r\n`;
-const crowdOf = (connections: number, text: string, more: Partial<Crowd> = {}): Crowd => ({
-  connections,
-  bytes: Buffer.from(text, 'latin1'),
-  ...more,
-});
 
 const TINY = chunks(160 * KB, 1);
 const LARGE = chunks(MAX_BODY_BYTES - 1, 64 * KB) + chunks(64 * KB - 1, 64 * KB - 1);
--- a/test/crowd/internal-crowds.ts
+++ b/test/crowd/internal-crowds.ts
@@ -1,16 +1,11 @@
 /** Crowds at ports whose clients should be other daemons, the platform or operators. */
-import { chunks, type Crowd } from './crowd.js';
+import { chunks, crowdOf, type Crowd } from './crowd.js';
 
 const KB = 1024;
 const CHUNKED = 'Transfer-Encoding: chunked\r\n';
 
 const head = (method: string, path: string, headers = ''): string =>
   `${method} ${path} HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\n${headers}\r\n`;
-const crowdOf = (connections: number, text: string, more: Partial<Crowd> = {}): Crowd => ({
-  connections,
-  bytes: Buffer.from(text, 'latin1'),
-  ...more,
-});
 
 const input = encodeURIComponent('{"from":"e-1","sends":false}');
 const CALL = head('GET', `/rpc/group?input=${input}`);
--- a/test/crowd/machine.ts
+++ b/test/crowd/machine.ts
@@ -8,6 +8,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as wait } from 'node:timers/promises';
+import { killOnExit } from '../../bench/harness/kill-on-exit.js';
 
 /** Memory and descriptors of a machine, and the heap limit in the command of its program. */
 export interface Machine {
@@ -20,7 +21,8 @@
 export const ENTRY_MACHINE: Machine = { memoryMb: 180, heapMb: 80, descriptors: 600 };
 export const AGENT_MACHINE: Machine = { memoryMb: 160, heapMb: 66, descriptors: 600 };
 
-const KB_PER_MB = 1000;
+const BYTES_PER_MB = 1e6;
+/** Unit of /proc, bytes. */
 const BYTES_PER_KB = 1024;
 const SAMPLE_MS = 25;
 const KILL_AFTER_MS = 3000;
@@ -58,7 +60,7 @@
 function peakMemoryMb(pid: number): number {
   const status = readFileSync(`/proc/${pid}/status`, 'utf8');
   const [, peakKb = '0'] = /^VmHWM:\s+(\d+) kB$/m.exec(status) ?? [];
-  return (Number(peakKb) * BYTES_PER_KB) / KB_PER_MB / 1000;
+  return (Number(peakKb) * BYTES_PER_KB) / BYTES_PER_MB;
 }
 
 function openDescriptors(pid: number): number {
@@ -89,6 +91,7 @@
     env: { ...process.env, ...env(path) },
     stdio: ['ignore', 'pipe', 'pipe'],
   });
+  killOnExit(child);
   const output = watchOutput(child);
   const pid = child.pid ?? 0;
   let end: string | undefined;
