Free the memory of a refused body at once

What callers saw: an entry under a crowd of large bodies took 20 MB more than its account said.

Cause: when a body is refused, its memory is no longer counted, but the request's listeners refer to the collector until the connection closes, which the client decides.

The test fails before: 20 refused bodies of 900 KB are never freed.

Change: readBody clears the collector when it has its result.

--- a/src/core/buffering/byte-collector.ts
+++ b/src/core/buffering/byte-collector.ts
@@ -50,6 +50,13 @@
     return this.buffer.subarray(0, this.length);
   }
 
+  /** Frees the memory; what `toBuffer` has returned stays valid. */
+  clear(): void {
+    this.buffer = NO_BYTES;
+    this.length = 0;
+    this.isForeign = false;
+  }
+
   private capacityFor(needed: number): number {
     const maxAhead = Math.max(MAX_AHEAD_BYTES, MAX_AHEAD_SHARE * this.length);
     const ahead = this.length + Math.min(this.length, maxAhead);
--- a/src/runtime/read-body.ts
+++ b/src/runtime/read-body.ts
@@ -43,6 +43,8 @@
       timeout.stop();
       req.off('data', onData).off('end', onEnd).off('error', onError).off('close', onEarlyClose);
       resolve(result());
+      // The request may refer to the body until its connection closes.
+      body.clear();
     };
     const onEnd = (): void =>
       settle(() => {
--- a/test/runtime/read-body.test.ts
+++ b/test/runtime/read-body.test.ts
@@ -4,12 +4,15 @@
  */
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import type { IncomingMessage } from 'node:http';
-import { connect } from 'node:net';
+import { IncomingMessage } from 'node:http';
+import { connect, Socket } from 'node:net';
 import { test } from 'node:test';
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
 import { closeServer, serveLoopback } from '../../fakes/http/index.js';
-import { readBody } from '../../src/runtime/read-body.js';
+import { readBody, type BodyMemory } from '../../src/runtime/read-body.js';
 import { pauseProcess } from '../fixtures/pause-process.js';
+import { until } from '../fixtures/until.js';
 
 const TIMEOUT_MS = 50;
 const MAX_BYTES = 100;
@@ -32,3 +35,34 @@
     closeServer(server);
   }
 });
+
+test('a body that was refused keeps no memory while its connection stays open', async () => {
+  setFlagsFromString('--expose-gc');
+  const collectGarbage = runInNewContext('gc') as () => void;
+  const bodyBytes = 900_000;
+  const bodies = 20;
+  const reqs: IncomingMessage[] = [];
+  const ends: (() => void)[] = [];
+  let takenBytes = 0;
+  const memory: BodyMemory = {
+    extendTo: (bytes) => (takenBytes = Math.max(takenBytes, bytes)) > 0,
+    whenEnded: (onEnded) => ends.push(onEnded),
+    complete: () => undefined,
+  };
+  const usedBytes = (): number => {
+    collectGarbage();
+    return process.memoryUsage().arrayBuffers;
+  };
+  for (let i = 0; i < bodies; i += 1) {
+    const req = new IncomingMessage(new Socket());
+    reqs.push(req);
+    void readBody(req, 2 * bodyBytes, 10_000, memory);
+    req.push(Buffer.alloc(bodyBytes / 2));
+    req.push(Buffer.alloc(bodyBytes / 2));
+  }
+  await until('all bodies are collected', () => takenBytes >= bodyBytes);
+  const before = usedBytes();
+  for (const end of ends) end();
+  await until('the bodies are freed', () => before - usedBytes() > 0.9 * bodies * bodyBytes);
+  assert.equal(reqs.length, bodies);
+});
