Leave what arrives on a paused connection unread

What callers saw: an entry under a crowd of large bodies took up to 13 MB more than its account said.

Cause: a paused socket of Node reads on once, up to 64 KB into its own buffer, and once more after each chunk, because the stream fills its buffer up to the high-water mark also while it is paused. Nobody counted these bytes, one read for each of 200 connections.

Change: reads stop with a pause and start with the resumption. A client that leaves a paused connection is noticed once the connection is resumed or written to.

--- a/src/runtime/connections/client-connections.ts
+++ b/src/runtime/connections/client-connections.ts
@@ -23,6 +23,7 @@
   MEMORY_PER_HEAD_BYTE,
   WAITING_REQUEST_BYTES,
 } from './consts.js';
+import { stopReadsWhilePaused } from './paused-reads.js';
 import { WaitingResponses } from './waiting-responses.js';
 
 const HEAD_OVERFLOW = 'HPE_HEADER_OVERFLOW';
@@ -133,6 +134,7 @@
     // The server calls it after the last response. Closed at once, unread bytes would reset the connection, and
     // the client might lose the response (RFC 9112, 9.6).
     socket.destroySoon = () => linger(connection);
+    stopReadsWhilePaused(socket);
     // Reading a body resumes the connection, as does the server once its responses have been sent.
     socket.on('resume', () => {
       if (!isDropping(connection)) connection.feed.resume();
