Read new connections as the rate of reads allows while many large requests arrive

Cause: only reads behind a large one were limited. A client that was refused came back with a new connection, whose first 64 KB were read at once and are garbage until a collection, up to 850 times in 1.5 s; the faster the machine, the more.

Ruled out: the bodies themselves, which the account counts.

Change: while more than four large requests arrive, the first read of a new connection takes 64 KB of a rate of its own, and gives back what it did not need, so that small requests go on at once. A refused request counts as one that arrives until the connection closes. The reads of one connection are in read-pace.ts.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -338,10 +338,8 @@
     },
   );
 
-  server.on('connection', (socket) => {
-    applyLimits();
-    connections.onConnection(socket);
-  });
+  server.on('connection', applyLimits);
+  connections.follow(server);
   server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
     connections.onClientError(err, socket as Socket),
   );
--- a/src/runtime/bounded-server.ts
+++ b/src/runtime/bounded-server.ts
@@ -56,7 +56,7 @@
       });
     },
   );
-  server.on('connection', connections.onConnection);
+  connections.follow(server);
   server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
     connections.onClientError(err, socket as Socket),
   );
--- a/src/runtime/byte-bucket.ts
+++ b/src/runtime/byte-bucket.ts
@@ -26,9 +26,12 @@
    */
   refill(): void {
     const nowMs = this.nowMs();
-    const { burstBytes, bytesPerMs } = this.rate;
-    const refilled = this.availableBytes + (nowMs - this.refilledAtMs) * bytesPerMs;
-    this.availableBytes = Math.min(burstBytes, refilled);
+    this.give((nowMs - this.refilledAtMs) * this.rate.bytesPerMs);
     this.refilledAtMs = nowMs;
   }
+
+  /** Adds bytes, up to the size of the bucket. */
+  give(bytes: number): void {
+    this.availableBytes = Math.min(this.rate.burstBytes, this.availableBytes + bytes);
+  }
 }
--- a/src/runtime/connections/client-connections.ts
+++ b/src/runtime/connections/client-connections.ts
@@ -2,7 +2,7 @@
  * Connections of clients: which responses are due on each, what it keeps, and how it is closed. Nothing is written out
  * of turn: an error that ends a connection is reported behind the responses that are due, or not at all.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { PendingAccount } from '../../core/buffering/index.js';
 import { discardRequestBody, type DiscardLimits } from '../discard-request-body.js';
@@ -15,15 +15,14 @@
 } from './connection-limit.js';
 import {
   HEAD_CHECK_INTERVAL_MS,
-  LARGE_READ_BYTES,
   LINGER_MS,
   MAX_MALFORMED_BYTES,
   MAX_REQUESTS_AHEAD,
-  MAX_UNLIMITED_READERS,
   MEMORY_PER_HEAD_BYTE,
   WAITING_REQUEST_BYTES,
 } from './consts.js';
 import { stopReadsWhilePaused } from './paused-reads.js';
+import { ReadPace } from './read-pace.js';
 import { WaitingResponses } from './waiting-responses.js';
 
 const HEAD_OVERFLOW = 'HPE_HEADER_OVERFLOW';
@@ -65,6 +64,7 @@
 interface Connection extends LimitedConnection {
   readonly socket: Socket;
   readonly feed: ConnectionFeed;
+  readonly pace: ReadPace;
   /** Memory of what has arrived and is no request yet. */
   readonly account: PendingAccount;
   /** Responses that are not complete yet, in order. */
@@ -77,8 +77,6 @@
   /** The request that came last among those due. */
   last: DueResponse | undefined;
   isStartingNext: boolean;
-  /** Whether the rate of reads lets more of its bytes be read. */
-  mayRead: boolean;
   /** Bytes of a head that is not complete. */
   headBytes: number;
   /** When it was opened, or last got a request or completed a response, ms. */
@@ -122,8 +120,17 @@
     limits.metrics.gauge(`open_connections_${port}`, () => this.limit.size);
   }
 
-  /** Follows a new connection. */
-  readonly onConnection = (socket: Socket): void => {
+  /**
+   * Follows the connections of a server, and reads each one when it may be read.
+   * @example connections.follow(createServer(listener));
+   */
+  follow(server: Server): void {
+    // Without it Node reads a new connection once, even if it is paused at once.
+    Object.assign(server, { pauseOnConnect: true });
+    server.on('connection', (socket: Socket) => this.onConnection(socket));
+  }
+
+  private onConnection(socket: Socket): void {
     const connection = this.of(socket);
     if (!this.limit.add(connection)) {
       this.deps.limits.metrics.count('connections_refused_total', { port: this.deps.port });
@@ -140,11 +147,12 @@
       if (!isDropping(connection)) connection.feed.resume();
     });
     socket.on('data', (bytes: Buffer) => this.onData(connection, bytes));
-  };
+    connection.pace.start();
+  }
 
   private forget(connection: Connection): void {
     connection.feed.clear();
-    this.deps.limits.largeReaders.delete(connection);
+    connection.pace.close();
     this.limit.remove(connection);
     this.deps.limits.memory.pending.close(connection.account);
   }
@@ -156,22 +164,10 @@
       return this.abandon(connection);
     }
     if (isDropping(connection)) return;
-    if (bytes.length >= LARGE_READ_BYTES) this.limitReads(connection, bytes.length);
+    connection.pace.note(bytes.length);
     connection.feed.push(bytes);
   }
 
-  /** Reads on only when the read rate allows it, if many large requests arrive. */
-  private limitReads(connection: Connection, bytes: number): void {
-    const { largeReaders } = this.deps.limits;
-    largeReaders.add(connection);
-    if (largeReaders.size <= MAX_UNLIMITED_READERS) return;
-    connection.mayRead = false;
-    this.deps.limits.reads.run(bytes, () => {
-      connection.mayRead = true;
-      if (!isDropping(connection)) connection.feed.resume();
-    });
-  }
-
   /** Counts a piece that was parsed, and ends the connection if it is part of a head that is too large. */
   private onParsed(connection: Connection, isPartOfHead: boolean, bytes: number): void {
     connection.headBytes = isPartOfHead ? connection.headBytes + bytes : 0;
@@ -217,7 +213,8 @@
   private remove(connection: Connection, due: DueResponse): void {
     const { socket, waiting } = connection;
     connection.sinceMs = this.deps.limits.nowMs();
-    this.deps.limits.largeReaders.delete(connection);
+    // The rest of a refused request is still read.
+    if (connection.newest?.complete) connection.pace.complete();
     connection.due.delete(due);
     if (connection.last === due) connection.last = undefined;
     if (due.letStart) letStart(connection, due, false);
@@ -400,15 +397,19 @@
         serverParse.call(socket, bytes);
       },
       isBlocked: () => isBlocked(created),
-      mayRead: () => created.mayRead,
+      mayRead: () => pace.mayRead,
       newest: () => created.newest,
       onParsed: (bytes, startsInHead) =>
         this.onParsed(created, startsInHead && created.requests === requestsBefore, bytes),
       onKept: (bytes) => this.onKept(created, bytes),
     });
+    const pace = new ReadPace(limits, () => {
+      if (!isDropping(created)) feed.resume();
+    });
     const created: Connection = {
       socket,
       feed,
+      pace,
       account: limits.memory.pending.open(close),
       due: new Set(),
       newest: undefined,
@@ -416,7 +417,6 @@
       waiting: new Set(),
       last: undefined,
       isStartingNext: false,
-      mayRead: true,
       headBytes: 0,
       sinceMs: limits.nowMs(),
       resumedAtMs: Number.NEGATIVE_INFINITY,
--- a/src/runtime/connections/client-limits.ts
+++ b/src/runtime/connections/client-limits.ts
@@ -6,6 +6,7 @@
 import { READ_BURST_SHARE, READ_SHARE_PER_MS } from './consts.js';
 import { DiscardAllowance } from './discard-allowance.js';
 import { ParseQueue } from './parse-queue.js';
+import type { SharedReads } from './read-pace.js';
 
 /** Dependencies of `createClientLimits`. */
 export interface ClientLimitsDeps {
@@ -20,16 +21,13 @@
 }
 
 /** Limits of the clients of one process. */
-export interface ClientLimits extends Pick<ClientLimitsDeps, 'log' | 'metrics' | 'nowMs'> {
+export interface ClientLimits
+  extends SharedReads, Pick<ClientLimitsDeps, 'log' | 'metrics' | 'nowMs'> {
   /** Budget of the bytes that the process buffers. */
   readonly memory: MemoryBudget;
   readonly connections: ConnectionShares;
   readonly queue: ParseQueue;
   readonly discards: DiscardAllowance;
-  /** Rate at which many large requests are read. */
-  readonly reads: ReadAllowance;
-  /** Connections on which a large request arrives. */
-  readonly largeReaders: Set<object>;
 }
 
 /** Maximum number of open connections of each server of a process. */
@@ -74,6 +72,10 @@
   metrics.gauge('buffered_bytes', () => memory.usedBytes);
   metrics.gauge('buffered_peak_bytes', () => memory.peakBytes);
   metrics.gauge('buffered_budget_bytes', () => memory.limits.totalBytes);
+  const readRate = {
+    burstBytes: memoryBytes * READ_BURST_SHARE,
+    bytesPerMs: memoryBytes * READ_SHARE_PER_MS,
+  };
   return {
     log,
     metrics,
@@ -83,9 +85,7 @@
     queue: new ParseQueue(nowMs),
     discards: new DiscardAllowance(nowMs),
     largeReaders: new Set(),
-    reads: new ReadAllowance(nowMs, {
-      burstBytes: memoryBytes * READ_BURST_SHARE,
-      bytesPerMs: memoryBytes * READ_SHARE_PER_MS,
-    }),
+    reads: new ReadAllowance(nowMs, readRate),
+    firstReads: new ReadAllowance(nowMs, readRate),
   };
 }
--- a/src/runtime/read-allowance.ts
+++ b/src/runtime/read-allowance.ts
@@ -4,33 +4,48 @@
 /** How often waiting reads are tried, ms. */
 const RETRY_MS = 1;
 
-/** A read of a socket, and the bytes that its last one returned. */
+/** A read of a socket, and the bytes that it is charged. */
 interface WaitingRead {
-  readonly lastBytes: number;
+  readonly chargedBytes: number;
   readonly read: () => void;
 }
 
 /** Token bucket of the bytes read on some connections. What exceeds it waits in the sockets. */
 export class ReadAllowance {
   private readonly bucket: ByteBucket;
-  private readonly waiting: WaitingRead[] = [];
+  private readonly waiting = new Set<WaitingRead>();
+  private isScheduled = false;
 
   constructor(nowMs: () => number, rate: ByteRate) {
     this.bucket = new ByteBucket(nowMs, rate);
   }
 
   /**
-   * Reads at once, or in order of arrival once the allowance permits. A read is charged the bytes of the last one
-   * on its socket, as its own are not known yet.
-   * @example allowance.run(lastBytes, () => socket.resume());
+   * Reads at once, or in order of arrival once the allowance permits. As its bytes are not known yet, a read is
+   * charged those that the caller expects: of the last read on its socket, say. Returns a function that takes back
+   * a read that still waits.
+   * @example const cancel = allowance.run(lastBytes, () => socket.resume());
    */
-  run(lastBytes: number, read: () => void): void {
-    if (this.waiting.length === 0 && this.hasAllowance()) return this.start({ lastBytes, read });
-    if (this.waiting.push({ lastBytes, read }) === 1) this.scheduleRetry();
+  run(chargedBytes: number, read: () => void): () => void {
+    const next = { chargedBytes, read };
+    if (this.waiting.size === 0 && this.hasAllowance()) this.start(next);
+    else {
+      this.waiting.add(next);
+      this.scheduleRetry();
+    }
+    return () => void this.waiting.delete(next);
   }
 
-  private start({ lastBytes, read }: WaitingRead): void {
-    this.bucket.availableBytes -= lastBytes;
+  /**
+   * Gives back what a read was charged too much.
+   * @example allowance.refund(chargedBytes - chunk.length);
+   */
+  refund(bytes: number): void {
+    this.bucket.give(bytes);
+  }
+
+  private start({ chargedBytes, read }: WaitingRead): void {
+    this.bucket.availableBytes -= chargedBytes;
     read();
   }
 
@@ -41,13 +56,16 @@
   }
 
   private scheduleRetry(): void {
+    if (this.isScheduled) return;
+    this.isScheduled = true;
     setTimeout(() => {
-      while (this.hasAllowance()) {
-        const next = this.waiting.shift();
-        if (!next) return;
+      for (const next of this.waiting) {
+        if (!this.hasAllowance()) break;
+        this.waiting.delete(next);
         this.start(next);
       }
-      if (this.waiting.length > 0) this.scheduleRetry();
+      this.isScheduled = false;
+      if (this.waiting.size > 0) this.scheduleRetry();
     }, RETRY_MS).unref();
   }
 }
--- a/test/runtime/read-allowance.test.ts
+++ b/test/runtime/read-allowance.test.ts
@@ -55,3 +55,24 @@
   for (let i = 0; i < 1000; i += 1) state.allowance.run(500, () => void (reads += 1));
   assert.equal(reads, 1000);
 });
+
+test('a read that was taken back is neither made nor charged', async () => {
+  const state = flood();
+  let isRead = false;
+  const cancel = state.allowance.run(CHUNK_BYTES, () => (isRead = true));
+  cancel();
+  while (state.read.length < SOCKETS) {
+    state.clock.nowMs += 1;
+    await wait(1);
+  }
+  await wait(20);
+  assert.ok(!isRead);
+});
+
+test('what a read was charged too much is left for others', async () => {
+  const { allowance, read } = flood();
+  for (let i = 0; i < READS_AT_ONCE; i += 1) allowance.refund(CHUNK_BYTES);
+  while (read.length < 2 * READS_AT_ONCE) await wait(1);
+  await wait(20);
+  assert.equal(read.length, 2 * READS_AT_ONCE);
+});
