Count the memory of whole heads

What callers saw: nothing more from an entry after a crowd of whole requests with many short fields to a slow endpoint. With 600 descriptors a crowd of 400 took 161 to 177 MB of 180; with 2400 descriptors one of 900 ended the process.

Cause: heads were counted only until they had arrived whole. A request keeps its fields until its response is closed: 1500 fields take 260 KB, twenty times their length, and nothing but the number of connections limited them.

Change: what the fields of a head take beyond 8 KB is counted with what arrives until the response is closed. A request whose head does not fit is refused before it runs, and gives up its fields.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { BodyReservation } from '../core/buffering/index.js';
-import { errorText, type HarriergladeError } from '../core/errors/index.js';
+import { errorText, notRun, type HarriergladeError } from '../core/errors/index.js';
 import {
   findRoute,
   type Organisation,
@@ -33,6 +33,8 @@
 } from './requests/active-request.js';
 import type { RequestHead, GatewayRequest } from './types.js';
 
+const NO_HEAD_MEMORY = 'The entry cannot keep the fields of the head.';
+
 /** The running gateway. */
 export interface Gateway {
   readonly server: Server;
@@ -198,9 +200,14 @@
     };
     // Its response could not be sent: it is not run, and its caller reads the end of the connection.
     const starts = connections.add(req, res, id);
-    if (!(starts === true || (await starts))) return;
-    if (isStopping()) connections.end(req);
+    if (starts === false) return;
     if (callers.requestIdHeader) res.setHeader(callers.requestIdHeader, id);
+    if (!connections.keepHead(req, res)) {
+      finish(undefined, id, res, outcomeOfBody(notRun('buffers-full', NO_HEAD_MEMORY)), note);
+      return discardRest(req, id, head.deadlineMs);
+    }
+    if (starts !== true && !(await starts)) return;
+    if (isStopping()) connections.end(req);
     const admitted = checkHead(head, req);
     if (admitted.err) {
       finish(undefined, id, res, { kind: 'refused', refusal: admitted.val }, note);
--- a/src/runtime/bounded-server.ts
+++ b/src/runtime/bounded-server.ts
@@ -7,6 +7,8 @@
 const DEFAULT_REQUEST_TIMEOUT_MS = 15_000;
 /** Interval between two checks for requests that are late, ms. */
 const CHECK_INTERVAL_MS = 1000;
+/** Response to a request whose head does not fit into memory. */
+const NO_MEMORY_STATUS = 503;
 /** Maximum size of a head, bytes. */
 const MAX_HEAD_BYTES = 16 * 1024;
 
@@ -50,8 +52,14 @@
         if (!req.complete) req.socket.destroySoon();
       });
       const starts = connections.add(req, res, req.url ?? '');
+      if (starts === false) return;
+      if (!connections.keepHead(req, res)) {
+        connections.end(req);
+        res.writeHead(NO_MEMORY_STATUS).end();
+        return;
+      }
       if (starts === true) return listener(req, res);
-      void Promise.resolve(starts).then((isStarted) => {
+      void starts.then((isStarted) => {
         if (isStarted) listener(req, res);
       });
     },
--- a/src/runtime/connections/client-connections.ts
+++ b/src/runtime/connections/client-connections.ts
@@ -21,6 +21,7 @@
   MEMORY_PER_HEAD_BYTE,
   WAITING_REQUEST_BYTES,
 } from './consts.js';
+import { keepHead } from './head-memory.js';
 import { stopReadsWhilePaused } from './paused-reads.js';
 import { ReadPace } from './read-pace.js';
 import { WaitingResponses } from './waiting-responses.js';
@@ -210,6 +211,17 @@
     return new Promise((resolve) => (due.letStart = resolve));
   }
 
+  /**
+   * Counts the head of a request that was added; false if there is no memory for it, and the request has to be refused.
+   * @example if (!connections.keepHead(req, res)) return refuse(res);
+   */
+  keepHead(req: IncomingMessage, res: ServerResponse): boolean {
+    const { memory, metrics } = this.deps.limits;
+    const isKept = keepHead(memory.pending, req, res);
+    if (!isKept) metrics.count('heads_refused_total', { port: this.deps.port });
+    return isKept;
+  }
+
   private remove(connection: Connection, due: DueResponse): void {
     const { socket, waiting } = connection;
     connection.sinceMs = this.deps.limits.nowMs();
--- a/src/runtime/connections/consts.ts
+++ b/src/runtime/connections/consts.ts
@@ -18,6 +18,10 @@
 export const MIN_GAP_MS = 1;
 /** Memory that a head takes for each of its bytes: a short field becomes two strings and their places in a list. */
 export const MEMORY_PER_HEAD_BYTE = 8;
+/** Memory that one field of a whole head takes beside its text: strings, and places in a list and a dictionary. */
+export const MEMORY_PER_FIELD = 192;
+/** Memory of a whole head up to which it is not counted. */
+export const SHORT_HEAD_BYTES = 8 * 1024;
 /** Memory of a request that waits for its turn, bytes. */
 export const WAITING_REQUEST_BYTES = 8 * 1024;
 /** Bytes of requests that nobody needs that a process reads in a row, and bytes per ms after that. */
--- a/test/crowd/entry-callers.test.ts
+++ b/test/crowd/entry-callers.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { checkCrowds } from './check.js';
 import { chunks, crowdOf, type Crowd } from './crowd.js';
+import { ENTRY_MACHINE } from './machine.js';
 import { callerHead, MAX_BODY_BYTES, PORT, startEntry } from './programs.js';
 
 const CHUNKED = 'Transfer-Encoding: chunked';
@@ -16,6 +17,8 @@
 const get = (path: string, ...headers: string[]): string =>
   `${callerHead('GET', path, ...headers)}\r\n`;
 
+const LONG_HEAD = get('/slow/1', ...Array.from({ length: 1500 }, (_, i) => `X${i}: y`));
+
 const CROWDS: Readonly<Record<string, readonly Crowd[]>> = {
   'chunks of 1 byte, never ended': [crowdOf(40, post(CHUNKED) + TINY)],
   'chunks of 16 bytes, never ended': [crowdOf(80, post(CHUNKED) + chunks(900 * KB, 16))],
@@ -76,9 +79,7 @@
   'trailers that stop': [
     crowdOf(400, `${post(CHUNKED)}1\r\nx\r\n0\r\n${'ab:cd\r\n'.repeat(9000)}`),
   ],
-  'whole requests with long heads to a slow endpoint': [
-    crowdOf(400, get('/slow/1', ...Array.from({ length: 1500 }, (_, i) => `X${i}: y`))),
-  ],
+  'whole requests with long heads to a slow endpoint': [crowdOf(400, LONG_HEAD)],
   'large responses that are never read': [crowdOf(300, get('/x/large'), { readsNothing: true })],
   'many responses that are never read': [
     crowdOf(200, get('/none/').repeat(2000), { readsNothing: true }),
@@ -102,6 +103,15 @@
   ],
 };
 
+test('an entry with many descriptors outlives a crowd of callers: whole requests with long heads', async (t) => {
+  const entry = await startEntry({ ...ENTRY_MACHINE, descriptors: 2400 });
+  try {
+    await checkCrowds(entry, PORT.callers, [crowdOf(900, LONG_HEAD)], (text) => t.diagnostic(text));
+  } finally {
+    await entry.stop();
+  }
+});
+
 for (const [name, crowds] of Object.entries(CROWDS))
   test(`an entry outlives a crowd of callers: ${name}`, async (t) => {
     const entry = await startEntry();
