Read new connections at once again, and forget those that closed while they waited to be read

What callers saw: an entry at whose port clients came back with large chunks took more memory the longer they did: 684 MB of 180 after 6 s at the port for daemons, 709 MB at that for callers, and its end (SIGABRT, heap full) after 10 s.

Cause: a connection that closed while it waited for the rate of reads stayed in the queue with up to 64 KB that it had sent, and used up a turn when it came. With more such connections than turns the queue grew without end.

Ruled out: the first reads of new connections.

Change: a connection that closes leaves the queue; the limit on first reads is taken back.

The test of the queue fails without the call that leaves it.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -345,8 +345,10 @@
     },
   );
 
-  server.on('connection', applyLimits);
-  connections.follow(server);
+  server.on('connection', (socket) => {
+    applyLimits();
+    connections.onConnection(socket);
+  });
   server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
     connections.onClientError(err, socket as Socket),
   );
--- a/src/runtime/bounded-server.ts
+++ b/src/runtime/bounded-server.ts
@@ -64,7 +64,7 @@
       });
     },
   );
-  connections.follow(server);
+  server.on('connection', connections.onConnection);
   server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
     connections.onClientError(err, socket as Socket),
   );
--- a/src/runtime/byte-bucket.ts
+++ b/src/runtime/byte-bucket.ts
@@ -26,12 +26,9 @@
    */
   refill(): void {
     const nowMs = this.nowMs();
-    this.give((nowMs - this.refilledAtMs) * this.rate.bytesPerMs);
+    const { burstBytes, bytesPerMs } = this.rate;
+    const refilled = this.availableBytes + (nowMs - this.refilledAtMs) * bytesPerMs;
+    this.availableBytes = Math.min(burstBytes, refilled);
     this.refilledAtMs = nowMs;
   }
-
-  /** Adds bytes, up to the size of the bucket. */
-  give(bytes: number): void {
-    this.availableBytes = Math.min(this.rate.burstBytes, this.availableBytes + bytes);
-  }
 }
--- a/src/runtime/connections/client-connections.ts
+++ b/src/runtime/connections/client-connections.ts
@@ -2,7 +2,7 @@
  * Connections of clients: which responses are due on each, what it keeps, and how it is closed. Nothing is written out
  * of turn: an error that ends a connection is reported behind the responses that are due, or not at all.
  */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { PendingAccount } from '../../core/buffering/index.js';
 import { discardRequestBody, type DiscardLimits } from '../discard-request-body.js';
@@ -121,17 +121,8 @@
     limits.metrics.gauge(`open_connections_${port}`, () => this.limit.size);
   }
 
-  /**
-   * Follows the connections of a server, and reads each one when it may be read.
-   * @example connections.follow(createServer(listener));
-   */
-  follow(server: Server): void {
-    // Without it Node reads a new connection once, even if it is paused at once.
-    Object.assign(server, { pauseOnConnect: true });
-    server.on('connection', (socket: Socket) => this.onConnection(socket));
-  }
-
-  private onConnection(socket: Socket): void {
+  /** Follows a new connection. */
+  readonly onConnection = (socket: Socket): void => {
     const connection = this.of(socket);
     if (!this.limit.add(connection)) {
       this.deps.limits.metrics.count('connections_refused_total', { port: this.deps.port });
@@ -148,8 +139,7 @@
       if (!isDropping(connection)) connection.feed.resume();
     });
     socket.on('data', (bytes: Buffer) => this.onData(connection, bytes));
-    connection.pace.start();
-  }
+  };
 
   private forget(connection: Connection): void {
     connection.feed.clear();
--- a/src/runtime/connections/client-limits.ts
+++ b/src/runtime/connections/client-limits.ts
@@ -72,10 +72,6 @@
   metrics.gauge('buffered_bytes', () => memory.usedBytes);
   metrics.gauge('buffered_peak_bytes', () => memory.peakBytes);
   metrics.gauge('buffered_budget_bytes', () => memory.limits.totalBytes);
-  const readRate = {
-    burstBytes: memoryBytes * READ_BURST_SHARE,
-    bytesPerMs: memoryBytes * READ_SHARE_PER_MS,
-  };
   return {
     log,
     metrics,
@@ -85,7 +81,9 @@
     queue: new ParseQueue(nowMs),
     discards: new DiscardAllowance(nowMs),
     largeReaders: new Set(),
-    reads: new ReadAllowance(nowMs, readRate),
-    firstReads: new ReadAllowance(nowMs, readRate),
+    reads: new ReadAllowance(nowMs, {
+      burstBytes: memoryBytes * READ_BURST_SHARE,
+      bytesPerMs: memoryBytes * READ_SHARE_PER_MS,
+    }),
   };
 }
--- a/src/runtime/connections/consts.ts
+++ b/src/runtime/connections/consts.ts
@@ -28,10 +28,8 @@
 export const DISCARD_RATE = { burstBytes: 2 * 1024 * 1024, bytesPerMs: 2 * 1024 } as const;
 /** Share of the connections of a server that is closed when there are too many, so that it is seldom necessary. */
 export const EVICTED_SHARE = 0.02;
-/** Reads of at least this size count as those of a large request; no read behind a smaller one is held up. */
+/** Reads of at least this size count as those of a large request; smaller ones are never held up. */
 export const LARGE_READ_BYTES = 16 * 1024;
-/** Most bytes that one read returns. */
-export const MAX_READ_BYTES = 64 * 1024;
 /** Large requests that are read at once as fast as they come; more of them share the read rate. */
 export const MAX_UNLIMITED_READERS = 4;
 /**
--- a/src/runtime/connections/read-pace.ts
+++ b/src/runtime/connections/read-pace.ts
@@ -1,16 +1,14 @@
 /**
- * Limits the rate at which large requests are read while many of them arrive. What is read becomes garbage that keeps
- * its memory until the next collection, also on the new connection of a client that was refused and came back at once.
+ * Limits the rate at which large requests are read while many of them arrive: what is read becomes garbage that keeps
+ * its memory until the next collection.
  */
 import type { ReadAllowance } from '../read-allowance.js';
-import { LARGE_READ_BYTES, MAX_READ_BYTES, MAX_UNLIMITED_READERS } from './consts.js';
+import { LARGE_READ_BYTES, MAX_UNLIMITED_READERS } from './consts.js';
 
 /** What all connections of a process share. */
 export interface SharedReads {
-  /** Rate of reads behind a large one. */
+  /** Rate at which many large requests are read. */
   readonly reads: ReadAllowance;
-  /** Rate of first reads of new connections. */
-  readonly firstReads: ReadAllowance;
   /** Connections on which a large request arrives. */
   readonly largeReaders: Set<object>;
 }
@@ -19,10 +17,8 @@
 export class ReadPace {
   private isWaiting = false;
   private cancel: () => void = () => undefined;
-  /** Bytes that the first read was charged, until they are known. */
-  private chargedBytes = 0;
 
-  /** `resume` is called when the connection may be read. */
+  /** `resume` is called when the connection may be read again. */
   constructor(
     private readonly shared: SharedReads,
     private readonly resume: () => void,
@@ -33,20 +29,17 @@
     return !this.isWaiting;
   }
 
-  /** Reads a new connection, now or later. */
-  start(): void {
-    if (!this.isLimited()) return this.resume();
-    this.runLater(this.shared.firstReads, MAX_READ_BYTES, () => {
-      this.chargedBytes = MAX_READ_BYTES;
-    });
-  }
-
   /** Notes the bytes of a read; behind a large one the connection may have to wait. */
   note(bytes: number): void {
-    this.settleFirst(bytes);
+    const { largeReaders, reads } = this.shared;
     if (bytes < LARGE_READ_BYTES) return;
-    this.shared.largeReaders.add(this);
-    if (this.isLimited()) this.runLater(this.shared.reads, bytes, () => undefined);
+    largeReaders.add(this);
+    if (largeReaders.size <= MAX_UNLIMITED_READERS) return;
+    this.isWaiting = true;
+    this.cancel = reads.run(bytes, () => {
+      this.isWaiting = false;
+      this.resume();
+    });
   }
 
   /** Notes that the request has arrived whole. */
@@ -54,29 +47,9 @@
     this.shared.largeReaders.delete(this);
   }
 
-  /** Notes that the connection is closed. */
+  /** Notes that the connection is closed, which must not wait for its turn any more. */
   close(): void {
     this.complete();
     this.cancel();
-    this.settleFirst(0);
-  }
-
-  private isLimited(): boolean {
-    return this.shared.largeReaders.size > MAX_UNLIMITED_READERS;
-  }
-
-  private runLater(allowance: ReadAllowance, chargedBytes: number, onRead: () => void): void {
-    this.isWaiting = true;
-    this.cancel = allowance.run(chargedBytes, () => {
-      this.isWaiting = false;
-      onRead();
-      this.resume();
-    });
-  }
-
-  private settleFirst(bytes: number): void {
-    if (this.chargedBytes === 0) return;
-    this.shared.firstReads.refund(this.chargedBytes - bytes);
-    this.chargedBytes = 0;
   }
 }
--- a/src/runtime/read-allowance.ts
+++ b/src/runtime/read-allowance.ts
@@ -4,9 +4,9 @@
 /** How often waiting reads are tried, ms. */
 const RETRY_MS = 1;
 
-/** A read of a socket, and the bytes that it is charged. */
+/** A read of a socket, and the bytes that its last one returned. */
 interface WaitingRead {
-  readonly chargedBytes: number;
+  readonly lastBytes: number;
   readonly read: () => void;
 }
 
@@ -21,13 +21,12 @@
   }
 
   /**
-   * Reads at once, or in order of arrival once the allowance permits. As its bytes are not known yet, a read is
-   * charged those that the caller expects: of the last read on its socket, say. Returns a function that takes back
-   * a read that still waits.
+   * Reads at once, or in order of arrival once the allowance permits. A read is charged the bytes of the last one
+   * on its socket, as its own are not known yet. Returns a function that takes back a read that still waits.
    * @example const cancel = allowance.run(lastBytes, () => socket.resume());
    */
-  run(chargedBytes: number, read: () => void): () => void {
-    const next = { chargedBytes, read };
+  run(lastBytes: number, read: () => void): () => void {
+    const next = { lastBytes, read };
     if (this.waiting.size === 0 && this.hasAllowance()) this.start(next);
     else {
       this.waiting.add(next);
@@ -36,16 +35,8 @@
     return () => void this.waiting.delete(next);
   }
 
-  /**
-   * Gives back what a read was charged too much.
-   * @example allowance.refund(chargedBytes - chunk.length);
-   */
-  refund(bytes: number): void {
-    this.bucket.give(bytes);
-  }
-
-  private start({ chargedBytes, read }: WaitingRead): void {
-    this.bucket.availableBytes -= chargedBytes;
+  private start({ lastBytes, read }: WaitingRead): void {
+    this.bucket.availableBytes -= lastBytes;
     read();
   }
 
--- a/test/crowd/check.ts
+++ b/test/crowd/check.ts
@@ -62,6 +62,7 @@
     const opened = openCrowd(target.host, port, crowd);
     open.push(opened);
     await opened.sent;
+    await wait(crowd.staysMs ?? 0);
   }
   await wait(PAUSE_MS);
   if (!(await isAnswered(target))) unanswered.push('while the crowd stays');
--- a/test/crowd/crowd.ts
+++ b/test/crowd/crowd.ts
@@ -13,6 +13,8 @@
   readonly readsNothing?: boolean;
   /** Whether a client whose connection was closed comes back at once. */
   readonly comesBack?: boolean;
+  /** Time for which the crowd goes on after its bytes were sent, ms. */
+  readonly staysMs?: number;
 }
 
 /** A crowd whose connections are open. */
--- a/test/crowd/entry-callers.test.ts
+++ b/test/crowd/entry-callers.test.ts
@@ -46,6 +46,12 @@
   'clients that come back at once': [
     crowdOf(100, post(CHUNKED) + chunks(400 * KB, 16), { comesBack: true }),
   ],
+  'large chunks, from clients that come back for seconds': [
+    crowdOf(150, post(CHUNKED) + LARGE, { comesBack: true, staysMs: 6000 }),
+  ],
+  'more clients than descriptors, which come back with large chunks for seconds': [
+    crowdOf(400, post(CHUNKED) + LARGE, { comesBack: true, staysMs: 6000 }),
+  ],
   'chunks of 1 byte with an unknown key': [
     crowdOf(80, `${post(CHUNKED).replace('k-1', 'k-9')}${TINY}`),
   ],
--- a/test/crowd/internal-crowds.ts
+++ b/test/crowd/internal-crowds.ts
@@ -40,6 +40,9 @@
   'large chunks, from clients that come back at once': [
     crowdOf(100, POST + LARGE, { comesBack: true }),
   ],
+  'large chunks, from clients that come back for seconds': [
+    crowdOf(100, POST + LARGE, { comesBack: true, staysMs: 6000 }),
+  ],
   'many calls whose responses are never read': [
     crowdOf(100, CALL.repeat(3000), { readsNothing: true }),
   ],
--- /dev/null
+++ b/test/runtime/connections/read-pace.test.ts
@@ -0,0 +1,53 @@
+/** Guards against connections that closed while they waited to be read, and keep their memory and their turn. */
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect, type AddressInfo, type Socket } from 'node:net';
+import { test } from 'node:test';
+import { createBoundedServer } from '../../../src/runtime/bounded-server.js';
+import { testClientLimits } from '../../fixtures/client-limits.js';
+import { until } from '../../fixtures/until.js';
+
+const LARGE = `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n${'x'.repeat(800_000)}`;
+const CLIENTS = 100;
+const NEW_CLIENTS = 6;
+const MAX_READ_BYTES = 64 * 1024;
+/** Time in which the read rate of an instance of 256 MB allows a few reads, ms. */
+const FEW_READS_MS = 60;
+
+test('connections that closed while they waited to be read leave their turn to others', async () => {
+  const clock = { nowMs: 0 };
+  const limits = testClientLimits(() => clock.nowMs);
+  const server = createBoundedServer({ limits, port: 'daemons' }, (req) => req.resume());
+  let accepted: Socket[] = [];
+  server.on('connection', (socket: Socket) => accepted.push(socket));
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  const clients: Socket[] = [];
+  const join = async (count: number): Promise<void> => {
+    accepted = [];
+    for (let i = 0; i < count; i += 1) {
+      const client = connect(port, '127.0.0.1');
+      client.on('error', () => undefined).write(LARGE);
+      clients.push(client);
+    }
+    const areRead = (): boolean =>
+      accepted.length === count && accepted.every(({ bytesRead }) => bytesRead > 0);
+    await until('all connections are read once', areRead);
+  };
+  try {
+    await join(CLIENTS);
+    await until('most of them wait', () => limits.largeReaders.size === CLIENTS);
+    server.closeAllConnections();
+    await until('they are closed', () => limits.largeReaders.size === 0);
+    await join(NEW_CLIENTS);
+    clock.nowMs += FEW_READS_MS;
+    const isReadOn = ({ bytesRead }: Socket): boolean => bytesRead > MAX_READ_BYTES;
+    await until('the new ones are read on', () => accepted.every(isReadOn));
+    assert.equal(clock.nowMs, FEW_READS_MS);
+  } finally {
+    for (const client of clients) client.destroy();
+    server.close();
+    server.closeAllConnections();
+  }
+});
