Count a refused large request no more once the rest of it has been read

What callers would see: slower uploads of others while more than four connections at rest had once sent a large request that was refused.

Cause: 'Read new connections as the rate of reads allows' counts a refused request among those that arrive until its connection closes, also when the rest of it has been read and the connection stays open.

Evidence: found by reading. The test fails before: the connection is counted until it closes.

Change: the end of the body that is discarded ends the count.

--- a/src/runtime/connections/client-connections.ts
+++ b/src/runtime/connections/client-connections.ts
@@ -215,7 +215,7 @@
   private remove(connection: Connection, due: DueResponse): void {
     const { socket, waiting } = connection;
     connection.sinceMs = this.deps.limits.nowMs();
-    // The rest of a refused request is still read.
+    // The rest of a refused request may still arrive.
     if (connection.newest?.complete) connection.pace.complete();
     connection.due.delete(due);
     if (connection.last === due) connection.last = undefined;
@@ -259,7 +259,8 @@
     const connection = this.of(req.socket);
     connection.discarding = discardRequestBody(req, limits).then((hasEnded) => {
       connection.discarding = undefined;
-      if (!hasEnded) this.abandonBody(req, id);
+      if (hasEnded) connection.pace.complete();
+      else this.abandonBody(req, id);
     });
   }
 
--- a/test/runtime/connections/read-pace.test.ts
+++ b/test/runtime/connections/read-pace.test.ts
@@ -1,9 +1,11 @@
-/** Guards against connections that closed while they waited to be read, and keep their memory and their turn. */
+/** Guards against connections that are counted among those on which a large request arrives for longer than it does. */
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
+import { createServer } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { test } from 'node:test';
 import { createBoundedServer } from '../../../src/runtime/bounded-server.js';
+import { ClientConnections } from '../../../src/runtime/connections/index.js';
 import { testClientLimits } from '../../fixtures/client-limits.js';
 import { until } from '../../fixtures/until.js';
 
@@ -51,3 +53,36 @@
     server.closeAllConnections();
   }
 });
+
+test('a refused large request is not counted any more once the rest of it has been read', async () => {
+  const limits = testClientLimits();
+  const connections = new ClientConnections({
+    limits,
+    port: 'callers',
+    maxConnections: 10,
+    maxHeadBytes: () => 65_536,
+    headMs: () => 1000,
+    firstHeadExtraMs: () => 1000,
+  });
+  const server = createServer((req, res) => {
+    void connections.add(req, res, 'q-1');
+    res.writeHead(503).end();
+    connections.discardBody(req, 'q-1', { maxBytes: 1_000_000, maxMs: 2000 });
+  });
+  server.on('connection', connections.onConnection);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const client = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  try {
+    client.write(LARGE);
+    await once(client, 'data');
+    await until('the request is counted', () => limits.largeReaders.size === 1);
+    client.write('x'.repeat(100_000));
+    await until('it is counted no more', () => limits.largeReaders.size === 0);
+    assert.ok(!client.closed);
+  } finally {
+    client.destroy();
+    server.close();
+    server.closeAllConnections();
+  }
+});
