--- a/fakes/http/http.ts
+++ b/fakes/http/http.ts
@@ -21,6 +21,15 @@
   res.end(JSON.stringify(body));
 }
 
+/**
+ * Listens on a free loopback port, and resolves to the port.
+ * @example const port = await listenLoopback(server);
+ */
+export async function listenLoopback(server: Server): Promise<number> {
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  return (server.address() as AddressInfo).port;
+}
+
 /** Serves on a free loopback port; a handler that fails gives status 500 or a closed connection. */
 export async function serveLoopback(
   handler: (req: IncomingMessage, res: ServerResponse) => Promise<void>,
@@ -31,8 +40,7 @@
       else res.destroy();
     });
   });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as AddressInfo;
+  const port = await listenLoopback(server);
   return { server, port, url: `http://127.0.0.1:${port}` };
 }
 
--- a/test/rpc/pipelined-calls.test.ts
+++ b/test/rpc/pipelined-calls.test.ts
@@ -1,8 +1,8 @@
 /** Guards against memory of a call that is never freed, as its client sent it behind another one and left. */
 import assert from 'node:assert/strict';
-import { once } from 'node:events';
-import { connect, type AddressInfo } from 'node:net';
+import { connect } from 'node:net';
 import { test } from 'node:test';
+import { closeServer, listenLoopback } from '../../fakes/http/index.js';
 import { createRpcServer } from '../../src/rpc/serve.js';
 import { testClientLimits } from '../fixtures/client-limits.js';
 import { until } from '../fixtures/until.js';
@@ -25,9 +25,8 @@
     return new Promise(() => undefined);
   };
   const server = createRpcServer({ rank }, { limits });
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const client = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  const port = await listenLoopback(server);
+  const client = connect(port, '127.0.0.1');
   try {
     client.write(CALL.repeat(2));
     await until('both calls run', () => calls === 2);
@@ -36,7 +35,6 @@
     await until('their memory is free', () => limits.memory.usedBytes === 0);
   } finally {
     client.destroy();
-    server.close();
-    server.closeAllConnections();
+    closeServer(server);
   }
 });
--- a/test/runtime/connections/client-connections.test.ts
+++ b/test/runtime/connections/client-connections.test.ts
@@ -1,9 +1,9 @@
 /** Guards against memory that stays counted for a connection that keeps nothing any more. */
 import assert from 'node:assert/strict';
-import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
-import { connect, type AddressInfo } from 'node:net';
+import { connect } from 'node:net';
 import { test } from 'node:test';
+import { closeServer, listenLoopback } from '../../../fakes/http/index.js';
 import { createBoundedServer } from '../../../src/runtime/bounded-server.js';
 import { testClientLimits } from '../../fixtures/client-limits.js';
 import { until } from '../../fixtures/until.js';
@@ -14,9 +14,8 @@
   const limits = testClientLimits();
   const held: ServerResponse[] = [];
   const server = createBoundedServer({ limits, port: 'operators' }, (_req, res) => held.push(res));
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const client = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  const port = await listenLoopback(server);
+  const client = connect(port, '127.0.0.1');
   client.resume();
   try {
     client.write(REQUEST.repeat(3));
@@ -29,7 +28,6 @@
     assert.ok(!client.closed);
   } finally {
     client.destroy();
-    server.close();
-    server.closeAllConnections();
+    closeServer(server);
   }
 });
--- a/test/runtime/connections/head-memory.test.ts
+++ b/test/runtime/connections/head-memory.test.ts
@@ -1,9 +1,9 @@
 /** Guards against whole heads that take memory which nobody counts, as long as their requests run. */
 import assert from 'node:assert/strict';
-import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
-import { connect, type AddressInfo } from 'node:net';
+import { connect } from 'node:net';
 import { test } from 'node:test';
+import { closeServer, listenLoopback } from '../../../fakes/http/index.js';
 import { createBoundedServer } from '../../../src/runtime/bounded-server.js';
 import { testClientLimits } from '../../fixtures/client-limits.js';
 import { until } from '../../fixtures/until.js';
@@ -17,9 +17,7 @@
   const limits = testClientLimits();
   const held: ServerResponse[] = [];
   const server = createBoundedServer({ limits, port: 'daemons' }, (_req, res) => held.push(res));
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
+  const port = await listenLoopback(server);
   const clients = Array.from({ length: CLIENTS + 1 }, () => connect(port, '127.0.0.1'));
   let refused = 0;
   try {
@@ -35,7 +33,6 @@
     await until('nothing is counted', () => limits.memory.usedBytes === 0);
   } finally {
     for (const client of clients) client.destroy();
-    server.close();
-    server.closeAllConnections();
+    closeServer(server);
   }
 });
--- a/test/runtime/connections/paused-reads.test.ts
+++ b/test/runtime/connections/paused-reads.test.ts
@@ -1,9 +1,10 @@
 /** Guards against bytes that are read from a paused connection, into a buffer that nobody counts. */
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { connect, type AddressInfo, type Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
+import { closeServer, listenLoopback } from '../../../fakes/http/index.js';
 import { createBoundedServer } from '../../../src/runtime/bounded-server.js';
 import { testClientLimits } from '../../fixtures/client-limits.js';
 import { until } from '../../fixtures/until.js';
@@ -24,9 +25,8 @@
     });
   });
   const accepted = once(server, 'connection');
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const client = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  const port = await listenLoopback(server);
+  const client = connect(port, '127.0.0.1');
   try {
     client.write(HEAD + 'x'.repeat(900_000));
     const [socket] = (await accepted) as [Socket];
@@ -40,7 +40,6 @@
     assert.equal(readBytes, 900_000);
   } finally {
     client.destroy();
-    server.close();
-    server.closeAllConnections();
+    closeServer(server);
   }
 });
--- a/test/runtime/connections/read-pace.test.ts
+++ b/test/runtime/connections/read-pace.test.ts
@@ -2,8 +2,9 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { createServer } from 'node:http';
-import { connect, type AddressInfo, type Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { test } from 'node:test';
+import { closeServer, listenLoopback } from '../../../fakes/http/index.js';
 import { createBoundedServer } from '../../../src/runtime/bounded-server.js';
 import { ClientConnections } from '../../../src/runtime/connections/index.js';
 import { testClientLimits } from '../../fixtures/client-limits.js';
@@ -22,9 +23,7 @@
   const server = createBoundedServer({ limits, port: 'daemons' }, (req) => req.resume());
   let accepted: Socket[] = [];
   server.on('connection', (socket: Socket) => accepted.push(socket));
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
+  const port = await listenLoopback(server);
   const clients: Socket[] = [];
   const join = async (count: number): Promise<void> => {
     accepted = [];
@@ -49,8 +48,7 @@
     assert.equal(clock.nowMs, FEW_READS_MS);
   } finally {
     for (const client of clients) client.destroy();
-    server.close();
-    server.closeAllConnections();
+    closeServer(server);
   }
 });
 
@@ -70,9 +68,8 @@
     connections.discardBody(req, 'q-1', { maxBytes: 1_000_000, maxMs: 2000 });
   });
   server.on('connection', connections.onConnection);
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const client = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  const port = await listenLoopback(server);
+  const client = connect(port, '127.0.0.1');
   try {
     client.write(LARGE);
     await once(client, 'data');
@@ -82,7 +79,6 @@
     assert.ok(!client.closed);
   } finally {
     client.destroy();
-    server.close();
-    server.closeAllConnections();
+    closeServer(server);
   }
 });
