A name and a term of the work on misbehaving clients that had become wrong

outcomeOfBody is also the outcome of a head that was not kept: outcomeOfUnread. What waits in the socket's own buffer is always nothing since reads stop with a pause, so the feed does not add it.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -203,7 +203,7 @@
     if (starts === false) return;
     if (callers.requestIdHeader) res.setHeader(callers.requestIdHeader, id);
     if (!connections.keepHead(req, res)) {
-      finish(undefined, id, res, outcomeOfBody(notRun('buffers-full', NO_HEAD_MEMORY)), note);
+      finish(undefined, id, res, outcomeOfUnread(notRun('buffers-full', NO_HEAD_MEMORY)), note);
       return discardRest(req, id, head.deadlineMs);
     }
     if (starts !== true && !(await starts)) return;
@@ -253,7 +253,7 @@
       gone: disconnected.signal,
     };
     if (body.err) {
-      finish(request, id, res, outcomeOfBody(body.val), note);
+      finish(request, id, res, outcomeOfUnread(body.val), note);
       if (body.val.reason === 'buffers-full') return discardRest(req, id, head.deadlineMs);
       return req.complete ? undefined : connections.abandonBody(req, id);
     }
@@ -270,8 +270,8 @@
     connections.discardBody(req, id, { maxBytes, maxMs });
   }
 
-  /** The outcome of a request whose body could not be read. */
-  function outcomeOfBody({ reason, message: detail }: HarriergladeError): RequestOutcome {
+  /** The outcome of a request whose head or body could not be read and kept. */
+  function outcomeOfUnread({ reason, message: detail }: HarriergladeError): RequestOutcome {
     if (reason === 'body-cut') return { kind: 'gone' };
     if (reason === 'buffers-full')
       return refuseWith(reason, detail, randomRetryAfterS(ctx, BUSY_RETRY_S));
--- a/src/runtime/connections/connection-feed.ts
+++ b/src/runtime/connections/connection-feed.ts
@@ -76,7 +76,7 @@
 
   /** Counts the memory of the unparsed bytes. */
   noteKept(): void {
-    this.deps.onKept(this.unparsed ? this.readBytes + this.deps.socket.readableLength : 0);
+    this.deps.onKept(this.unparsed ? this.readBytes : 0);
   }
 
   /** Parses for a slice of time, or until the connection is blocked. */
